--- /dev/null
+++ b/cmd/swiftloom/check.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"swiftloom/loomcatalogue"
+	"swiftloom/loomplatform"
+	"swiftloom/loomroute"
+	"swiftloom/loomsettings"
+)
+
+func checkCommand() *cli.Command {
+	return command(&cli.Command{
+		Name:  "check",
+		Usage: "checks settings and a catalogue file, and prints every fault",
+		Flags: []cli.Flag{
+			settingsFlag(),
+			&cli.StringFlag{Name: "catalogue", Usage: "JSON or INI file with catalogue entries"},
+			jsonFlag(),
+		},
+		Action: check,
+	})
+}
+
+type checkReport struct {
+	OK     bool                 `json:"ok"`
+	Faults []loomsettings.Fault `json:"faults"`
+}
+
+func check(_ context.Context, c *cli.Command) error {
+	faults := checkSettings(c.String("settings"))
+	if path := c.String("catalogue"); path != "" {
+		faults = append(faults, checkCatalogue(path)...)
+	}
+	if c.Bool("json") {
+		if err := printJSON(checkReport{OK: len(faults) == 0, Faults: slices.Concat([]loomsettings.Fault{}, faults)}); err != nil {
+			return err
+		}
+	}
+	if len(faults) > 0 {
+		if !c.Bool("json") {
+			fmt.Fprintln(os.Stderr, loomsettings.Faults(faults).Error())
+		}
+		return errors.Errorf("%d faults", len(faults))
+	}
+	if !c.Bool("json") {
+		fmt.Println("ok")
+	}
+	return nil
+}
+
+func checkSettings(path string) []loomsettings.Fault {
+	s, err := loomsettings.ReadFile(path)
+	if err != nil {
+		return faultsOf(path, err)
+	}
+	var faults []loomsettings.Fault
+	if !slices.Contains(loomroute.Policies(), s.Routing.Policy) {
+		faults = append(faults, loomsettings.Fault{File: path, Section: "routing", Key: "policy", Message: fmt.Sprintf("unknown policy %q (have %v)", s.Routing.Policy, loomroute.Policies())})
+	}
+	if !slices.Contains(loomplatform.Drivers(), s.Platform.Driver) {
+		faults = append(faults, loomsettings.Fault{File: path, Section: "platform", Key: "driver", Message: fmt.Sprintf("unknown driver %q (have %v)", s.Platform.Driver, loomplatform.Drivers())})
+	}
+	return faults
+}
+
+func checkCatalogue(path string) []loomsettings.Fault {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return faultsOf(path, err)
+	}
+	changes, err := loomcatalogue.ParseFile(path, data)
+	if err != nil {
+		return faultsOf(path, err)
+	}
+	edit := loomcatalogue.Edit{ID: "check", Operator: "check", Changes: changes}
+	var empty loomcatalogue.Snapshot
+	if _, _, err := empty.Edit(time.Now(), edit); err != nil {
+		return faultsOf(path, err)
+	}
+	return nil
+}
+
+func faultsOf(path string, err error) []loomsettings.Fault {
+	var faults loomsettings.Faults
+	if errors.As(err, &faults) {
+		return faults
+	}
+	return []loomsettings.Fault{{File: path, Message: err.Error()}}
+}
--- /dev/null
+++ b/cmd/swiftloom/output.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"text/tabwriter"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/term"
+)
+
+func jsonFlag() cli.Flag {
+	return &cli.BoolFlag{Name: "json", Usage: "print one JSON object for machines"}
+}
+
+func logFlag(level string) cli.Flag {
+	return &cli.StringFlag{Name: "log-level", Value: level, Usage: "debug, info, warn or error"}
+}
+
+// newLog returns a logger that writes key=value lines to standard error.
+func newLog(level string) (*slog.Logger, error) {
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(level)); err != nil {
+		return nil, usagef("--log-level: %q is not one of debug, info, warn, error", level)
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: l})), nil
+}
+
+func printJSON(v any) error {
+	e := json.NewEncoder(os.Stdout)
+	e.SetIndent("", "  ")
+	return errors.Trace(e.Encode(v))
+}
+
+// table writes rows in columns.
+type table struct {
+	w *tabwriter.Writer
+}
+
+func newTable(w io.Writer) table {
+	return table{w: tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)}
+}
+
+func (t table) row(cells ...any) {
+	for i, c := range cells {
+		if i > 0 {
+			fmt.Fprint(t.w, "\t")
+		}
+		fmt.Fprint(t.w, c)
+	}
+	fmt.Fprintln(t.w)
+}
+
+func (t table) flush() {
+	_ = t.w.Flush()
+}
+
+// progress returns a function that shows how far long work has come, when
+// standard error is a terminal.
+func progress(what string) func(done, total int) {
+	if !term.IsTerminal(int(os.Stderr.Fd())) {
+		return func(int, int) {}
+	}
+	return func(done, total int) {
+		fmt.Fprintf(os.Stderr, "\r%s: %d of %d", what, done, total)
+		if done == total {
+			fmt.Fprintln(os.Stderr)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/swiftloom/serve.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"swiftloom/loominstance"
+	"swiftloom/loomsettings"
+)
+
+func settingsFlag() cli.Flag {
+	return &cli.StringFlag{Name: "settings", Usage: "INI file with the settings of the instance", Required: true}
+}
+
+func serveCommand() *cli.Command {
+	return command(&cli.Command{
+		Name:   "serve",
+		Usage:  "runs one entry instance until SIGTERM, then drains",
+		Flags:  []cli.Flag{settingsFlag()},
+		Action: serve,
+	})
+}
+
+func serve(ctx context.Context, c *cli.Command) error {
+	s, err := loomsettings.ReadFile(c.String("settings"))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: s.Instance.LogLevel}))
+	instance, err := loominstance.New(s, loominstance.Options{Log: log, Seed: rand.Uint64()})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return instance.Run(ctx)
+}
--- /dev/null
+++ b/cmd/swiftloom/standin.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"swiftloom/loompb"
+	"swiftloom/loomplatform"
+	"swiftloom/loomstandin"
+)
+
+func standinCommand() *cli.Command {
+	return &cli.Command{
+		Name:         "standin",
+		Usage:        "runs one stand-in as a process",
+		OnUsageError: usageError,
+		Action: func(_ context.Context, c *cli.Command) error {
+			return usagef("standin needs one of platform, engine, store, service; not %q", c.Args().First())
+		},
+		Commands: []*cli.Command{standinPlatform(), standinEngine(), standinStore(), standinService()},
+	}
+}
+
+func listenFlag() cli.Flag {
+	return &cli.StringFlag{Name: "listen", Value: "127.0.0.1:0", Usage: "IP:PORT to listen on"}
+}
+
+func memberFlags(group string) []cli.Flag {
+	return []cli.Flag{
+		listenFlag(),
+		&cli.StringFlag{Name: "id", Required: true},
+		&cli.StringFlag{Name: "group", Value: group},
+		&cli.StringFlag{Name: "failure-domain", Required: true},
+		&cli.StringFlag{Name: "platform", Required: true, Usage: "IP:PORT of the platform"},
+	}
+}
+
+func checkAddresses(c *cli.Command, names ...string) error {
+	for _, name := range names {
+		if _, err := netip.ParseAddrPort(c.String(name)); err != nil {
+			return usagef("--%s: %q is not an IP number with a port", name, c.String(name))
+		}
+	}
+	return nil
+}
+
+func standinPlatform() *cli.Command {
+	return command(&cli.Command{
+		Name:  "platform",
+		Usage: "table, objects, list of members and weights",
+		Flags: []cli.Flag{
+			listenFlag(),
+			&cli.DurationFlag{Name: "list-lag", Value: 300 * time.Millisecond},
+			&cli.IntFlag{Name: "load-limit", Value: 2},
+			&cli.Uint64Flag{Name: "seed", Value: 1},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if err := checkAddresses(c, "listen"); err != nil {
+				return err
+			}
+			p, err := loomstandin.NewPlatform(loomstandin.PlatformOptions{
+				Address:   c.String("listen"),
+				Seed:      c.Uint64("seed"),
+				ListLag:   c.Duration("list-lag"),
+				LoadLimit: c.Int("load-limit"),
+			})
+			if err != nil {
+				return errors.Trace(err)
+			}
+			defer p.Close()
+			fmt.Println(p.Address())
+			<-ctx.Done()
+			return nil
+		},
+	})
+}
+
+// announcing keeps a member announced until ctx ends.
+func announcing(ctx context.Context, c *cli.Command, member func() *loompb.Member, announce func(context.Context, loomstandin.Announcer)) error {
+	p, err := loomplatform.Open("grpc", loomplatform.Options{Addresses: []string{c.String("platform")}})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer func() { _ = p.Close() }()
+	fmt.Println(member().GetAddress())
+	announce(ctx, p)
+	return nil
+}
+
+func standinEngine() *cli.Command {
+	return command(&cli.Command{
+		Name:  "engine",
+		Usage: "a model engine",
+		Flags: append(memberFlags("engines"),
+			&cli.StringFlag{Name: "model", Required: true},
+			&cli.Uint64Flag{Name: "model-version", Value: 1},
+			&cli.DurationFlag{Name: "prefill-per-token", Value: 40 * time.Microsecond},
+			&cli.DurationFlag{Name: "step-time", Value: 4 * time.Millisecond},
+			&cli.IntFlag{Name: "cache-blocks", Value: 640},
+			&cli.IntFlag{Name: "block-bytes", Value: 128 << 10},
+			&cli.DurationFlag{Name: "report-lag", Value: 100 * time.Millisecond},
+			&cli.BoolFlag{Name: "ignore-fencing"},
+			&cli.Uint64Flag{Name: "seed", Value: 1}),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if err := checkAddresses(c, "listen", "platform"); err != nil {
+				return err
+			}
+			conn, err := loomplatform.Dial(c.String("platform"), nil)
+			if err != nil {
+				return errors.Trace(err)
+			}
+			defer func() { _ = conn.Close() }()
+			e, err := loomstandin.NewEngine(loomstandin.EngineOptions{
+				ID:              c.String("id"),
+				Group:           c.String("group"),
+				FailureDomain:   c.String("failure-domain"),
+				Address:         c.String("listen"),
+				Model:           c.String("model"),
+				Version:         c.Uint64("model-version"),
+				Seed:            c.Uint64("seed"),
+				PrefillPerToken: c.Duration("prefill-per-token"),
+				StepTime:        c.Duration("step-time"),
+				CacheBlocks:     c.Int("cache-blocks"),
+				BlockBytes:      c.Int("block-bytes"),
+				ReportLag:       c.Duration("report-lag"),
+				IgnoresFencing:  c.Bool("ignore-fencing"),
+				Weights:         loompb.NewPlatformClient(conn),
+			})
+			if err != nil {
+				return errors.Trace(err)
+			}
+			defer e.Kill()
+			return announcing(ctx, c, e.Member, e.Announce)
+		},
+	})
+}
+
+func standinStore() *cli.Command {
+	return command(&cli.Command{
+		Name:  "store",
+		Usage: "a store of kept state",
+		Flags: append(memberFlags("stores"),
+			&cli.Int64Flag{Name: "memory-bytes", Value: 1 << 30},
+			&cli.Int64Flag{Name: "disk-bytes", Value: 4 << 30},
+			&cli.Int64Flag{Name: "bytes-per-second", Value: 256 << 20}),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if err := checkAddresses(c, "listen", "platform"); err != nil {
+				return err
+			}
+			s, err := loomstandin.NewStore(loomstandin.StoreOptions{
+				ID:             c.String("id"),
+				Group:          c.String("group"),
+				FailureDomain:  c.String("failure-domain"),
+				Address:        c.String("listen"),
+				MemoryBytes:    c.Int64("memory-bytes"),
+				DiskBytes:      c.Int64("disk-bytes"),
+				BytesPerSecond: c.Int64("bytes-per-second"),
+			})
+			if err != nil {
+				return errors.Trace(err)
+			}
+			defer s.Kill()
+			return announcing(ctx, c, s.Member, s.Announce)
+		},
+	})
+}
+
+func standinService() *cli.Command {
+	return command(&cli.Command{
+		Name:  "service",
+		Usage: "a plain service that counts its runs",
+		Flags: append(memberFlags("services"), &cli.DurationFlag{Name: "work-time", Value: 15 * time.Millisecond}),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if err := checkAddresses(c, "listen", "platform"); err != nil {
+				return err
+			}
+			s, err := loomstandin.NewService(loomstandin.ServiceOptions{
+				ID:            c.String("id"),
+				Group:         c.String("group"),
+				FailureDomain: c.String("failure-domain"),
+				Address:       c.String("listen"),
+				WorkTime:      c.Duration("work-time"),
+			}, loomstandin.NewLedger())
+			if err != nil {
+				return errors.Trace(err)
+			}
+			defer s.Kill()
+			return announcing(ctx, c, s.Member, s.Announce)
+		},
+	})
+}
--- /dev/null
+++ b/cmd/swiftloom/status.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"swiftloom/loominstance"
+)
+
+func statusCommand() *cli.Command {
+	return command(&cli.Command{
+		Name:   "status",
+		Usage:  "prints what an instance believes, and why",
+		Flags:  operatorFlags(),
+		Action: status,
+	})
+}
+
+func status(ctx context.Context, c *cli.Command) error {
+	client, err := operatorClient(c)
+	if err != nil {
+		return err
+	}
+	var s loominstance.Status
+	if err := client.get(ctx, "/v1/status", &s); err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		return printJSON(s)
+	}
+	printStatus(s)
+	return nil
+}
+
+func printStatus(s loominstance.Status) {
+	state := "serving"
+	if s.Stopping {
+		state = "draining"
+	}
+	fmt.Printf("%s in %s: %s, %d requests in flight, %d queued\n", s.Instance, s.FailureDomain, state, s.InFlight, s.Queued)
+	fmt.Printf("catalogue revision %d, taken in %.0f s ago\n", s.CatalogueRevision, s.CatalogueAge)
+	held := "held by " + s.Reconciler.Holder
+	if s.Reconciler.Held {
+		held = fmt.Sprintf("held here with token %d", s.Reconciler.Token)
+	}
+	fmt.Printf("reconciler lease of the domain: %s\n", held)
+	fmt.Printf("kept state: home of %d prompts, %d of %d blocks stored, %d MiB\n", s.Kept.Prompts, s.Kept.Stored, s.Kept.Blocks, s.Kept.StoredBytes>>20)
+	fmt.Printf("claims: %d in %d writes\n\n", s.Claims.Claims, s.Claims.Writes)
+	t := newTable(os.Stdout)
+	t.row("MEMBER", "KIND", "DOMAIN", "STATE", "WHY", "VERSION", "WAIT_MS", "OUTSTANDING")
+	for _, m := range s.Members {
+		version := fmt.Sprint(m.Version)
+		if m.Loading > 0 {
+			version += fmt.Sprintf(" (loads %d)", m.Loading)
+		}
+		t.row(m.ID, m.Kind, m.FailureDomain, m.State, m.Reason, version, fmt.Sprintf("%.1f", m.WaitMS), m.Outstanding)
+	}
+	t.flush()
+	fmt.Println()
+	t = newTable(os.Stdout)
+	t.row("LINK TO STORE", "WAIT_MS", "USED_MIB", "CAPACITY_MIB")
+	for _, l := range s.Links {
+		t.row(l.Store, fmt.Sprintf("%.1f", l.WaitMS), l.Used>>20, l.Capacity>>20)
+	}
+	t.flush()
+	fmt.Println()
+	t = newTable(os.Stdout)
+	t.row("CLIENT ACCOUNT", "LEASED_TOKENS_PER_S", "HOME")
+	for _, q := range s.Quotas {
+		t.row(q.ClientAccount, fmt.Sprintf("%.0f", q.Rate), q.Home)
+	}
+	t.flush()
+}
--- /dev/null
+++ b/cmd/swiftloom/try.go
@@ -0,0 +1,168 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/juju/errors"
+	"github.com/urfave/cli/v3"
+
+	"swiftloom/loomroute"
+	"swiftloom/loomtrial"
+)
+
+func tryCommand() *cli.Command {
+	return command(&cli.Command{
+		Name:  "try",
+		Usage: "runs stand-ins and several instances in one process and plays a load at them",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "site", Value: "port", Usage: "one of " + strings.Join(loomtrial.Sites(), ", ")},
+			&cli.StringFlag{Name: "policy", Value: "cost", Usage: "one of " + strings.Join(loomroute.Policies(), ", ")},
+			&cli.IntFlag{Name: "requests", Usage: "number of requests (default: that of the site)"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of all random numbers"},
+			&cli.StringSliceFlag{Name: "fault", Usage: "fault to inject; may be repeated; all for every one, list to name them"},
+			&cli.StringFlag{Name: "scenario", Usage: "one of " + strings.Join(loomtrial.Scenarios(), ", ")},
+			&cli.BoolFlag{Name: "compare", Usage: "runs every policy on the same work"},
+			&cli.BoolFlag{Name: "hold", Usage: "keeps everything up and prints how to call it"},
+			jsonFlag(),
+			logFlag("error"),
+		},
+		Action: try,
+	})
+}
+
+func try(ctx context.Context, c *cli.Command) error {
+	if len(c.StringSlice("fault")) == 1 && c.StringSlice("fault")[0] == "list" {
+		fmt.Println(strings.Join(loomtrial.Faults(), "\n"))
+		return nil
+	}
+	site, err := loomtrial.SiteByName(c.String("site"))
+	if err != nil {
+		return usagef("--site: %s", err)
+	}
+	faults, err := loomtrial.ExpandFaults(c.StringSlice("fault"))
+	if err != nil {
+		return usagef("--fault: %s", err)
+	}
+	if _, err := loomroute.PolicyByName(c.String("policy")); err != nil {
+		return usagef("--policy: %s", err)
+	}
+	if c.Int("requests") < 0 {
+		return usagef("--requests: must not be negative")
+	}
+	log, err := newLog(c.String("log-level"))
+	if err != nil {
+		return err
+	}
+	o := loomtrial.Options{
+		Site:     site,
+		Policy:   c.String("policy"),
+		Seed:     c.Uint64("seed"),
+		Requests: c.Int("requests"),
+		Faults:   faults,
+		Scenario: c.String("scenario"),
+		Log:      log,
+	}
+	switch {
+	case c.Bool("hold"):
+		return hold(ctx, o)
+	case c.Bool("compare"):
+		return compare(ctx, c, o)
+	}
+	o.Progress = progress("try")
+	report, err := loomtrial.Run(ctx, o)
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		err = printJSON(report)
+	} else {
+		printReports([]loomtrial.Report{report})
+	}
+	if err != nil {
+		return err
+	}
+	return broken(report)
+}
+
+func broken(reports ...loomtrial.Report) error {
+	for _, r := range reports {
+		if r.Broken() {
+			return errors.Errorf("a promise was broken: %s", strings.Join(r.Notes, "; "))
+		}
+	}
+	return nil
+}
+
+func compare(ctx context.Context, c *cli.Command, o loomtrial.Options) error {
+	comparison, err := loomtrial.Compare(ctx, o, func(policy string) func(done, total int) { return progress("try " + policy) })
+	if err != nil {
+		return err
+	}
+	if c.Bool("json") {
+		err = printJSON(comparison)
+	} else {
+		printReports(comparison.Policies)
+		for _, r := range comparison.Ratios {
+			fmt.Printf("%s against %s: recomputed tokens x %.3f, ttft p95 x %.3f\n", r.Policy, r.Against, r.RecomputedTokens, r.TTFTP95)
+		}
+	}
+	if err != nil {
+		return err
+	}
+	return broken(comparison.Policies...)
+}
+
+func printReports(reports []loomtrial.Report) {
+	t := newTable(os.Stdout)
+	row := func(name string, value func(r loomtrial.Report) any) {
+		cells := []any{name}
+		for _, r := range reports {
+			cells = append(cells, value(r))
+		}
+		t.row(cells...)
+	}
+	row("policy", func(r loomtrial.Report) any { return r.Policy })
+	row("site", func(r loomtrial.Report) any { return r.Site })
+	row("seed", func(r loomtrial.Report) any { return r.Seed })
+	row("requests", func(r loomtrial.Report) any { return r.Requests })
+	row("answered", func(r loomtrial.Report) any { return r.Answered })
+	row("refused as not run", func(r loomtrial.Report) any { return r.RefusedNotRun })
+	row("failed", func(r loomtrial.Report) any { return r.Failed })
+	row("wrong answers", func(r loomtrial.Report) any { return r.WrongAnswers })
+	row("double runs", func(r loomtrial.Report) any { return r.DoubleRuns })
+	row("lost", func(r loomtrial.Report) any { return r.Lost })
+	row("false not run", func(r loomtrial.Report) any { return r.FalseNotRun })
+	row("ttft p50 (ms)", func(r loomtrial.Report) any { return fmt.Sprintf("%.1f", r.TTFTMSP50) })
+	row("ttft p95 (ms)", func(r loomtrial.Report) any { return fmt.Sprintf("%.1f", r.TTFTMSP95) })
+	row("ttft p99 (ms)", func(r loomtrial.Report) any { return fmt.Sprintf("%.1f", r.TTFTMSP99) })
+	row("prompt tokens", func(r loomtrial.Report) any { return r.PromptTokens })
+	row("recomputed tokens", func(r loomtrial.Report) any { return r.RecomputedTokens })
+	row("recomputed share", func(r loomtrial.Report) any { return fmt.Sprintf("%.3f", r.RecomputedShare) })
+	row("compulsory share", func(r loomtrial.Report) any { return fmt.Sprintf("%.3f", r.CompulsoryShare) })
+	row("link use", func(r loomtrial.Report) any { return fmt.Sprintf("%.3f", r.LinkUseShare) })
+	row("wall (s)", func(r loomtrial.Report) any { return fmt.Sprintf("%.1f", r.WallSeconds) })
+	t.flush()
+	for _, r := range reports {
+		for _, k := range r.ErrorKinds {
+			fmt.Printf("%s: %d requests ended with %s\n", r.Policy, k.Count, k.Kind)
+		}
+		for _, n := range r.Notes {
+			fmt.Printf("%s: %s\n", r.Policy, n)
+		}
+	}
+}
+
+// hold keeps a site up until the process is told to end.
+func hold(ctx context.Context, o loomtrial.Options) error {
+	t, err := loomtrial.Start(ctx, o.Site, o.Policy, o.Seed, o.Log)
+	if err != nil {
+		return err
+	}
+	defer t.Stop()
+	fmt.Print(t.Guide())
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/loomcatalogue/snapshot.go
@@ -0,0 +1,236 @@
+package loomcatalogue
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"maps"
+	"slices"
+	"time"
+
+	"swiftloom/loomerror"
+)
+
+// Snapshot is the whole catalogue at one revision. It is immutable; the zero
+// value is the empty catalogue at revision zero.
+type Snapshot struct {
+	revision uint64
+	// entries is never changed after the snapshot was made.
+	entries map[ID]Entry
+	// accounts maps the digest of a bearer key to its account.
+	accounts map[string]ClientAccount
+}
+
+// Change is one edited entry. A nil Spec deletes the entry.
+type Change struct {
+	ID
+	Spec json.RawMessage `json:"spec,omitempty"`
+}
+
+// Edit is a set of changes that takes effect as one.
+type Edit struct {
+	// ID names the edit, so that its author recognises it.
+	ID           string   `json:"edit_id"`
+	Operator     string   `json:"operator"`
+	BaseRevision uint64   `json:"base_revision"`
+	Changes      []Change `json:"changes"`
+}
+
+// Recorded is one change in the audit trail.
+type Recorded struct {
+	ID
+	Before json.RawMessage `json:"before,omitempty"`
+	After  json.RawMessage `json:"after,omitempty"`
+}
+
+// Record is one edit in the audit trail.
+type Record struct {
+	Revision     uint64     `json:"revision"`
+	BaseRevision uint64     `json:"base_revision"`
+	EditID       string     `json:"edit_id"`
+	Operator     string     `json:"operator"`
+	At           time.Time  `json:"at"`
+	Changes      []Recorded `json:"changes"`
+}
+
+// Revision returns the revision of s.
+func (s Snapshot) Revision() uint64 {
+	return s.revision
+}
+
+// Entry returns the entry with the given identity.
+func (s Snapshot) Entry(id ID) (Entry, bool) {
+	e, ok := s.entries[id]
+	return e, ok
+}
+
+// Entries returns the entries of a kind, or all for the empty kind, ordered
+// by kind and name.
+func (s Snapshot) Entries(kind Kind) []Entry {
+	var es []Entry
+	for id, e := range s.entries {
+		if kind == "" || id.Kind == kind {
+			es = append(es, e)
+		}
+	}
+	slices.SortFunc(es, func(a, b Entry) int { return cmp.Compare(a.ID().String(), b.ID().String()) })
+	return es
+}
+
+// Deployment returns the deployment entry with the given name.
+func (s Snapshot) Deployment(name string) (Deployment, bool) {
+	e, ok := s.entries[ID{KindDeployment, name}].(Deployment)
+	return e, ok
+}
+
+// Model returns the model entry with the given name.
+func (s Snapshot) Model(name string) (Model, bool) {
+	e, ok := s.entries[ID{KindModel, name}].(Model)
+	return e, ok
+}
+
+// Adapter returns the adapter entry with the given name.
+func (s Snapshot) Adapter(name string) (Adapter, bool) {
+	e, ok := s.entries[ID{KindAdapter, name}].(Adapter)
+	return e, ok
+}
+
+// ClientAccount returns the account entry with the given name.
+func (s Snapshot) ClientAccount(name string) (ClientAccount, bool) {
+	e, ok := s.entries[ID{KindClientAccount, name}].(ClientAccount)
+	return e, ok
+}
+
+// UpstreamGroup returns the group entry with the given name.
+func (s Snapshot) UpstreamGroup(name string) (UpstreamGroup, bool) {
+	e, ok := s.entries[ID{KindUpstreamGroup, name}].(UpstreamGroup)
+	return e, ok
+}
+
+// AccountByKey returns the account that a bearer key belongs to.
+func (s Snapshot) AccountByKey(key string) (ClientAccount, bool) {
+	digest := sha256.Sum256([]byte(key))
+	a, ok := s.accounts[hex.EncodeToString(digest[:])]
+	return a, ok
+}
+
+// Edit returns the snapshot after e and the record for the audit trail. It
+// refuses an edit from another revision, one that leaves the catalogue
+// invalid, and one that lowers a weight version.
+func (s Snapshot) Edit(now time.Time, e Edit) (Snapshot, Record, error) {
+	if e.BaseRevision != s.revision {
+		return s, Record{}, loomerror.New(loomerror.RevisionConflict, "the edit was made from revision %d, but the catalogue is at revision %d", e.BaseRevision, s.revision)
+	}
+	rec := Record{
+		Revision:     s.revision + 1,
+		BaseRevision: e.BaseRevision,
+		EditID:       e.ID,
+		Operator:     e.Operator,
+		At:           now.UTC(),
+	}
+	for _, c := range e.Changes {
+		r, err := s.recordChange(c)
+		if err != nil {
+			return s, Record{}, err
+		}
+		rec.Changes = append(rec.Changes, r)
+	}
+	next, err := s.WithRecord(rec)
+	if err != nil {
+		return s, Record{}, err
+	}
+	if problems := next.Validate(); len(problems) > 0 {
+		return s, Record{}, invalid(problems)
+	}
+	return next, rec, nil
+}
+
+func (s Snapshot) recordChange(c Change) (Recorded, error) {
+	r := Recorded{ID: c.ID}
+	old, exists := s.entries[c.ID]
+	if exists {
+		r.Before = encode(old)
+	}
+	if len(c.Spec) == 0 || string(c.Spec) == "null" {
+		if !exists {
+			return r, loomerror.New(loomerror.InvalidCatalogue, "%s: does not exist and can't be deleted", c.ID)
+		}
+		return r, nil
+	}
+	e, err := Decode(c.ID, c.Spec)
+	if err != nil {
+		return r, err
+	}
+	if exists && lowersVersion(old, e) {
+		return r, loomerror.New(loomerror.InvalidCatalogue, "%s: version: must not fall", c.ID)
+	}
+	r.After = encode(e)
+	return r, nil
+}
+
+func lowersVersion(old, e Entry) bool {
+	switch e := e.(type) {
+	case Model:
+		o, ok := old.(Model)
+		return ok && e.Version < o.Version
+	case Adapter:
+		o, ok := old.(Adapter)
+		return ok && e.Version < o.Version
+	default:
+		return false
+	}
+}
+
+// WithRecord returns the snapshot after an accepted record. It fails when the
+// record does not follow the revision of s.
+func (s Snapshot) WithRecord(rec Record) (Snapshot, error) {
+	if rec.Revision != s.revision+1 {
+		return s, loomerror.New(loomerror.RevisionConflict, "record %d does not follow revision %d", rec.Revision, s.revision)
+	}
+	entries := maps.Clone(s.entries)
+	if entries == nil {
+		entries = make(map[ID]Entry)
+	}
+	accountsChanged := s.accounts == nil
+	for _, c := range rec.Changes {
+		accountsChanged = accountsChanged || c.Kind == KindClientAccount
+		if len(c.After) == 0 {
+			delete(entries, c.ID)
+			continue
+		}
+		e, err := Decode(c.ID, c.After)
+		if err != nil {
+			return s, err
+		}
+		entries[c.ID] = e
+	}
+	next := Snapshot{revision: rec.Revision, entries: entries, accounts: s.accounts}
+	if accountsChanged {
+		next.accounts = accountsByDigest(entries)
+	}
+	return next, nil
+}
+
+func accountsByDigest(entries map[ID]Entry) map[string]ClientAccount {
+	accounts := make(map[string]ClientAccount)
+	for _, e := range entries {
+		if a, ok := e.(ClientAccount); ok {
+			for _, d := range a.KeySHA256 {
+				accounts[d] = a
+			}
+		}
+	}
+	return accounts
+}
+
+func invalid(problems []Problem) error {
+	text := ""
+	for i, p := range problems {
+		if i > 0 {
+			text += "; "
+		}
+		text += p.String()
+	}
+	return loomerror.New(loomerror.InvalidCatalogue, "%s", text)
+}
--- /dev/null
+++ b/loomerror/kind.go
@@ -0,0 +1,129 @@
+// Package loomerror holds the closed list of error kinds and the table from
+// kind to the answer that a caller gets.
+package loomerror
+
+import "net/http"
+
+// Kind classifies an error. The list is closed: every error that leaves an
+// instance has one of these kinds.
+type Kind int
+
+// The kinds of errors, in the order of the table of answers.
+const (
+	Internal Kind = iota
+	InvalidRequest
+	Unauthorized
+	Forbidden
+	UnknownModel
+	UnknownService
+	NotFound
+	BodyTooLarge
+	PromptTooLong
+	DeadlinePassed
+	DeadlineUnmeetable
+	QueueFull
+	QuotaExceeded
+	NoUpstream
+	PlatformUnavailable
+	ClaimInDoubt
+	ClaimMismatch
+	ClaimInProgress
+	RevisionConflict
+	InvalidCatalogue
+	UpstreamFailed
+	UpstreamRefused
+	StreamCut
+	OutcomeUnknown
+	ShuttingDown
+	Canceled
+	kindCount
+)
+
+// NotRun tells what an error promises about the work that was asked for.
+type NotRun int
+
+// The promises of an error.
+const (
+	NotRunUnknown NotRun = iota
+	NotRunTrue
+	NotRunFalse
+)
+
+// String returns "true", "false" or "unknown".
+func (n NotRun) String() string {
+	switch n {
+	case NotRunTrue:
+		return "true"
+	case NotRunFalse:
+		return "false"
+	default:
+		return "unknown"
+	}
+}
+
+// Answer is one row of the table from kind to answer.
+type Answer struct {
+	// Name is the kind in snake case; it is unique in the table.
+	Name string
+	// Status is the HTTP status code.
+	Status int
+	// Retryable tells whether the same request may succeed later.
+	Retryable bool
+	// NotRun is the promise when the error itself states none.
+	NotRun NotRun
+}
+
+var answers = [kindCount]Answer{
+	Internal:            {"internal", http.StatusInternalServerError, false, NotRunUnknown},
+	InvalidRequest:      {"invalid_request", http.StatusBadRequest, false, NotRunTrue},
+	Unauthorized:        {"unauthorized", http.StatusUnauthorized, false, NotRunTrue},
+	Forbidden:           {"forbidden", http.StatusForbidden, false, NotRunTrue},
+	UnknownModel:        {"unknown_model", http.StatusNotFound, false, NotRunTrue},
+	UnknownService:      {"unknown_service", http.StatusNotFound, false, NotRunTrue},
+	NotFound:            {"not_found", http.StatusNotFound, false, NotRunTrue},
+	BodyTooLarge:        {"body_too_large", http.StatusRequestEntityTooLarge, false, NotRunTrue},
+	PromptTooLong:       {"prompt_too_long", http.StatusBadRequest, false, NotRunTrue},
+	DeadlinePassed:      {"deadline_passed", http.StatusRequestTimeout, false, NotRunTrue},
+	DeadlineUnmeetable:  {"deadline_unmeetable", http.StatusServiceUnavailable, true, NotRunTrue},
+	QueueFull:           {"queue_full", http.StatusServiceUnavailable, true, NotRunTrue},
+	QuotaExceeded:       {"quota_exceeded", http.StatusTooManyRequests, true, NotRunTrue},
+	NoUpstream:          {"no_upstream", http.StatusServiceUnavailable, true, NotRunTrue},
+	PlatformUnavailable: {"platform_unavailable", http.StatusServiceUnavailable, true, NotRunTrue},
+	ClaimInDoubt:        {"claim_in_doubt", http.StatusServiceUnavailable, true, NotRunTrue},
+	ClaimMismatch:       {"claim_mismatch", http.StatusUnprocessableEntity, false, NotRunTrue},
+	ClaimInProgress:     {"claim_in_progress", http.StatusConflict, true, NotRunUnknown},
+	RevisionConflict:    {"revision_conflict", http.StatusConflict, false, NotRunTrue},
+	InvalidCatalogue:    {"invalid_catalogue", http.StatusUnprocessableEntity, false, NotRunTrue},
+	UpstreamFailed:      {"upstream_failed", http.StatusBadGateway, false, NotRunUnknown},
+	UpstreamRefused:     {"upstream_refused", http.StatusServiceUnavailable, true, NotRunTrue},
+	StreamCut:           {"stream_cut", http.StatusBadGateway, false, NotRunFalse},
+	OutcomeUnknown:      {"outcome_unknown", http.StatusBadGateway, false, NotRunUnknown},
+	ShuttingDown:        {"shutting_down", http.StatusServiceUnavailable, true, NotRunTrue},
+	Canceled:            {"canceled", statusClientClosed, false, NotRunUnknown},
+}
+
+// statusClientClosed is written to the log when the caller went away.
+const statusClientClosed = 499
+
+// Kinds returns every kind, in order.
+func Kinds() []Kind {
+	kinds := make([]Kind, 0, kindCount)
+	for k := Kind(0); k < kindCount; k++ {
+		kinds = append(kinds, k)
+	}
+	return kinds
+}
+
+// Answer returns the row of the table for k. An undefined kind answers as
+// Internal.
+func (k Kind) Answer() Answer {
+	if k < 0 || k >= kindCount {
+		return answers[Internal]
+	}
+	return answers[k]
+}
+
+// String returns the name of k in snake case.
+func (k Kind) String() string {
+	return k.Answer().Name
+}
--- /dev/null
+++ b/loominstance/catalogue.go
@@ -0,0 +1,178 @@
+package loominstance
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"swiftloom/loomcatalogue"
+	"swiftloom/loommember"
+	"swiftloom/loompb"
+)
+
+const (
+	// gossipFanout is the number of peers of the own failure domain that an
+	// instance exchanges state with in each round.
+	gossipFanout  = 2
+	gossipTimeout = 400 * time.Millisecond
+)
+
+// refreshCatalogue reads newer changes from the platform.
+func (n *Instance) refreshCatalogue(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, n.settings.Timing.PlatformTimeout)
+	defer cancel()
+	before := n.keeper.Snapshot().Revision()
+	if err := n.keeper.Refresh(ctx, time.Now()); err != nil {
+		n.log.Debug("catalogue not read", "error", err)
+	}
+	n.noteRevision(before, "platform")
+}
+
+func (n *Instance) noteRevision(before uint64, source string) {
+	after := n.keeper.Snapshot().Revision()
+	n.metrics.catalogueNumber.Update(float64(after))
+	if after > before {
+		n.log.Info("catalogue changes", "from_revision", before, "to_revision", after, "source", source)
+	}
+}
+
+// gossip exchanges catalogue revisions and leaving marks with some peers.
+func (n *Instance) gossip(ctx context.Context) {
+	for _, m := range n.gossipPeers() {
+		n.gossipWith(ctx, m)
+	}
+}
+
+// gossipPeers draws peers: of the own failure domain first, else any.
+func (n *Instance) gossipPeers() []loommember.Member {
+	var near, far []loommember.Member
+	for _, b := range n.view.Load().Kind(loommember.KindInstance, "") {
+		switch {
+		case b.ID == n.ID():
+		case b.FailureDomain == n.FailureDomain():
+			near = append(near, b.Member)
+		default:
+			far = append(far, b.Member)
+		}
+	}
+	random := n.newRandom()
+	shuffle := func(ms []loommember.Member) {
+		random.Shuffle(len(ms), func(i, j int) { ms[i], ms[j] = ms[j], ms[i] })
+	}
+	shuffle(near)
+	shuffle(far)
+	chosen := near[:min(len(near), gossipFanout)]
+	if len(far) > 0 {
+		chosen = append(chosen, far[0])
+	}
+	return chosen
+}
+
+func (n *Instance) gossipWith(ctx context.Context, m loommember.Member) {
+	client, err := n.peers.client(m.Address)
+	if err != nil {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, gossipTimeout)
+	defer cancel()
+	reply, err := client.Gossip(call, &loompb.GossipRequest{
+		InstanceId:        n.ID(),
+		Incarnation:       n.incarnation,
+		Stopping:          n.stopping.Load(),
+		CatalogueRevision: n.keeper.Snapshot().Revision(),
+		Leaving:           n.leavingMarks(),
+	})
+	now := time.Now()
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		n.tracker.Apply(now, loommember.Unanswered{ID: m.ID})
+		return
+	}
+	n.tracker.Apply(now, loommember.Heard{ID: m.ID, Incarnation: reply.GetIncarnation()})
+	if reply.GetStopping() {
+		n.tracker.Apply(now, loommember.Marked{ID: m.ID, Incarnation: reply.GetIncarnation()})
+	}
+	n.takeMarks(now, reply.GetLeaving())
+	n.takeChanges(now, reply)
+}
+
+func (n *Instance) leavingMarks() []*loompb.LeavingMark {
+	var marks []*loompb.LeavingMark
+	for _, m := range n.tracker.Leaves(time.Now()) {
+		marks = append(marks, &loompb.LeavingMark{Id: m.ID, Incarnation: m.Incarnation})
+	}
+	return marks
+}
+
+func (n *Instance) takeMarks(now time.Time, marks []*loompb.LeavingMark) {
+	for _, m := range marks {
+		n.tracker.Apply(now, loommember.Marked{ID: m.GetId(), Incarnation: m.GetIncarnation()})
+	}
+}
+
+func (n *Instance) takeChanges(now time.Time, reply *loompb.GossipReply) {
+	before := n.keeper.Snapshot().Revision()
+	if len(reply.GetSnapshot()) > 0 {
+		n.takeSnapshot(now, reply.GetSnapshot())
+	}
+	var records []loomcatalogue.Record
+	for _, data := range reply.GetChanges() {
+		var rec loomcatalogue.Record
+		if err := json.Unmarshal(data, &rec); err != nil {
+			n.log.Warn("peer sent a malformed change", "error", err)
+			return
+		}
+		records = append(records, rec)
+	}
+	if err := n.keeper.Take(now, records); err != nil {
+		n.log.Debug("changes of a peer not taken", "error", err)
+	}
+	n.noteRevision(before, "peer")
+}
+
+func (n *Instance) takeSnapshot(now time.Time, data []byte) {
+	var doc loomcatalogue.Document
+	if err := json.Unmarshal(data, &doc); err != nil {
+		n.log.Warn("peer sent a malformed catalogue", "error", err)
+		return
+	}
+	s, err := loomcatalogue.FromDocument(doc)
+	if err != nil {
+		n.log.Warn("peer sent an invalid catalogue", "error", err)
+		return
+	}
+	n.keeper.TakeSnapshot(now, s)
+}
+
+// answerGossip returns this instance's state for a peer.
+func (n *Instance) answerGossip(now time.Time, r *loompb.GossipRequest) (*loompb.GossipReply, error) {
+	n.takeMarks(now, r.GetLeaving())
+	if r.GetStopping() {
+		n.tracker.Apply(now, loommember.Marked{ID: r.GetInstanceId(), Incarnation: r.GetIncarnation()})
+	} else {
+		n.tracker.Apply(now, loommember.Heard{ID: r.GetInstanceId(), Incarnation: r.GetIncarnation()})
+	}
+	s := n.keeper.Snapshot()
+	reply := &loompb.GossipReply{
+		CatalogueRevision: s.Revision(),
+		Incarnation:       n.incarnation,
+		Stopping:          n.stopping.Load(),
+		Leaving:           n.leavingMarks(),
+	}
+	records, ok := n.keeper.Since(r.GetCatalogueRevision())
+	if !ok {
+		data, err := json.Marshal(s.Document())
+		reply.Snapshot = data
+		return reply, err
+	}
+	for _, rec := range records {
+		data, err := json.Marshal(rec)
+		if err != nil {
+			return nil, err
+		}
+		reply.Changes = append(reply.Changes, data)
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/loominstance/members.go
@@ -0,0 +1,194 @@
+package loominstance
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"swiftloom/loomcache"
+	"swiftloom/loomhome"
+	"swiftloom/loommember"
+	"swiftloom/loompb"
+	"swiftloom/loomroute"
+)
+
+const (
+	// maxEngines bounds the engines that an instance reports on and sends to,
+	// and foreignEngines those of other failure domains among them.
+	maxEngines     = 24
+	foreignEngines = 6
+	reportTimeout  = 500 * time.Millisecond
+)
+
+// refreshMembers announces the instance, reads the platform's list and takes
+// in the new view.
+func (n *Instance) refreshMembers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, n.settings.Timing.PlatformTimeout)
+	defer cancel()
+	_, err := n.platform.Announce(ctx, &loompb.AnnounceRequest{Member: n.announcement()})
+	if err != nil {
+		n.log.Debug("announce failed", "error", err)
+	}
+	reply, err := n.platform.Members(ctx, &loompb.MembersRequest{})
+	now := time.Now()
+	if err != nil {
+		n.log.Debug("list of members not read", "error", err)
+	} else {
+		n.tracker.Apply(now, listed(reply))
+	}
+	n.updateView(now)
+}
+
+func (n *Instance) announcement() *loompb.Member {
+	liveness := loompb.Liveness_LIVENESS_LIVE
+	if n.stopping.Load() {
+		liveness = loompb.Liveness_LIVENESS_LEAVING
+	}
+	return &loompb.Member{
+		Id:            n.ID(),
+		Kind:          loommember.KindInstance,
+		Group:         n.settings.Deployment.Name,
+		FailureDomain: n.FailureDomain(),
+		Region:        n.settings.Instance.Region,
+		Address:       n.peerListener.Addr().String(),
+		Incarnation:   n.incarnation,
+		Liveness:      liveness,
+	}
+}
+
+func listed(reply *loompb.MembersReply) loommember.Listed {
+	var e loommember.Listed
+	for _, m := range reply.GetMembers() {
+		e.Members = append(e.Members, loommember.Listing{
+			Member: loommember.Member{
+				ID:            m.GetId(),
+				Kind:          m.GetKind(),
+				Group:         m.GetGroup(),
+				FailureDomain: m.GetFailureDomain(),
+				Region:        m.GetRegion(),
+				Address:       m.GetAddress(),
+				Incarnation:   m.GetIncarnation(),
+			},
+			Leaving: m.GetLiveness() == loompb.Liveness_LIVENESS_LEAVING,
+		})
+	}
+	return e
+}
+
+// updateView replaces the view and, when the live instances have changed, the
+// table of homes.
+func (n *Instance) updateView(now time.Time) {
+	v := n.tracker.View(now)
+	n.view.Store(&v)
+	members := v.LiveIDs(loommember.KindInstance, "")
+	if !slices.Contains(members, n.ID()) && !n.stopping.Load() {
+		members = append(members, n.ID())
+		slices.Sort(members)
+	}
+	if slices.Equal(members, n.homes.Load().Members()) {
+		return
+	}
+	table := loomhome.NewTable(members)
+	n.homes.Store(&table)
+	n.homesAt.Store(now.UnixNano())
+	n.index.Keep(func(root loomcache.Key) bool { return table.Home(root[:]) == n.ID() })
+	n.stores.readAgain()
+	n.log.Info("homes change", "instances", len(members))
+}
+
+// homesSince returns when the set of live instances last changed.
+func (n *Instance) homesSince() time.Time {
+	return time.Unix(0, n.homesAt.Load())
+}
+
+// believed returns what the instance believes of a member.
+func (n *Instance) believed(id string) (loommember.Believed, bool) {
+	return n.view.Load().Find(id)
+}
+
+// groupEngines returns the engines of a group that this instance talks to: all
+// of a small group, else a part that differs between instances.
+func (n *Instance) groupEngines(group string) []loommember.Believed {
+	all := n.view.Load().Kind(loommember.KindEngine, group)
+	if len(all) <= maxEngines {
+		return all
+	}
+	byID := make(map[string]loommember.Believed, len(all))
+	var own, foreign []string
+	for _, b := range all {
+		byID[b.ID] = b
+		if b.FailureDomain == n.FailureDomain() {
+			own = append(own, b.ID)
+		} else {
+			foreign = append(foreign, b.ID)
+		}
+	}
+	key := []byte(n.ID())
+	ids := loomhome.Rank(key, own, maxEngines-foreignEngines)
+	ids = append(ids, loomhome.Rank(key, foreign, maxEngines-len(ids))...)
+	part := make([]loommember.Believed, 0, len(ids))
+	for _, id := range ids {
+		part = append(part, byID[id])
+	}
+	return part
+}
+
+// collectReports asks every engine of this instance for its load.
+func (n *Instance) collectReports(ctx context.Context) {
+	var wait sync.WaitGroup
+	for _, b := range n.groupEngines("") {
+		wait.Go(func() { n.collectReport(ctx, b.Member) })
+	}
+	wait.Wait()
+	n.updateView(time.Now())
+}
+
+func (n *Instance) collectReport(ctx context.Context, m loommember.Member) {
+	client, err := n.engines.client(m.Address)
+	if err != nil {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	reply, err := client.Report(call)
+	now := time.Now()
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		n.tracker.Apply(now, loommember.Unanswered{ID: m.ID})
+		return
+	}
+	n.tracker.Apply(now, loommember.Heard{ID: m.ID, Incarnation: reply.GetIncarnation()})
+	if reply.GetLeaving() {
+		n.tracker.Apply(now, loommember.Marked{ID: m.ID, Incarnation: reply.GetIncarnation()})
+	}
+	n.fleet.Report(now, m.ID, reportOf(now, reply))
+	n.queues.wake()
+}
+
+func reportOf(now time.Time, r *loompb.ReportReply) loomroute.Report {
+	return loomroute.Report{
+		Model:          r.GetModel(),
+		Version:        r.GetVersion(),
+		Incarnation:    r.GetIncarnation(),
+		Adapters:       r.GetAdapters(),
+		QueuedTokens:   int(r.GetQueuedTokens()),
+		Queued:         int(r.GetQueuedRequests()),
+		Running:        int(r.GetRunning()),
+		BatchLimit:     int(r.GetBatchLimit()),
+		MeasuredAt:     now.Add(-time.Duration(r.GetAgeUs()) * time.Microsecond),
+		Event:          r.GetLastEvent(),
+		CacheBlocks:    int(r.GetCacheCapacity()),
+		Leaving:        r.GetLeaving(),
+		LoadingVersion: r.GetLoadingVersion(),
+		FencingToken:   r.GetFencingToken(),
+	}
+}
+
+// markLeaving notes that a member told that it leaves.
+func (n *Instance) markLeaving(now time.Time, m loommember.Member) {
+	n.tracker.Apply(now, loommember.Marked{ID: m.ID, Incarnation: m.Incarnation})
+	n.updateView(now)
+}
--- /dev/null
+++ b/loominstance/peer_server.go
@@ -0,0 +1,140 @@
+package loominstance
+
+import (
+	"context"
+	"crypto/subtle"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"swiftloom/loomcache"
+	"swiftloom/loompb"
+)
+
+const peerKeyHeader = "loom-peer-key"
+
+// servePeers answers other instances until ctx ends.
+func (n *Instance) servePeers(ctx context.Context) error {
+	server := grpc.NewServer(grpc.UnaryInterceptor(n.checkPeer))
+	loompb.RegisterPeerServer(server, &peerServer{instance: n})
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(n.peerListener) }()
+	select {
+	case err := <-done:
+		return err
+	case <-n.killed:
+	case <-ctx.Done():
+	}
+	server.Stop()
+	<-done
+	return nil
+}
+
+// checkPeer refuses callers that do not show the deployment's key.
+func (n *Instance) checkPeer(ctx context.Context, req any, _ *grpc.UnaryServerInfo, handle grpc.UnaryHandler) (any, error) {
+	md, _ := metadata.FromIncomingContext(ctx)
+	keys := md.Get(peerKeyHeader)
+	want := []byte(n.settings.Deployment.PeerKey)
+	if len(keys) != 1 || subtle.ConstantTimeCompare([]byte(keys[0]), want) != 1 {
+		return nil, status.Error(codes.Unauthenticated, "wrong peer key")
+	}
+	return handle(ctx, req)
+}
+
+type peerServer struct {
+	loompb.UnimplementedPeerServer
+	instance *Instance
+}
+
+// Lookup implements the protocol between instances.
+func (s *peerServer) Lookup(_ context.Context, r *loompb.LookupRequest) (*loompb.LookupReply, error) {
+	keys, ok := keysOf(r.GetKeys())
+	if !ok {
+		return nil, status.Error(codes.InvalidArgument, "malformed block key")
+	}
+	return s.instance.lookupHere(time.Now(), r.GetClientAccount(), keys), nil
+}
+
+// Observe implements the protocol between instances.
+func (s *peerServer) Observe(_ context.Context, r *loompb.ObserveRequest) (*loompb.ObserveReply, error) {
+	keys, ok := keysOf(r.GetKeys())
+	if !ok {
+		return nil, status.Error(codes.InvalidArgument, "malformed block key")
+	}
+	if r.GetImportFailed() {
+		s.instance.importFailedHere(r.GetSalt().GetClientAccount(), keys)
+		return &loompb.ObserveReply{}, nil
+	}
+	s.instance.observeHere(time.Now(), loomcache.Observation{
+		Salt:        saltOf(r.GetSalt()),
+		Keys:        keys,
+		Engine:      r.GetEngineId(),
+		Incarnation: r.GetEngineIncarnation(),
+		Event:       r.GetEvent(),
+	}, r.GetEngineAddress())
+	return &loompb.ObserveReply{}, nil
+}
+
+// Claim implements the protocol between instances.
+func (s *peerServer) Claim(ctx context.Context, r *loompb.ClaimRequest) (*loompb.ClaimReply, error) {
+	return s.instance.claims.claimHere(ctx, r), nil
+}
+
+// Settle implements the protocol between instances.
+func (s *peerServer) Settle(_ context.Context, r *loompb.SettleRequest) (*loompb.SettleReply, error) {
+	s.instance.claims.settleHere(r)
+	return &loompb.SettleReply{}, nil
+}
+
+// Quota implements the protocol between instances.
+func (s *peerServer) Quota(_ context.Context, r *loompb.QuotaRequest) (*loompb.QuotaReply, error) {
+	return s.instance.quotas.lend(time.Now(), r), nil
+}
+
+// Gossip implements the protocol between instances.
+func (s *peerServer) Gossip(_ context.Context, r *loompb.GossipRequest) (*loompb.GossipReply, error) {
+	return s.instance.answerGossip(time.Now(), r)
+}
+
+func keysOf(raw [][]byte) ([]loomcache.Key, bool) {
+	keys := make([]loomcache.Key, 0, len(raw))
+	for _, b := range raw {
+		k, ok := loomcache.KeyFrom(b)
+		if !ok {
+			return nil, false
+		}
+		keys = append(keys, k)
+	}
+	return keys, true
+}
+
+func rawKeys(keys []loomcache.Key) [][]byte {
+	raw := make([][]byte, 0, len(keys))
+	for i := range keys {
+		raw = append(raw, keys[i][:])
+	}
+	return raw
+}
+
+func saltOf(s *loompb.Salt) loomcache.Salt {
+	return loomcache.Salt{
+		ClientAccount:  s.GetClientAccount(),
+		Model:          s.GetModel(),
+		Adapter:        s.GetAdapter(),
+		Version:        s.GetVersion(),
+		AdapterVersion: s.GetAdapterVersion(),
+	}
+}
+
+func wireSalt(s loomcache.Salt) *loompb.Salt {
+	return &loompb.Salt{
+		ClientAccount:  s.ClientAccount,
+		Model:          s.Model,
+		Adapter:        s.Adapter,
+		Version:        s.Version,
+		AdapterVersion: s.AdapterVersion,
+	}
+}
--- /dev/null
+++ b/loominstance/prompt.go
@@ -0,0 +1,212 @@
+package loominstance
+
+import (
+	"context"
+	"time"
+
+	"swiftloom/loomcache"
+	"swiftloom/loomcatalogue"
+	"swiftloom/loomerror"
+	"swiftloom/loommember"
+	"swiftloom/loompb"
+	"swiftloom/loomroute"
+)
+
+// prompt is one prompt of a caller, checked against the catalogue.
+type prompt struct {
+	requestID string
+	account   loomcatalogue.ClientAccount
+	model     loomcatalogue.Model
+	group     loomcatalogue.UpstreamGroup
+	adapter   loomcatalogue.Adapter
+	tokens    []uint32
+	maxTokens int
+	priority  uint32
+	// notRepeatable prompts are never sent again once they may have run.
+	notRepeatable bool
+	// deadline is zero when the caller waits for ever.
+	deadline time.Time
+	// recomputeWeight is that of the deployment.
+	recomputeWeight float64
+}
+
+// plan is a prompt bound to a weight version, with what is known of its kept
+// state.
+type plan struct {
+	version  uint64
+	salt     loomcache.Salt
+	keys     []loomcache.Key
+	lookup   *loompb.LookupReply
+	linkWait time.Duration
+	blockFor time.Duration
+}
+
+// stored returns the number of leading blocks that a store keeps.
+func (p plan) stored() int {
+	return len(p.lookup.GetStored())
+}
+
+// expectedRecompute returns the tokens that will be computed when the best
+// place is free.
+func (p plan) expectedRecompute(tokens int) int {
+	best := p.stored()
+	for _, e := range p.lookup.GetEngines() {
+		best = max(best, int(e.GetBlocks()))
+	}
+	return max(tokens-best*loomcache.BlockTokens, 1)
+}
+
+// candidate is an engine that may take a prompt.
+type candidate struct {
+	member loommember.Believed
+	report loomroute.Report
+}
+
+// serving returns the engines that may take new prompts of a model, by the
+// version that they serve.
+func (n *Instance) serving(p *prompt) []candidate {
+	var found []candidate
+	for _, b := range n.groupEngines(p.model.UpstreamGroup) {
+		if b.Status == loommember.Leaving {
+			continue
+		}
+		report, known := n.fleet.Latest(b.ID)
+		if known && report.Model == p.model.Name && report.Version <= p.model.Version && report.LoadingVersion == 0 {
+			found = append(found, candidate{member: b, report: report})
+		}
+	}
+	return found
+}
+
+// bind chooses the version of a prompt: when engines serve several, in
+// proportion to their numbers. A version other than zero stays.
+func (n *Instance) bind(ctx context.Context, p *prompt, version uint64) (plan, error) {
+	serving := n.serving(p)
+	if len(serving) == 0 {
+		return plan{}, loomerror.New(loomerror.NoUpstream, "no engine serves the model now").WithRetryAfter(time.Second)
+	}
+	if version == 0 {
+		version = serving[n.newRandom().IntN(len(serving))].report.Version
+	}
+	salt := loomcache.Salt{
+		ClientAccount:  p.account.Name,
+		Model:          p.model.Name,
+		Adapter:        p.adapter.Name,
+		Version:        version,
+		AdapterVersion: p.adapter.Version,
+	}
+	pl := plan{version: version, salt: salt, keys: loomcache.Chain(salt, p.tokens)}
+	pl.lookup = n.lookup(ctx, p.account.Name, pl.keys)
+	if refs := pl.lookup.GetStored(); len(refs) > 0 {
+		pl.linkWait, pl.blockFor = n.linkTimes(refs[0].GetStoreAddress(), int64(refs[0].GetLength()))
+	}
+	return pl, nil
+}
+
+// linkTimes returns the wait for the link of a store and the time that one
+// block takes on it.
+func (n *Instance) linkTimes(address string, blockBytes int64) (wait, blockTime time.Duration) {
+	for _, st := range n.stores.all() {
+		if st.member.Address == address {
+			return st.budget.Wait(time.Now()), st.budget.Time(blockBytes)
+		}
+	}
+	return time.Second, time.Second
+}
+
+// route chooses the engine for a bound prompt.
+func (n *Instance) route(now time.Time, p *prompt, pl plan, avoid []string) (loomroute.Choice, candidate, error) {
+	per := tokenTime(p.model)
+	var candidates []loomroute.Candidate
+	byID := make(map[string]candidate)
+	for _, c := range n.serving(p) {
+		if c.report.Version != pl.version {
+			continue
+		}
+		e := n.fleet.Estimate(now, c.member.ID, per)
+		candidates = append(candidates, loomroute.Candidate{
+			ID:            c.member.ID,
+			FailureDomain: c.member.FailureDomain,
+			Held:          heldBlocks(pl.lookup, c),
+			Wait:          e.Wait,
+			Outstanding:   e.Outstanding,
+			Suspect:       c.member.Status == loommember.Suspect,
+		})
+		byID[c.member.ID] = c
+	}
+	candidates = preferUntried(candidates, avoid)
+	if len(candidates) == 0 {
+		return loomroute.Choice{}, candidate{}, loomerror.New(loomerror.NoUpstream, "no engine serves the version of the request now").WithRetryAfter(time.Second)
+	}
+	request := loomroute.Request{
+		Tokens:          len(p.tokens),
+		BlockTokens:     loomcache.BlockTokens,
+		Adapter:         p.adapter.Name,
+		FailureDomain:   n.FailureDomain(),
+		Stored:          pl.stored(),
+		LinkWait:        pl.linkWait,
+		BlockTime:       pl.blockFor,
+		TokenTime:       per,
+		RecomputeWeight: p.recomputeWeight,
+	}
+	if len(pl.keys) > 0 {
+		request.Root = pl.keys[0][:]
+	}
+	choice := n.policy.Choose(request, candidates, n.newRandom())
+	return choice, byID[choice.ID], nil
+}
+
+// preferUntried leaves out upstreams that were tried, and the whole failure
+// domain of the last one, unless nothing else is left.
+func preferUntried(all []loomroute.Candidate, avoid []string) []loomroute.Candidate {
+	if len(avoid) == 0 {
+		return all
+	}
+	tried := make(map[string]bool)
+	for _, id := range avoid {
+		tried[id] = true
+	}
+	lastDomain := ""
+	for _, c := range all {
+		if c.ID == avoid[len(avoid)-1] {
+			lastDomain = c.FailureDomain
+		}
+	}
+	var elsewhere, untried []loomroute.Candidate
+	for _, c := range all {
+		if tried[c.ID] {
+			continue
+		}
+		untried = append(untried, c)
+		if c.FailureDomain != lastDomain {
+			elsewhere = append(elsewhere, c)
+		}
+	}
+	switch {
+	case len(elsewhere) > 0:
+		return elsewhere
+	case len(untried) > 0:
+		return untried
+	default:
+		return all
+	}
+}
+
+// heldBlocks returns the leading blocks that an engine is believed to cache
+// still: those it used less than a cache's worth of events ago.
+func heldBlocks(l *loompb.LookupReply, c candidate) int {
+	for _, h := range l.GetEngines() {
+		if h.GetEngineId() != c.member.ID || h.GetEngineIncarnation() != c.report.Incarnation {
+			continue
+		}
+		age := int64(c.report.Event) - int64(h.GetEvent())
+		if age < int64(eventsPerBlock*c.report.CacheBlocks) {
+			return int(h.GetBlocks())
+		}
+	}
+	return 0
+}
+
+// eventsPerBlock is the number of cache events for each block that enters a
+// full cache: its own, and that of the block that it evicts.
+const eventsPerBlock = 2
--- /dev/null
+++ b/loominstance/status.go
@@ -0,0 +1,188 @@
+package loominstance
+
+import (
+	"context"
+	"time"
+
+	"swiftloom/gen/health"
+	"swiftloom/loomcache"
+	"swiftloom/loomcatalogue"
+	"swiftloom/loomclaim"
+	"swiftloom/loomerror"
+	"swiftloom/loommember"
+)
+
+// healthAPI implements the service of package gen/health.
+type healthAPI struct {
+	instance *Instance
+}
+
+// Live answers as long as the process does.
+func (a *healthAPI) Live(context.Context) (string, error) {
+	return "live", nil
+}
+
+// Ready answers when the instance takes requests.
+func (a *healthAPI) Ready(context.Context) (string, error) {
+	n := a.instance
+	switch {
+	case n.stopping.Load():
+		return "", loomerror.New(loomerror.ShuttingDown, "the instance drains")
+	case n.keeper.Snapshot().Revision() == 0:
+		return "", loomerror.New(loomerror.PlatformUnavailable, "the catalogue is not known yet").WithRetryAfter(time.Second)
+	case time.Since(n.homesSince()) < quotaQuiet && n.requests.Load() < readyAfter:
+		return "", loomerror.New(loomerror.PlatformUnavailable, "the members are not settled yet").WithRetryAfter(time.Second)
+	}
+	return "ready", nil
+}
+
+// readyAfter is the number of requests after which an instance stays ready
+// while members come and go.
+const readyAfter = 1000
+
+// Status is what an instance believes.
+type Status struct {
+	Instance          string           `json:"instance"`
+	FailureDomain     string           `json:"failure_domain"`
+	Incarnation       uint64           `json:"incarnation"`
+	Stopping          bool             `json:"stopping"`
+	CatalogueRevision uint64           `json:"catalogue_revision"`
+	CatalogueAge      float64          `json:"catalogue_changed_seconds_ago"`
+	InFlight          int64            `json:"in_flight"`
+	Queued            int              `json:"queued"`
+	Members           []MemberStatus   `json:"members"`
+	Links             []LinkStatus     `json:"links"`
+	Quotas            []QuotaStatus    `json:"quotas"`
+	Reconciler        ReconcilerStatus `json:"reconciler"`
+	Kept              loomcache.Size   `json:"kept"`
+	Claims            loomclaim.Stats  `json:"claims"`
+}
+
+// MemberStatus is what an instance believes of a member and why.
+type MemberStatus struct {
+	ID            string  `json:"id"`
+	Kind          string  `json:"kind"`
+	Group         string  `json:"group"`
+	FailureDomain string  `json:"failure_domain"`
+	State         string  `json:"state"`
+	Reason        string  `json:"reason"`
+	Version       uint64  `json:"version,omitempty"`
+	Loading       uint64  `json:"loading,omitempty"`
+	WaitMS        float64 `json:"wait_ms,omitempty"`
+	Outstanding   int     `json:"outstanding"`
+}
+
+// LinkStatus is the budget of the link to a store.
+type LinkStatus struct {
+	Store    string  `json:"store"`
+	WaitMS   float64 `json:"wait_ms"`
+	Used     uint64  `json:"used_bytes"`
+	Capacity uint64  `json:"capacity_bytes"`
+}
+
+// QuotaStatus is the leased rate of an account at this instance.
+type QuotaStatus struct {
+	ClientAccount string  `json:"client_account"`
+	Rate          float64 `json:"leased_tokens_per_second"`
+	Home          string  `json:"home"`
+}
+
+// ReconcilerStatus tells who reconciles the failure domain.
+type ReconcilerStatus struct {
+	Held   bool   `json:"held"`
+	Token  uint64 `json:"token"`
+	Holder string `json:"holder"`
+}
+
+// Status returns what the instance believes.
+func (a *healthAPI) Status(_ context.Context, p *health.StatusPayload) (any, error) {
+	if err := a.instance.authorize(p.Authorization); err != nil {
+		return nil, err
+	}
+	return a.instance.Status(time.Now()), nil
+}
+
+// Status returns what the instance believes at now.
+func (n *Instance) Status(now time.Time) Status {
+	s := Status{
+		Instance:          n.ID(),
+		FailureDomain:     n.FailureDomain(),
+		Incarnation:       n.incarnation,
+		Stopping:          n.stopping.Load(),
+		CatalogueRevision: n.keeper.Snapshot().Revision(),
+		CatalogueAge:      now.Sub(n.keeper.ChangedAt()).Seconds(),
+		InFlight:          n.active.Load(),
+		Queued:            n.queues.length(),
+		Links:             n.linkStatus(now),
+		Quotas:            n.quotas.status(now),
+		Reconciler:        n.reconciler.status(now),
+		Kept:              n.index.Size(),
+		Claims:            n.desk.Stats(),
+	}
+	for _, b := range n.tracker.View(now).All() {
+		s.Members = append(s.Members, n.memberStatus(now, b))
+	}
+	return s
+}
+
+func (n *Instance) memberStatus(now time.Time, b loommember.Believed) MemberStatus {
+	m := MemberStatus{
+		ID:            b.ID,
+		Kind:          b.Kind,
+		Group:         b.Group,
+		FailureDomain: b.FailureDomain,
+		State:         b.Status.String(),
+		Reason:        b.Reason,
+	}
+	if r, ok := n.fleet.Latest(b.ID); ok {
+		e := n.fleet.Estimate(now, b.ID, groupTokenTime(n.keeper.Snapshot(), b.Group))
+		m.Version = r.Version
+		m.Loading = r.LoadingVersion
+		m.WaitMS = float64(e.Wait.Microseconds()) / 1000
+		m.Outstanding = e.Outstanding
+	}
+	return m
+}
+
+func (n *Instance) linkStatus(now time.Time) []LinkStatus {
+	var links []LinkStatus
+	for _, st := range n.stores.all() {
+		st.mu.Lock()
+		links = append(links, LinkStatus{
+			Store:    st.member.ID,
+			WaitMS:   float64(st.budget.Wait(now).Microseconds()) / 1000,
+			Used:     st.used,
+			Capacity: st.capacity,
+		})
+		st.mu.Unlock()
+	}
+	return links
+}
+
+func (q *quotas) status(now time.Time) []QuotaStatus {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var all []QuotaStatus
+	for account, a := range q.allowances {
+		all = append(all, QuotaStatus{ClientAccount: account, Rate: a.Rate(now), Home: q.domainHome(account)})
+	}
+	return all
+}
+
+func (r *reconciler) status(now time.Time) ReconcilerStatus {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	token, held := r.lease.Held(now)
+	holder, _ := r.lease.Holder()
+	return ReconcilerStatus{Held: held, Token: token, Holder: holder}
+}
+
+// Revision returns the catalogue revision that the instance works with.
+func (n *Instance) Revision() uint64 {
+	return n.keeper.Snapshot().Revision()
+}
+
+// Catalogue returns the catalogue that the instance works with.
+func (n *Instance) Catalogue() loomcatalogue.Snapshot {
+	return n.keeper.Snapshot()
+}
--- /dev/null
+++ b/loomlease/lease_test.go
@@ -0,0 +1,94 @@
+package loomlease_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"swiftloom/loomlease"
+	"swiftloom/loompb"
+	"swiftloom/loomstandin"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const duration = 3 * time.Second
+
+// Processes pause, their writes are late, their replies are lost and their
+// clocks differ a little: never do two believe at the same moment, and tokens
+// rise with each change of hands.
+func TestOneHolderAtMost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var table loomstandin.Table
+		const processes = 3
+		leases := make([]loomlease.Lease, processes)
+		rate := make([]float64, processes)
+		for i := range leases {
+			leases[i] = loomlease.New("lease/x", fmt.Sprintf("p%d", i), duration)
+			rate[i] = 1 + float64(rapid.IntRange(-2, 2).Draw(t, "drift_percent"))/100
+		}
+		elapsed := time.Duration(0)
+		local := func(i int) time.Time {
+			return start.Add(time.Duration(float64(elapsed) * rate[i]))
+		}
+		lastToken, lastHolder := uint64(0), -1
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			elapsed += time.Duration(rapid.IntRange(0, 1500).Draw(t, "pause_ms")) * time.Millisecond
+			i := rapid.IntRange(0, processes-1).Draw(t, "process")
+			l := &leases[i]
+			row := table.ReadRows(l.Read()).GetRows()[0]
+			assert.NilError(t, l.Seen(local(i), row))
+			if l.Due(local(i)) {
+				request, err := l.Write(local(i))
+				assert.NilError(t, err)
+				elapsed += time.Duration(rapid.IntRange(0, 2000).Draw(t, "late_ms")) * time.Millisecond
+				reply := table.Transact(request)
+				if rapid.IntRange(0, 3).Draw(t, "lost") > 0 {
+					assert.NilError(t, l.Written(local(i), reply))
+				}
+			}
+			holders := 0
+			for j := range leases {
+				token, held := leases[j].Held(local(j))
+				if !held {
+					continue
+				}
+				holders++
+				if j != lastHolder {
+					assert.Assert(t, token > lastToken, "token %d after %d", token, lastToken)
+				}
+				assert.Assert(t, token >= lastToken)
+				lastToken, lastHolder = token, j
+			}
+			assert.Assert(t, holders <= 1)
+		}
+	})
+}
+
+func TestGiveUpLetsOthersIn(t *testing.T) {
+	var table loomstandin.Table
+	a := loomlease.New("lease/x", "a", duration)
+	b := loomlease.New("lease/x", "b", duration)
+	take := func(l *loomlease.Lease) {
+		assert.NilError(t, l.Seen(start, table.ReadRows(l.Read()).GetRows()[0]))
+		assert.Assert(t, l.Due(start))
+		request, err := l.Write(start)
+		assert.NilError(t, err)
+		assert.NilError(t, l.Written(start, table.Transact(request)))
+	}
+	take(&a)
+	request, err := a.GiveUp(start)
+	assert.NilError(t, err)
+	assert.Assert(t, table.Transact(request).GetApplied())
+	take(&b)
+	token, held := b.Held(start)
+	assert.Assert(t, held)
+	assert.Equal(t, token, uint64(2))
+	var none *loompb.TransactRequest
+	request, err = a.GiveUp(start)
+	assert.NilError(t, err)
+	assert.Assert(t, request == none)
+}
--- /dev/null
+++ b/loommember/tracker_test.go
@@ -0,0 +1,94 @@
+package loommember_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"swiftloom/loommember"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+func listing(id string, incarnation uint64, leaving bool) loommember.Listed {
+	m := loommember.Member{ID: id, Kind: loommember.KindEngine, Address: "127.0.0.1:1", Incarnation: incarnation}
+	return loommember.Listed{Members: []loommember.Listing{{Member: m, Leaving: leaving}}}
+}
+
+type step struct {
+	at    float64
+	event loommember.Event
+}
+
+func TestStatus(t *testing.T) {
+	tests := []struct {
+		name  string
+		steps []step
+		at    float64
+		want  loommember.Status
+	}{
+		{"unknown", nil, 0, loommember.Dead},
+		{"listed", []step{{0, listing("e", 1, false)}}, 100, loommember.Live},
+		{"one call unanswered", []step{{0, listing("e", 1, false)}, {1, loommember.Unanswered{ID: "e"}}}, 1.5, loommember.Live},
+		{"suspected", []step{{0, listing("e", 1, false)}, {1, loommember.Unanswered{ID: "e"}}}, 2.5, loommember.Suspect},
+		{"dead", []step{{0, listing("e", 1, false)}, {1, loommember.Unanswered{ID: "e"}}}, 4.5, loommember.Dead},
+		{"back", []step{{0, listing("e", 1, false)}, {1, loommember.Unanswered{ID: "e"}}, {4.5, loommember.Heard{ID: "e", Incarnation: 1}}}, 5, loommember.Live},
+		{"off the list", []step{{0, listing("e", 1, false)}, {10, loommember.Listed{}}}, 14, loommember.Dead},
+		{"off the list but heard", []step{{0, listing("e", 1, false)}, {10, loommember.Listed{}}, {13, loommember.Heard{ID: "e", Incarnation: 1}}}, 14, loommember.Live},
+		{"leaving by list", []step{{0, listing("e", 1, true)}}, 1, loommember.Leaving},
+		{"leaving sticks", []step{{0, listing("e", 1, true)}, {1, listing("e", 1, false)}, {2, loommember.Heard{ID: "e", Incarnation: 1}}}, 3, loommember.Leaving},
+		{"new incarnation", []step{{0, listing("e", 1, true)}, {1, listing("e", 2, false)}}, 2, loommember.Live},
+		{"old list after restart", []step{{0, listing("e", 2, false)}, {1, listing("e", 1, true)}}, 2, loommember.Live},
+		{"mark before the list", []step{{0, loommember.Marked{ID: "e", Incarnation: 3}}, {1, listing("e", 3, false)}}, 2, loommember.Leaving},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tracker := loommember.NewTracker(loommember.DefaultOptions())
+			for _, s := range tt.steps {
+				tracker.Apply(at(s.at), s.event)
+			}
+			assert.Equal(t, tracker.Status(at(tt.at), "e"), tt.want)
+		})
+	}
+}
+
+// A member that left in an incarnation is never live in it again, whatever
+// arrives in whatever order.
+func TestLeavingNeverReverts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tracker := loommember.NewTracker(loommember.DefaultOptions())
+		now := start
+		marked := uint64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "pause_ms")) * time.Millisecond)
+			incarnation := rapid.Uint64Range(1, 4).Draw(t, "incarnation")
+			switch rapid.IntRange(0, 4).Draw(t, "kind") {
+			case 0:
+				leaving := rapid.Bool().Draw(t, "leaving")
+				tracker.Apply(now, listing("e", incarnation, leaving))
+				if leaving {
+					marked = max(marked, incarnation)
+				}
+			case 1:
+				tracker.Apply(now, loommember.Heard{ID: "e", Incarnation: incarnation})
+			case 2:
+				tracker.Apply(now, loommember.Unanswered{ID: "e"})
+			case 3:
+				tracker.Apply(now, loommember.Marked{ID: "e", Incarnation: incarnation})
+				marked = max(marked, incarnation)
+			default:
+				tracker.Apply(now, loommember.Listed{})
+			}
+			b, ok := tracker.View(now).Find("e")
+			if ok && b.Incarnation <= marked {
+				assert.Equal(t, b.Status, loommember.Leaving)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/loommember/view.go
@@ -0,0 +1,61 @@
+package loommember
+
+import "time"
+
+// Believed is a member with its state and the reason for it.
+type Believed struct {
+	Member
+	Status Status `json:"-"`
+	Reason string `json:"reason"`
+}
+
+// View is what an instance believes of all members at one moment. It is
+// immutable.
+type View struct {
+	at time.Time
+	// entries is ordered by member and holds no dead one.
+	entries []Believed
+}
+
+// At returns the time of the view.
+func (v View) At() time.Time {
+	return v.at
+}
+
+// All returns every entry; the caller must not change the slice.
+func (v View) All() []Believed {
+	return v.entries
+}
+
+// Kind returns the entries of a kind, and of a group unless that is empty.
+func (v View) Kind(kind, group string) []Believed {
+	var found []Believed
+	for _, b := range v.entries {
+		if b.Kind == kind && (group == "" || b.Group == group) {
+			found = append(found, b)
+		}
+	}
+	return found
+}
+
+// LiveIDs returns the members of a kind that are live, in order. A failure
+// domain restricts them unless it is empty.
+func (v View) LiveIDs(kind, failureDomain string) []string {
+	var ids []string
+	for _, b := range v.entries {
+		if b.Kind == kind && b.Status == Live && (failureDomain == "" || b.FailureDomain == failureDomain) {
+			ids = append(ids, b.ID)
+		}
+	}
+	return ids
+}
+
+// Find returns the entry of a member.
+func (v View) Find(id string) (Believed, bool) {
+	for _, b := range v.entries {
+		if b.ID == id {
+			return b, true
+		}
+	}
+	return Believed{}, false
+}
--- /dev/null
+++ b/loomplatform/params.go
@@ -0,0 +1,35 @@
+package loomplatform
+
+import (
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/keepalive"
+)
+
+const (
+	reconnectBase    = 50 * time.Millisecond
+	reconnectMax     = time.Second
+	reconnectFactor  = 1.6
+	reconnectJitter  = 0.2
+	connectTimeout   = time.Second
+	keepalivePeriod  = 10 * time.Second
+	keepaliveTimeout = 3 * time.Second
+)
+
+func connectParams() grpc.ConnectParams {
+	return grpc.ConnectParams{
+		Backoff: backoff.Config{
+			BaseDelay:  reconnectBase,
+			Multiplier: reconnectFactor,
+			Jitter:     reconnectJitter,
+			MaxDelay:   reconnectMax,
+		},
+		MinConnectTimeout: connectTimeout,
+	}
+}
+
+func keepaliveParams() keepalive.ClientParameters {
+	return keepalive.ClientParameters{Time: keepalivePeriod, Timeout: keepaliveTimeout}
+}
--- /dev/null
+++ b/loomroute/fleet.go
@@ -0,0 +1,200 @@
+package loomroute
+
+import (
+	"hash/maphash"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Report is the load that an engine told of itself.
+type Report struct {
+	Model       string
+	Version     uint64
+	Incarnation uint64
+	Adapters    []string
+	// QueuedTokens counts prompt tokens that are waiting or being computed.
+	QueuedTokens int
+	Queued       int
+	Running      int
+	BatchLimit   int
+	// MeasuredAt is when the load was as told.
+	MeasuredAt time.Time
+	// Event is the sequence number that the cache events had reached, and
+	// CacheBlocks the capacity of the cache.
+	Event       uint64
+	CacheBlocks int
+	Leaving     bool
+	// LoadingVersion is that of the weights being loaded, or zero.
+	LoadingVersion uint64
+	FencingToken   uint64
+}
+
+const fleetShards = 32
+
+// Fleet keeps the load of each upstream, corrected by what this instance has
+// sent since the latest report. Its state lies in shards, each under its own
+// lock; its methods may be called concurrently.
+type Fleet struct {
+	seed   maphash.Seed
+	shards [fleetShards]fleetShard
+}
+
+type fleetShard struct {
+	mu    sync.Mutex
+	loads map[string]*load
+}
+
+type load struct {
+	report     Report
+	reportedAt time.Time
+	// sent holds what this instance has sent and not seen answered.
+	sent map[uint64]sentWork
+	next uint64
+	// failures counts calls without an answer since the last good one.
+	failures  int
+	ejectedAt time.Time
+}
+
+type sentWork struct {
+	at     time.Time
+	tokens int
+}
+
+// Ticket names one piece of work that was sent to an upstream.
+type Ticket struct {
+	upstream string
+	number   uint64
+}
+
+// NewFleet returns a fleet without upstreams.
+func NewFleet() *Fleet {
+	f := &Fleet{seed: maphash.MakeSeed()}
+	for i := range f.shards {
+		f.shards[i].loads = make(map[string]*load)
+	}
+	return f
+}
+
+func (f *Fleet) shard(id string) *fleetShard {
+	return &f.shards[maphash.String(f.seed, id)%fleetShards]
+}
+
+func (s *fleetShard) load(id string) *load {
+	l, ok := s.loads[id]
+	if !ok {
+		l = &load{sent: make(map[uint64]sentWork)}
+		s.loads[id] = l
+	}
+	return l
+}
+
+// Report takes in what an upstream told.
+func (f *Fleet) Report(now time.Time, id string, r Report) {
+	s := f.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.load(id)
+	l.report = r
+	l.reportedAt = now
+	l.failures = 0
+}
+
+// Latest returns the latest report of an upstream.
+func (f *Fleet) Latest(id string) (Report, bool) {
+	s := f.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.loads[id]
+	if !ok || l.reportedAt.IsZero() {
+		return Report{}, false
+	}
+	return l.report, true
+}
+
+// Sent notes that work was sent to an upstream. The ticket must be given back
+// to Started or Done.
+func (f *Fleet) Sent(now time.Time, id string, tokens int) Ticket {
+	s := f.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.load(id)
+	l.next++
+	l.sent[l.next] = sentWork{at: now, tokens: tokens}
+	return Ticket{upstream: id, number: l.next}
+}
+
+// Started notes that the upstream has computed the prompt of a ticket.
+func (f *Fleet) Started(t Ticket) {
+	s := f.shard(t.upstream)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.load(t.upstream)
+	if w, ok := l.sent[t.number]; ok {
+		w.tokens = 0
+		l.sent[t.number] = w
+	}
+}
+
+// Done notes that a ticket's work has ended.
+func (f *Fleet) Done(t Ticket) {
+	s := f.shard(t.upstream)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.load(t.upstream).sent, t.number)
+}
+
+// Forget drops upstreams that are no longer wanted.
+func (f *Fleet) Forget(keep []string) {
+	for i := range f.shards {
+		s := &f.shards[i]
+		s.mu.Lock()
+		for id, l := range s.loads {
+			if !slices.Contains(keep, id) && len(l.sent) == 0 {
+				delete(s.loads, id)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// Estimate is the corrected load of an upstream.
+type Estimate struct {
+	// Known is false until the upstream has reported.
+	Known       bool
+	Wait        time.Duration
+	Outstanding int
+}
+
+// Estimate returns the expected wait at an upstream. The reported queue is
+// taken to shrink at the rate of computing since it was measured, and grows by
+// what was sent after that moment.
+func (f *Fleet) Estimate(now time.Time, id string, tokenTime time.Duration) Estimate {
+	s := f.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.loads[id]
+	if !ok {
+		return Estimate{}
+	}
+	reported := time.Duration(l.report.QueuedTokens)*tokenTime - now.Sub(l.report.MeasuredAt)
+	fresh, freshTokens, tokens := 0, 0, 0
+	for _, w := range l.sent {
+		tokens += w.tokens
+		if w.at.After(l.report.MeasuredAt) {
+			fresh++
+			freshTokens += w.tokens
+		}
+	}
+	wait := max(reported, 0) + time.Duration(freshTokens)*tokenTime
+	wait = max(wait, time.Duration(tokens)*tokenTime)
+	outstanding := max(l.report.Queued+l.report.Running+fresh, len(l.sent))
+	if over := outstanding - l.report.BatchLimit; l.report.BatchLimit > 0 && over > 0 {
+		wait += time.Duration(over) * batchSlotTime
+	}
+	return Estimate{Known: !l.reportedAt.IsZero(), Wait: wait, Outstanding: outstanding}
+}
+
+// batchSlotTime is the expected time until one more place in a full batch is
+// free.
+const batchSlotTime = 10 * time.Millisecond
--- /dev/null
+++ b/loomstream/retry.go
@@ -0,0 +1,66 @@
+package loomstream
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+const (
+	// retryShare is the number of retries for each request.
+	retryShare = 0.2
+	// retryReserve is the number of retries that a quiet instance may make.
+	retryReserve = 20
+	backoffBase  = 10 * time.Millisecond
+	backoffMax   = 500 * time.Millisecond
+)
+
+// RetryBudget bounds retries to a share of the requests, so that a failure of
+// many upstreams is not answered by a multiple of the load. Its methods may be
+// called concurrently.
+type RetryBudget struct {
+	mu sync.Mutex
+	// balance is between zero and retryReserve.
+	balance float64
+}
+
+// NewRetryBudget returns a full budget.
+func NewRetryBudget() *RetryBudget {
+	return &RetryBudget{balance: retryReserve}
+}
+
+// Deposit adds the share of one request.
+func (b *RetryBudget) Deposit(time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.balance = min(b.balance+retryShare, retryReserve)
+}
+
+// Withdraw takes one retry and reports whether there was one.
+func (b *RetryBudget) Withdraw(time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.balance < 1 {
+		return false
+	}
+	b.balance--
+	return true
+}
+
+// Backoff draws the pauses between attempts.
+type Backoff struct {
+	random *rand.Rand
+}
+
+// NewBackoff returns a Backoff that draws from random.
+func NewBackoff(random *rand.Rand) Backoff {
+	return Backoff{random: random}
+}
+
+// Pause returns the pause after a number of attempts: between half and all of
+// a bound that doubles.
+func (b Backoff) Pause(attempts int) time.Duration {
+	bound := backoffBase << min(max(attempts-1, 0), 10)
+	bound = min(bound, backoffMax)
+	return bound/2 + time.Duration(b.random.Int64N(int64(bound/2)+1))
+}
--- /dev/null
+++ b/loomtrial/run.go
@@ -0,0 +1,112 @@
+package loomtrial
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"strings"
+
+	"swiftloom/loomroute"
+)
+
+// Options says what to try.
+type Options struct {
+	Site     Site
+	Policy   string
+	Seed     uint64
+	Requests int
+	Faults   []string
+	Scenario string
+	Log      *slog.Logger
+	Progress func(done, total int)
+}
+
+// Scenarios returns the names of the scenarios in order.
+func Scenarios() []string {
+	return []string{"greedy_account", "partition"}
+}
+
+// Run starts a site, plays its load and stops it.
+func Run(ctx context.Context, o Options) (Report, error) {
+	t, err := Start(ctx, o.Site, o.Policy, o.Seed, o.Log)
+	if err != nil {
+		return Report{}, err
+	}
+	defer t.Stop()
+	r := t.Play(ctx, PlayOptions{Requests: o.Requests, Faults: o.Faults, Scenario: o.Scenario, Progress: o.Progress})
+	return r, ctx.Err()
+}
+
+// Comparison holds the reports of every policy on the same work.
+type Comparison struct {
+	Policies []Report `json:"policies"`
+	Ratios   []Ratio  `json:"ratios"`
+}
+
+// Ratio compares a policy with another one.
+type Ratio struct {
+	Policy           string  `json:"policy"`
+	Against          string  `json:"against"`
+	RecomputedTokens float64 `json:"recomputed_tokens"`
+	TTFTP95          float64 `json:"ttft_p95"`
+}
+
+// Compare runs every policy on the same work.
+func Compare(ctx context.Context, o Options, progress func(policy string) func(done, total int)) (Comparison, error) {
+	var c Comparison
+	for _, policy := range loomroute.Policies() {
+		o.Policy = policy
+		o.Progress = progress(policy)
+		r, err := Run(ctx, o)
+		if err != nil {
+			return c, err
+		}
+		c.Policies = append(c.Policies, r)
+	}
+	ours := c.Policies[0]
+	for _, r := range c.Policies {
+		if r.Policy == "cost" {
+			ours = r
+		}
+	}
+	for _, r := range c.Policies {
+		if r.Policy != ours.Policy {
+			c.Ratios = append(c.Ratios, ratio(ours, r))
+		}
+	}
+	return c, nil
+}
+
+func ratio(a, b Report) Ratio {
+	r := Ratio{Policy: a.Policy, Against: b.Policy}
+	if b.RecomputedTokens > 0 {
+		r.RecomputedTokens = float64(a.RecomputedTokens) / float64(b.RecomputedTokens)
+	}
+	if b.TTFTMSP95 > 0 {
+		r.TTFTP95 = a.TTFTMSP95 / b.TTFTMSP95
+	}
+	return r
+}
+
+// Guide tells how to call a running trial.
+func (t *Trial) Guide() string {
+	var b strings.Builder
+	account := t.site.Mix.Accounts[0]
+	addresses := t.addresses()
+	fmt.Fprintf(&b, "site %s is up; end it with an interrupt\n\ninstances:\n", t.site.Name)
+	for _, r := range t.running() {
+		fmt.Fprintf(&b, "  %s in %s at %s\n", r.instance.ID(), r.instance.FailureDomain(), r.instance.HTTPAddress())
+	}
+	fmt.Fprintf(&b, "\noperator key: %s\nkeys of client accounts:\n", operatorKey)
+	for _, a := range t.site.Mix.Accounts {
+		fmt.Fprintf(&b, "  %s: %s\n", a.Name, a.Key)
+	}
+	first := addresses[0]
+	fmt.Fprintf(&b, "\ncurl -s http://%s/v1/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' -d '{\"model\":\"%s\",\"prompt\":\"which bollards are free\",\"max_tokens\":4}'\n", first, account.Key, t.site.Model)
+	fmt.Fprintf(&b, "curl -sN http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' -d '{\"model\":\"%s\",\"messages\":[{\"role\":\"user\",\"content\":\"which bollards are free\"}],\"max_tokens\":4,\"stream\":true}'\n", first, account.Key, t.site.Model)
+	fmt.Fprintf(&b, "curl -s http://%s/v1/services/%s/jobs -H 'Authorization: Bearer %s' -H 'Idempotency-Key: release-1' -H 'Content-Type: application/json' -d '{\"job\":\"release lines of berth 4\"}'\n", first, t.site.ServiceGroup, account.Key)
+	fmt.Fprintf(&b, "curl -s http://%s/v1/catalogue -H 'Authorization: Bearer %s'\n", first, operatorKey)
+	fmt.Fprintf(&b, "curl -s http://%s/v1/status -H 'Authorization: Bearer %s'\n", first, operatorKey)
+	fmt.Fprintf(&b, "curl -s http://%s/metrics\n", first)
+	return b.String()
+}
--- /dev/null
+++ b/loomtrial/site.go
@@ -0,0 +1,240 @@
+package loomtrial
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"sort"
+	"time"
+
+	"github.com/juju/errors"
+
+	"swiftloom/loomcatalogue"
+	"swiftloom/loomload"
+)
+
+// Site describes one user's site with times scaled down. It is immutable.
+type Site struct {
+	Name           string
+	FailureDomains []string
+	Instances      int
+	// Runners serve the model group, with one store in each failure domain;
+	// Others serve a second group, which carries little.
+	ModelGroup      string
+	Runners         int
+	StoreGroup      string
+	OtherGroup      string
+	OtherRunners    int
+	OtherStores     string
+	ServiceGroup    string
+	Services        int
+	Model           string
+	OtherModel      string
+	LoadLimit       int
+	RecomputeWeight float64
+
+	PrefillPerToken time.Duration
+	StepTime        time.Duration
+	CacheBlocks     int
+	BlockBytes      int
+	StoreMemory     int64
+	StoreDisk       int64
+	LinkRate        int64
+	Mix             loomload.Mix
+}
+
+const (
+	operatorKey = "operator"
+	peerKey     = "peers"
+	mib         = 1 << 20
+	// largeAccounts of the accounts send most of the load.
+	accountCount  = 10
+	largeAccounts = 3
+	largeWeight   = 4
+	maxRateTokens = 1 << 20
+)
+
+var sites = map[string]Site{
+	"port": {
+		Name:            "port",
+		FailureDomains:  []string{"zatoka-a", "zatoka-b", "zatoka-c", "zatoka-d"},
+		Instances:       8,
+		ModelGroup:      "llm-port",
+		Runners:         12,
+		StoreGroup:      "bufor-a",
+		OtherGroup:      "dyspozytor",
+		OtherRunners:    4,
+		OtherStores:     "bufor-b",
+		ServiceGroup:    "call-outs",
+		Services:        4,
+		Model:           "pilot-notes",
+		OtherModel:      "dispatch",
+		LoadLimit:       2,
+		RecomputeWeight: 0.25,
+		PrefillPerToken: 40 * time.Microsecond,
+		StepTime:        4 * time.Millisecond,
+		CacheBlocks:     640,
+		BlockBytes:      128 << 10,
+		StoreMemory:     1024 * mib,
+		StoreDisk:       2048 * mib,
+		LinkRate:        256 * mib,
+		Mix: loomload.Mix{
+			Requests:          1500,
+			RequestsPerSecond: 110,
+			ServiceShare:      0.15,
+			Returns:           3,
+			Gap:               4 * time.Second,
+			Growth:            100,
+			PromptTokens:      1600,
+			SharedTokens:      200,
+			AnswerTokens:      20,
+		},
+	},
+	"morrison": {
+		Name:            "morrison",
+		FailureDomains:  []string{"kingston-a", "kingston-b", "kingston-c", "kingston-d"},
+		Instances:       8,
+		ModelGroup:      "model-desk",
+		Runners:         18,
+		StoreGroup:      "prompt-store-a",
+		OtherGroup:      "booking-desk",
+		OtherRunners:    4,
+		OtherStores:     "prompt-store-b",
+		ServiceGroup:    "booking-app",
+		Services:        4,
+		Model:           "job-histories",
+		OtherModel:      "bookings",
+		LoadLimit:       3,
+		RecomputeWeight: 1.5,
+		PrefillPerToken: 40 * time.Microsecond,
+		StepTime:        4 * time.Millisecond,
+		CacheBlocks:     640,
+		BlockBytes:      128 << 10,
+		StoreMemory:     1024 * mib,
+		StoreDisk:       2048 * mib,
+		LinkRate:        256 * mib,
+		Mix: loomload.Mix{
+			Requests:          1500,
+			RequestsPerSecond: 100,
+			ServiceShare:      0.15,
+			Returns:           4,
+			Gap:               4 * time.Second,
+			Growth:            120,
+			PromptTokens:      2400,
+			SharedTokens:      200,
+			AnswerTokens:      20,
+		},
+	},
+}
+
+// Sites returns the names of the sites in order.
+func Sites() []string {
+	var names []string
+	for name := range sites {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// SiteByName returns a site.
+func SiteByName(name string) (Site, error) {
+	s, ok := sites[name]
+	if !ok {
+		return Site{}, errors.NotFoundf("site %q (have %v)", name, Sites())
+	}
+	s.Mix.Accounts = s.accounts()
+	s.Mix.Model = s.Model
+	s.Mix.Service = s.ServiceGroup
+	return s, nil
+}
+
+func (s Site) accounts() []loomload.Account {
+	var accounts []loomload.Account
+	for i := range accountCount {
+		a := loomload.Account{Name: fmt.Sprintf("%s-%02d", s.Name, i), Weight: 1}
+		a.Key = "key-of-" + a.Name
+		if i < largeAccounts {
+			a.Weight = largeWeight
+		}
+		accounts = append(accounts, a)
+	}
+	return accounts
+}
+
+func keyDigest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// catalogue returns the entries that the site starts with.
+func (s Site) catalogue() ([]loomcatalogue.Change, error) {
+	header := func(name, class string) loomcatalogue.Header {
+		return loomcatalogue.Header{Name: name, Owner: s.Name, Class: class}
+	}
+	entries := []loomcatalogue.Entry{
+		loomcatalogue.Deployment{
+			Header:          header(s.Name, "gold"),
+			LoadLimit:       s.LoadLimit,
+			RecomputeWeight: s.RecomputeWeight,
+			MinDomainShare:  15,
+			FailureDomains:  s.FailureDomains,
+		},
+		loomcatalogue.UpstreamGroup{Header: header(s.StoreGroup, "gold"), UpstreamKind: "store", LinkBytesPerSecond: s.LinkRate},
+		loomcatalogue.UpstreamGroup{Header: header(s.OtherStores, "silver"), UpstreamKind: "store", LinkBytesPerSecond: s.LinkRate},
+		loomcatalogue.UpstreamGroup{
+			Header:          header(s.ModelGroup, "gold"),
+			UpstreamKind:    "engine",
+			ChecksFencing:   true,
+			MaxQueued:       2000,
+			MaxOrderSeconds: 4,
+			Stores:          s.StoreGroup,
+		},
+		loomcatalogue.UpstreamGroup{
+			Header:          header(s.OtherGroup, "silver"),
+			UpstreamKind:    "engine",
+			MaxQueued:       2000,
+			MaxOrderSeconds: 4,
+			Stores:          s.OtherStores,
+		},
+		loomcatalogue.UpstreamGroup{Header: header(s.ServiceGroup, "gold"), UpstreamKind: "service", MaxQueued: 2000},
+		s.modelEntry(s.Model, s.ModelGroup, header(s.Model, "gold")),
+		s.modelEntry(s.OtherModel, s.OtherGroup, header(s.OtherModel, "silver")),
+	}
+	for _, a := range s.accounts() {
+		entries = append(entries, loomcatalogue.ClientAccount{
+			Header:          header(a.Name, "silver"),
+			KeySHA256:       []string{keyDigest(a.Key)},
+			Share:           int(a.Weight),
+			TokensPerSecond: maxRateTokens,
+			BurstTokens:     maxRateTokens,
+			MaxQueued:       500,
+		})
+	}
+	return changesOf(entries)
+}
+
+func (s Site) modelEntry(name, group string, h loomcatalogue.Header) loomcatalogue.Model {
+	return loomcatalogue.Model{
+		Header:                 h,
+		Version:                1,
+		WindowTokens:           32768,
+		MaxTokens:              1024,
+		UpstreamGroup:          group,
+		PrefillTokensPerSecond: int(time.Second / s.PrefillPerToken),
+		BlockBytes:             s.BlockBytes,
+	}
+}
+
+func changesOf(entries []loomcatalogue.Entry) ([]loomcatalogue.Change, error) {
+	var changes []loomcatalogue.Change
+	for _, e := range entries {
+		spec, err := json.Marshal(e)
+		if err != nil {
+			return nil, errors.Annotatef(err, "encode %s", e.ID())
+		}
+		changes = append(changes, loomcatalogue.Change{ID: e.ID(), Spec: spec})
+	}
+	return changes, nil
+}
--- /dev/null
+++ b/loomtrial/watch.go
@@ -0,0 +1,103 @@
+package loomtrial
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	watchInterval  = 20 * time.Millisecond
+	longestSpread  = int64(time.Minute / time.Millisecond)
+	spreadAccuracy = 3
+)
+
+// watcher follows the catalogue revisions of all instances.
+type watcher struct {
+	trial  *Trial
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+
+	// The goroutine of the watcher alone uses the fields below until it ends.
+	seen    map[string]uint64
+	arrived map[uint64]time.Time
+	behind  map[string]map[uint64]bool
+	spread  *hdrhistogram.Histogram
+	reverts int
+	newest  uint64
+}
+
+// watch starts to follow the revisions; stop must be called.
+func (t *Trial) watch(ctx context.Context) *watcher {
+	ctx, cancel := context.WithCancel(ctx)
+	w := &watcher{
+		trial:   t,
+		cancel:  cancel,
+		seen:    make(map[string]uint64),
+		arrived: make(map[uint64]time.Time),
+		spread:  hdrhistogram.New(1, longestSpread, spreadAccuracy),
+	}
+	w.wait.Go(func() { w.run(ctx) })
+	return w
+}
+
+func (w *watcher) run(ctx context.Context) {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		w.look(time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// look compares each instance with what it had before. The time to take a
+// revision in counts from when any instance first had it.
+func (w *watcher) look(now time.Time) {
+	for _, r := range w.trial.running() {
+		id := r.instance.ID()
+		revision := r.instance.Revision()
+		before, known := w.seen[id]
+		if revision < before {
+			w.reverts++
+		}
+		w.seen[id] = revision
+		for v := w.newest + 1; v <= revision; v++ {
+			w.arrived[v] = now
+			w.newest = v
+		}
+		if !known {
+			continue
+		}
+		for v := before + 1; v <= revision; v++ {
+			_ = w.spread.RecordValue(now.Sub(w.arrived[v]).Milliseconds())
+		}
+	}
+}
+
+func (w *watcher) stop(r *Report) {
+	w.cancel()
+	w.wait.Wait()
+	r.CatalogueReverts = w.reverts
+	r.CatalogueSecondsP99 = float64(w.spread.ValueAtQuantile(99)) / 1000
+}
+
+// running returns the instances that have not ended.
+func (t *Trial) running() []*runningInstance {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all []*runningInstance
+	for _, r := range t.instances {
+		select {
+		case <-r.done:
+		default:
+			all = append(all, r)
+		}
+	}
+	return all
+}
