--- a/cmd/swiftloom/catalogue.go
+++ b/cmd/swiftloom/catalogue.go
@@ -230,7 +230,7 @@
 		case len(c.After) == 0:
 			sign = "-"
 		}
-		parts = append(parts, sign+c.ID.String())
+		parts = append(parts, sign+c.String())
 	}
 	return strings.Join(parts, " ")
 }
--- a/cmd/swiftloom/load.go
+++ b/cmd/swiftloom/load.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/urfave/cli/v3"
 
 	"swiftloom/loomload"
@@ -110,7 +111,10 @@
 		WallSeconds:   result.Wall.Seconds(),
 	}
 	if c.Bool("json") {
-		return printJSON(r)
+		if err := printJSON(r); err != nil {
+			return err
+		}
+		return r.broken()
 	}
 	t := newTable(os.Stdout)
 	t.row("requests", r.Requests)
@@ -122,5 +126,12 @@
 	t.row("ttft p50, p95, p99 (ms)", fmt.Sprintf("%.1f, %.1f, %.1f", r.TTFTMSP50, r.TTFTMSP95, r.TTFTMSP99))
 	t.row("wall (s)", fmt.Sprintf("%.1f", r.WallSeconds))
 	t.flush()
+	return r.broken()
+}
+
+func (r loadReport) broken() error {
+	if r.WrongAnswers+r.Lost > 0 {
+		return errors.Errorf("%d wrong answers and %d lost", r.WrongAnswers, r.Lost)
+	}
 	return nil
 }
--- a/cmd/swiftloom/output.go
+++ b/cmd/swiftloom/output.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"os"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/juju/errors"
@@ -46,13 +47,11 @@
 }
 
 func (t table) row(cells ...any) {
-	for i, c := range cells {
-		if i > 0 {
-			fmt.Fprint(t.w, "\t")
-		}
-		fmt.Fprint(t.w, c)
+	texts := make([]string, 0, len(cells))
+	for _, c := range cells {
+		texts = append(texts, fmt.Sprint(c))
 	}
-	fmt.Fprintln(t.w)
+	_, _ = fmt.Fprintln(t.w, strings.Join(texts, "\t"))
 }
 
 func (t table) flush() {
--- a/cmd/swiftloom/try.go
+++ b/cmd/swiftloom/try.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/juju/errors"
@@ -49,6 +50,9 @@
 	if _, err := loomroute.PolicyByName(c.String("policy")); err != nil {
 		return usagef("--policy: %s", err)
 	}
+	if name := c.String("scenario"); name != "" && !slices.Contains(loomtrial.Scenarios(), name) {
+		return usagef("--scenario: unknown scenario %q (have %v)", name, loomtrial.Scenarios())
+	}
 	if c.Int("requests") < 0 {
 		return usagef("--requests: must not be negative")
 	}
--- a/loomcatalogue/file.go
+++ b/loomcatalogue/file.go
@@ -12,19 +12,27 @@
 	"swiftloom/loomsettings"
 )
 
-// ParseFile reads the entries of a catalogue file, JSON when the first
-// character is a brace or bracket, else INI. The error is a
+// ParseFile reads the entries of a catalogue file, JSON when it starts with an
+// object or a list of objects, else INI. The error is a
 // loomsettings.Faults value.
 //
 // In INI each entry is a section "[kind name]" with one key for each field.
 func ParseFile(file string, data []byte) ([]Change, error) {
 	text := bytes.TrimSpace(data)
-	if len(text) > 0 && (text[0] == '{' || text[0] == '[') {
+	if isJSON(text) {
 		return parseJSON(file, text)
 	}
 	return parseINI(file, data)
 }
 
+func isJSON(text []byte) bool {
+	if rest, ok := bytes.CutPrefix(text, []byte("[")); ok {
+		text = bytes.TrimSpace(rest)
+		return len(text) == 0 || text[0] == '{' || text[0] == ']'
+	}
+	return len(text) > 0 && text[0] == '{'
+}
+
 func parseJSON(file string, text []byte) ([]Change, error) {
 	var doc Document
 	target := any(&doc)
--- a/loomcatalogue/keeper.go
+++ b/loomcatalogue/keeper.go
@@ -313,7 +313,7 @@
 	}
 	for _, c := range rec.Changes {
 		request.Writes = append(request.Writes, &loompb.Write{
-			Key:    entryPrefix + c.ID.String(),
+			Key:    entryPrefix + c.String(),
 			Value:  c.After,
 			Delete: len(c.After) == 0,
 		})
--- a/loomdesign/design.go
+++ b/loomdesign/design.go
@@ -4,7 +4,7 @@
 package loomdesign
 
 import (
-	. "goa.design/goa/v3/dsl" //nolint:revive,staticcheck // the dot import is how a design reads
+	. "goa.design/goa/v3/dsl"
 )
 
 var _ = API("swiftloom", func() {
--- a/loominstance/dispatch.go
+++ b/loominstance/dispatch.go
@@ -37,6 +37,7 @@
 	life     *loomstream.Life
 	plan     plan
 	started  time.Time
+	sentAt   time.Time
 
 	attempts int
 	attempt  string
@@ -131,6 +132,7 @@
 	d.choice = choice
 	d.engine = engine
 	d.tried = append(d.tried, engine.member.ID)
+	d.sentAt = now
 	d.ticket = n.fleet.Sent(now, engine.member.ID, choice.Recompute)
 	d.useLink(now)
 	d.life.Apply(now, loomstream.Dispatched{Attempt: d.attempt, Version: d.plan.version})
@@ -290,6 +292,7 @@
 		return loomstream.Broken{Attempt: id}
 	case loompb.RefusalReason_REFUSAL_REASON_LEAVING:
 		d.instance.markLeaving(now, d.engine.member.Member)
+	default:
 	}
 	return loomstream.Refused{Attempt: id}
 }
@@ -307,6 +310,16 @@
 	n.queues.wake()
 	if d.life.Relayed() == 0 {
 		n.metrics.firstToken.RecordDuration(time.Since(d.started))
+		n.log.Debug("first token",
+			"request_id", d.prompt.requestID,
+			"engine", d.engine.member.ID,
+			"queued_ms", d.sentAt.Sub(d.started).Milliseconds(),
+			"expected_ms", d.choice.Expected.Milliseconds(),
+			"actual_ms", time.Since(d.sentAt).Milliseconds(),
+			"recompute", d.choice.Recompute,
+			"import", d.choice.Import,
+			"held", heldBlocks(d.plan.lookup, d.engine),
+			"tokens", len(d.prompt.tokens))
 	}
 	n.observe(ctx, d.plan, d.engine)
 }
--- a/loominstance/http.go
+++ b/loominstance/http.go
@@ -51,7 +51,9 @@
 	case <-ctx.Done():
 		n.drain(server)
 	}
-	<-done
+	if err := <-done; !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
 	return nil
 }
 
--- a/loominstance/instance.go
+++ b/loominstance/instance.go
@@ -136,15 +136,17 @@
 func (n *Instance) listen() error {
 	n.httpListener = n.options.HTTPListener
 	n.peerListener = n.options.PeerListener
+	ctx := context.Background()
+	var config net.ListenConfig
 	var err error
 	if n.httpListener == nil {
-		n.httpListener, err = net.Listen("tcp", n.settings.Instance.HTTPAddress.String())
+		n.httpListener, err = config.Listen(ctx, "tcp", n.settings.Instance.HTTPAddress.String())
 		if err != nil {
 			return errors.Annotate(err, "listen for callers")
 		}
 	}
 	if n.peerListener == nil {
-		n.peerListener, err = net.Listen("tcp", n.settings.Instance.PeerAddress.String())
+		n.peerListener, err = config.Listen(ctx, "tcp", n.settings.Instance.PeerAddress.String())
 		if err != nil {
 			return errors.Annotate(err, "listen for peers")
 		}
--- a/loominstance/members.go
+++ b/loominstance/members.go
@@ -81,6 +81,7 @@
 func (n *Instance) updateView(now time.Time) {
 	v := n.tracker.View(now)
 	n.view.Store(&v)
+	n.keepConnections(v)
 	members := v.LiveIDs(loommember.KindInstance, "")
 	if !slices.Contains(members, n.ID()) && !n.stopping.Load() {
 		members = append(members, n.ID())
@@ -97,6 +98,19 @@
 	n.log.Info("homes change", "instances", len(members))
 }
 
+// keepConnections closes the connections to members that are forgotten. Those
+// to dead ones stay, since a stream may still run over them.
+func (n *Instance) keepConnections(v loommember.View) {
+	addresses := n.tracker.Addresses()
+	var ids []string
+	for _, b := range v.All() {
+		ids = append(ids, b.ID)
+	}
+	n.peers.keep(addresses)
+	n.engines.keep(addresses)
+	n.fleet.Forget(ids)
+}
+
 // homesSince returns when the set of live instances last changed.
 func (n *Instance) homesSince() time.Time {
 	return time.Unix(0, n.homesAt.Load())
--- a/loominstance/peer_server.go
+++ b/loominstance/peer_server.go
@@ -29,8 +29,7 @@
 	case <-ctx.Done():
 	}
 	server.Stop()
-	<-done
-	return nil
+	return <-done
 }
 
 // checkPeer refuses callers that do not show the deployment's key.
--- a/loominstance/quotas.go
+++ b/loominstance/quotas.go
@@ -229,21 +229,19 @@
 		request.Holder = n.FailureDomain() + "/" + n.ID()
 	}
 	askedAt := time.Now()
-	reply := &loompb.QuotaReply{}
 	if home == n.ID() {
-		reply = q.lend(askedAt, request)
-	} else {
-		client, err := n.peerByID(home)
-		if err != nil {
-			return
-		}
-		call, cancel := context.WithTimeout(ctx, quotaTimeout)
-		defer cancel()
-		if reply, err = client.Quota(call, request); err != nil {
-			return
-		}
+		q.take(askedAt, q.lend(askedAt, request), pool)
+		return
+	}
+	client, err := n.peerByID(home)
+	if err != nil {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, quotaTimeout)
+	defer cancel()
+	if reply, err := client.Quota(call, request); err == nil {
+		q.take(askedAt, reply, pool)
 	}
-	q.take(askedAt, reply, pool)
 }
 
 func (q *quotas) take(askedAt time.Time, reply *loompb.QuotaReply, pool bool) {
--- a/loomlimit/ledger.go
+++ b/loomlimit/ledger.go
@@ -14,6 +14,8 @@
 	// minGrant is the least rate that a holder with some demand is lent,
 	// as a part of the budget.
 	minGrant = 0.02
+	// spareLent is the part of what all wishes leave that is lent as well.
+	spareLent = 0.5
 	// driftPart is the part of a duration that clocks may differ by.
 	driftPart = 20
 )
@@ -144,35 +146,43 @@
 }
 
 // fairPart returns the max-min fair part of a holder: no holder gets more than
-// it wishes while another gets less than an equal part.
+// it wishes while another gets less than an equal part. Of what all wishes
+// leave, a part is divided evenly, so that bursts find room, and the rest is
+// kept for holders that come next.
 func (l *Ledger) fairPart(now time.Time, budget float64, holder string) float64 {
-	left := budget
-	var open []*holding
+	self := l.holders[holder]
+	var active []*holding
 	for _, h := range l.holders {
 		if now.Sub(h.heardAt) <= demandMemory && h.demand > 0 {
-			open = append(open, h)
+			active = append(active, h)
 		}
 	}
-	self := l.holders[holder]
+	if self.demand <= 0 {
+		return 0
+	}
+	left := budget
+	open := active
 	for len(open) > 0 {
 		part := left / float64(len(open))
 		var rest []*holding
 		for _, h := range open {
-			if wish := h.wish(budget); wish <= part {
-				left -= wish
-				if h == self {
-					return wish
-				}
-				continue
+			if h.wish(budget) <= part {
+				left -= h.wish(budget)
+			} else {
+				rest = append(rest, h)
 			}
-			rest = append(rest, h)
 		}
 		if len(rest) == len(open) {
-			return part
+			return fairRest(self, budget, part)
 		}
 		open = rest
 	}
-	return 0
+	return self.wish(budget) + left*spareLent/float64(len(active))
+}
+
+// fairRest returns the part of a holder when not all wishes can be met.
+func fairRest(h *holding, budget, part float64) float64 {
+	return math.Min(h.wish(budget), part)
 }
 
 func (h *holding) wish(budget float64) float64 {
--- a/loomlimit/queue.go
+++ b/loomlimit/queue.go
@@ -44,13 +44,7 @@
 type flow struct {
 	// finish is the virtual time at which the account's work so far ends.
 	finish float64
-	items  []queued
-}
-
-type queued struct {
-	item Item
-	// order breaks ties of priority.
-	order uint64
+	items  []Item
 }
 
 // NewQueue returns an empty queue.
@@ -82,10 +76,10 @@
 		return loomerror.New(loomerror.QueueFull, "the account has %d requests waiting", len(f.items)).WithRetryAfter(queueRetryAfter)
 	}
 	at := len(f.items)
-	for at > 0 && f.items[at-1].item.Priority < i.Priority {
+	for at > 0 && f.items[at-1].Priority < i.Priority {
 		at--
 	}
-	f.items = slices.Insert(f.items, at, queued{item: i})
+	f.items = slices.Insert(f.items, at, i)
 	q.size++
 	return nil
 }
@@ -112,7 +106,7 @@
 	if best == nil {
 		return Item{}, false
 	}
-	item := best.items[0].item
+	item := best.items[0]
 	best.items = best.items[1:]
 	q.size--
 	q.virtual = bestStart
@@ -130,7 +124,7 @@
 		return false
 	}
 	for n, i := range f.items {
-		if i.item.ID == id {
+		if i.ID == id {
 			f.items = slices.Delete(f.items, n, n+1)
 			q.size--
 			return true
@@ -155,7 +149,7 @@
 		return 0, 0
 	}
 	for _, i := range f.items {
-		cost += i.item.Cost
+		cost += i.Cost
 	}
 	return len(f.items), cost
 }
--- a/loomload/run.go
+++ b/loomload/run.go
@@ -191,6 +191,11 @@
 	r.result.FirstToken = newHistogram()
 	plan := Plan(r.Mix)
 	r.result.Requests = len(plan)
+	for _, request := range plan {
+		if request.Call != nil && request.Call.Twin {
+			r.result.Requests++
+		}
+	}
 	started := time.Now()
 	var wait sync.WaitGroup
 	for _, request := range plan {
--- a/loommember/tracker.go
+++ b/loommember/tracker.go
@@ -185,6 +185,18 @@
 	return marks
 }
 
+// Addresses returns the addresses of all members that are remembered, dead or
+// not.
+func (t *Tracker) Addresses() map[string]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	addresses := make(map[string]bool, len(t.records))
+	for _, r := range t.records {
+		addresses[r.member.Address] = true
+	}
+	return addresses
+}
+
 // View returns the state of all members that are not dead.
 func (t *Tracker) View(now time.Time) View {
 	t.mu.Lock()
--- a/loomroute/fleet.go
+++ b/loomroute/fleet.go
@@ -52,8 +52,7 @@
 	sent map[uint64]sentWork
 	next uint64
 	// failures counts calls without an answer since the last good one.
-	failures  int
-	ejectedAt time.Time
+	failures int
 }
 
 type sentWork struct {
--- a/loomsettings/read.go
+++ b/loomsettings/read.go
@@ -107,14 +107,14 @@
 	r.text("deployment", "peer_key", &s.Deployment.PeerKey, true)
 	r.text("deployment", "operator_key", &s.Deployment.OperatorKey, true)
 	r.text("routing", "policy", &s.Routing.Policy, false)
-	r.duration("timing", "report_interval", &s.Timing.ReportInterval)
-	r.duration("timing", "gossip_interval", &s.Timing.GossipInterval)
-	r.duration("timing", "catalogue_interval", &s.Timing.CatalogueInterval)
-	r.duration("timing", "members_interval", &s.Timing.MembersInterval)
-	r.duration("timing", "platform_timeout", &s.Timing.PlatformTimeout)
-	r.duration("timing", "lookup_timeout", &s.Timing.LookupTimeout)
-	r.duration("timing", "drain_delay", &s.Timing.DrainDelay)
-	r.duration("timing", "drain_timeout", &s.Timing.DrainTimeout)
+	r.duration("report_interval", &s.Timing.ReportInterval)
+	r.duration("gossip_interval", &s.Timing.GossipInterval)
+	r.duration("catalogue_interval", &s.Timing.CatalogueInterval)
+	r.duration("members_interval", &s.Timing.MembersInterval)
+	r.duration("platform_timeout", &s.Timing.PlatformTimeout)
+	r.duration("lookup_timeout", &s.Timing.LookupTimeout)
+	r.duration("drain_delay", &s.Timing.DrainDelay)
+	r.duration("drain_timeout", &s.Timing.DrainTimeout)
 	return s
 }
 
@@ -192,14 +192,14 @@
 	*value = n
 }
 
-func (r *reader) duration(section, key string, value *time.Duration) {
-	v, ok := r.key(section, key)
+func (r *reader) duration(key string, value *time.Duration) {
+	v, ok := r.key("timing", key)
 	if !ok {
 		return
 	}
 	d, err := time.ParseDuration(v)
 	if err != nil || d <= 0 {
-		r.fault(section, key, "%q is not a duration above zero, such as 500ms", v)
+		r.fault("timing", key, "%q is not a duration above zero, such as 500ms", v)
 		return
 	}
 	*value = d
