--- a/cmd/swiftloom/load.go
+++ b/cmd/swiftloom/load.go
@@ -40,6 +40,7 @@
 	loadServiceShare = 0.15
 	loadGrowth       = 100
 	loadShared       = 100
+	loadPatience     = 10 * time.Second
 )
 
 func load(ctx context.Context, c *cli.Command) error {
@@ -94,6 +95,9 @@
 	balancer := loomload.NewBalancer(c.StringSlice("instance"))
 	background, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if !balancer.WaitReady(ctx, loadPatience) {
+		return errors.Errorf("no instance takes requests after %s", loadPatience)
+	}
 	go balancer.Run(background)
 	runner := loomload.Runner{Mix: mix, Balancer: balancer, Progress: progress("load")}
 	result := runner.Run(ctx)
--- a/loomload/run.go
+++ b/loomload/run.go
@@ -101,6 +101,19 @@
 	return w.StatusCode == http.StatusOK
 }
 
+// WaitReady waits until an instance takes requests.
+func (b *Balancer) WaitReady(ctx context.Context, d time.Duration) bool {
+	for deadline := time.Now().Add(d); time.Now().Before(deadline); {
+		if b.check(ctx); b.Ready() > 0 {
+			return true
+		}
+		if !sleepUntil(ctx, time.Now().Add(readyInterval)) {
+			return false
+		}
+	}
+	return false
+}
+
 // Ready returns the number of instances that take requests.
 func (b *Balancer) Ready() int {
 	b.mu.Lock()
@@ -371,6 +384,9 @@
 	defer r.mu.Unlock()
 	kind := a.fault.Kind
 	switch {
+	case err == nil && a.status == 0:
+		r.result.RefusedNotRun++
+		kind = "no_instance"
 	case err == nil && a.fault.notRun():
 		r.result.RefusedNotRun++
 	case err == nil && kind != "":
