--- a/cmd/swiftloom/output.go
+++ b/cmd/swiftloom/output.go
@@ -28,7 +28,20 @@
 	if err := l.UnmarshalText([]byte(level)); err != nil {
 		return nil, usagef("--log-level: %q is not one of debug, info, warn, error", level)
 	}
-	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: l})), nil
+	return logAt(l), nil
+}
+
+// logAt returns a logger that writes errors without their stack.
+func logAt(level slog.Level) *slog.Logger {
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{
+		Level: level,
+		ReplaceAttr: func(_ []string, a slog.Attr) slog.Attr {
+			if err, ok := a.Value.Any().(error); ok {
+				a.Value = slog.StringValue(err.Error())
+			}
+			return a
+		},
+	}))
 }
 
 func printJSON(v any) error {
--- a/cmd/swiftloom/serve.go
+++ b/cmd/swiftloom/serve.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"log/slog"
 	"math/rand/v2"
-	"os"
 
 	"github.com/juju/errors"
 	"github.com/urfave/cli/v3"
@@ -31,7 +29,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: s.Instance.LogLevel}))
+	log := logAt(s.Instance.LogLevel)
 	instance, err := loominstance.New(s, loominstance.Options{Log: log, Seed: rand.Uint64()})
 	if err != nil {
 		return errors.Trace(err)
--- /dev/null
+++ b/loomcache/index_test.go
@@ -0,0 +1,266 @@
+package loomcache_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"swiftloom/loomcache"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func saltFor(account string, version uint64) loomcache.Salt {
+	return loomcache.Salt{ClientAccount: account, Model: "m", Version: version}
+}
+
+func tokens(seed uint32, blocks int) []uint32 {
+	all := make([]uint32, blocks*loomcache.BlockTokens)
+	for i := range all {
+		all[i] = seed + uint32(i)
+	}
+	return all
+}
+
+func TestKeysNeverMix(t *testing.T) {
+	text := tokens(7, 3)
+	base := loomcache.Chain(saltFor("a", 1), text)
+	tests := []struct {
+		name string
+		salt loomcache.Salt
+	}{
+		{"account", saltFor("b", 1)},
+		{"version", saltFor("a", 2)},
+		{"model", loomcache.Salt{ClientAccount: "a", Model: "n", Version: 1}},
+		{"adapter", loomcache.Salt{ClientAccount: "a", Model: "m", Adapter: "x", Version: 1}},
+		{"adapter version", loomcache.Salt{ClientAccount: "a", Model: "m", Version: 1, AdapterVersion: 1}},
+		{"names that run together", loomcache.Salt{ClientAccount: "am", Model: "", Version: 1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for i, k := range loomcache.Chain(tt.salt, text) {
+				assert.Assert(t, k != base[i])
+			}
+		})
+	}
+}
+
+func TestChainsShareExactlyTheirPrefix(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := tokens(1, 6)
+		b := append([]uint32(nil), a...)
+		at := rapid.IntRange(0, len(b)-1).Draw(t, "changed")
+		b[at]++
+		ka, kb := loomcache.Chain(saltFor("a", 1), a), loomcache.Chain(saltFor("a", 1), b)
+		for i := range ka {
+			assert.Equal(t, ka[i] == kb[i], i < at/loomcache.BlockTokens)
+		}
+	})
+}
+
+func observe(x *loomcache.Index, now time.Time, salt loomcache.Salt, keys []loomcache.Key, engine string) []loomcache.Export {
+	return x.Observe(now, loomcache.Observation{Salt: salt, Keys: keys, Engine: engine, Incarnation: 1})
+}
+
+func seal(x *loomcache.Index, now time.Time, salt loomcache.Salt, keys []loomcache.Key, store string, generation uint64) {
+	for _, k := range keys {
+		x.Sealed(now, keys[0], k, salt, loomcache.Stored{Store: store, Incarnation: 1, Generation: generation, Length: 100})
+	}
+}
+
+func TestLookupFindsHoldersAndStored(t *testing.T) {
+	x := loomcache.NewIndex()
+	salt := saltFor("a", 1)
+	keys := loomcache.Chain(salt, tokens(1, 5))
+	exports := observe(x, start, salt, keys[:3], "e1")
+	assert.Equal(t, len(exports), 1)
+	assert.Equal(t, len(exports[0].Keys), 3)
+	assert.Equal(t, len(observe(x, start, salt, keys[:3], "e2")), 0, "an export under way is not asked for twice")
+	seal(x, start, salt, keys[:2], "s1", 1)
+	found := x.Lookup(start, "a", keys)
+	assert.Equal(t, len(found.Stored), 2)
+	assert.Equal(t, len(found.Holders), 2)
+	assert.Equal(t, found.Holders[0].Blocks, 3)
+
+	assert.Equal(t, len(x.Lookup(start, "b", keys).Stored), 0, "another account finds nothing, even by the same keys")
+}
+
+func TestGapEndsTheRun(t *testing.T) {
+	x := loomcache.NewIndex()
+	salt := saltFor("a", 1)
+	keys := loomcache.Chain(salt, tokens(1, 4))
+	seal(x, start, salt, keys, "s1", 1)
+	x.Freed(keys[0], keys[1], "s1", 2)
+	assert.Equal(t, len(x.Lookup(start, "a", keys).Stored), 4, "a freed block of another generation changes nothing")
+	x.Freed(keys[0], keys[1], "s1", 1)
+	assert.Equal(t, len(x.Lookup(start, "a", keys).Stored), 1)
+}
+
+func TestStoreRestartForgetsItsBlocks(t *testing.T) {
+	x := loomcache.NewIndex()
+	salt := saltFor("a", 1)
+	keys := loomcache.Chain(salt, tokens(1, 4))
+	seal(x, start, salt, keys, "s1", 1)
+	x.StoreLost("s2", 0)
+	assert.Equal(t, x.Size().Stored, 4)
+	x.StoreLost("s1", 2)
+	assert.Equal(t, x.Size().Stored, 0)
+	assert.Equal(t, len(observe(x, start, salt, keys, "e1")), 1, "lost blocks are exported again")
+}
+
+func TestFailedImportFreesAndExportsAgain(t *testing.T) {
+	x := loomcache.NewIndex()
+	salt := saltFor("a", 1)
+	keys := loomcache.Chain(salt, tokens(1, 2))
+	seal(x, start, salt, keys, "s1", 9)
+	assert.Equal(t, len(x.Failed("b", keys)), 0)
+	drops := x.Failed("a", keys)
+	assert.Equal(t, len(drops), 1)
+	assert.DeepEqual(t, drops[0].Generations, []uint64{9, 9})
+	assert.Equal(t, len(observe(x, start, salt, keys, "e1")), 1)
+}
+
+// A prompt of an account whose prompts come back after long gaps outlives one
+// of an account whose prompts never do.
+func TestTrimKeepsWhatReturns(t *testing.T) {
+	x := loomcache.NewIndex()
+	now := start
+	const prompts = 30
+	keysOf := func(account string, i int) []loomcache.Key {
+		return loomcache.Chain(saltFor(account, 1), tokens(uint32(i*100_000), 2))
+	}
+	for i := range prompts {
+		for _, account := range []string{"comes-back", "never"} {
+			keys := keysOf(account, i)
+			observe(x, now, saltFor(account, 1), keys, "e1")
+			seal(x, now, saltFor(account, 1), keys, "s1", 1)
+		}
+	}
+	now = now.Add(time.Hour)
+	for i := range prompts {
+		x.Lookup(now, "comes-back", keysOf("comes-back", i))
+	}
+	now = now.Add(10 * time.Minute)
+	drops := x.Trim(now, "s1", prompts*200, nil)
+	assert.Equal(t, len(drops), 1)
+	assert.Equal(t, len(drops[0].Keys), prompts*2)
+	for i := range prompts {
+		assert.Equal(t, len(x.Lookup(now, "comes-back", keysOf("comes-back", i)).Stored), 2)
+		assert.Equal(t, len(x.Lookup(now, "never", keysOf("never", i)).Stored), 0)
+	}
+}
+
+func TestPinnedPromptsGoLast(t *testing.T) {
+	x := loomcache.NewIndex()
+	salt := saltFor("a", 1)
+	pinned := loomcache.Chain(salt, tokens(1, 1))
+	other := loomcache.Chain(salt, tokens(999_999, 1))
+	seal(x, start, salt, pinned, "s1", 1)
+	seal(x, start.Add(time.Minute), salt, other, "s1", 1)
+	x.Pin(pinned[0], start.Add(time.Hour))
+	drops := x.Trim(start.Add(2*time.Minute), "s1", 1, nil)
+	assert.DeepEqual(t, drops[0].Keys, other)
+}
+
+func TestBudgetOfAnAccount(t *testing.T) {
+	x := loomcache.NewIndex()
+	for i := range 10 {
+		for _, account := range []string{"greedy", "modest"} {
+			keys := loomcache.Chain(saltFor(account, 1), tokens(uint32(i*100_000), 1))
+			seal(x, start, saltFor(account, 1), keys, "s1", 1)
+		}
+	}
+	drops := x.OverBudget(start, "s1", []loomcache.Budget{{ClientAccount: "greedy", Bytes: 400}, {ClientAccount: "modest", Bytes: 2000}})
+	assert.Equal(t, len(drops), 1)
+	assert.Equal(t, len(drops[0].Keys), 6)
+	assert.Equal(t, len(x.OverBudget(start, "s1", []loomcache.Budget{{ClientAccount: "greedy", Bytes: 400}})), 0)
+}
+
+func TestRetireDropsOtherVersions(t *testing.T) {
+	x := loomcache.NewIndex()
+	for version := uint64(1); version <= 3; version++ {
+		salt := saltFor("a", version)
+		seal(x, start, salt, loomcache.Chain(salt, tokens(1, 2)), "s1", version)
+	}
+	drops := x.Retire("m", func(v uint64) bool { return v >= 3 })
+	assert.Equal(t, len(drops), 1)
+	assert.Equal(t, len(drops[0].Keys), 4)
+	assert.Equal(t, x.Size().Prompts, 1)
+}
+
+// A model of what stores really keep: whatever order events arrive in, the
+// index never gives out a block in a generation that it was told is freed, and
+// never one of another account.
+func TestIndexFollowsEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		x := loomcache.NewIndex()
+		accounts := []string{"a", "b"}
+		kept := make(map[string]uint64)
+		generation := uint64(0)
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			account := rapid.SampledFrom(accounts).Draw(t, "account")
+			salt := saltFor(account, 1)
+			keys := loomcache.Chain(salt, tokens(uint32(rapid.IntRange(0, 2).Draw(t, "prompt")*100_000), 3))
+			k := keys[rapid.IntRange(0, 2).Draw(t, "block")]
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0, 1:
+				generation++
+				x.Sealed(start, keys[0], k, salt, loomcache.Stored{Store: "s", Incarnation: 1, Generation: generation, Length: 1})
+				kept[k.String()] = generation
+			case 2:
+				x.Freed(keys[0], k, "s", kept[k.String()])
+				delete(kept, k.String())
+			case 3:
+				observe(x, start, salt, keys, "e")
+			default:
+				x.StoreLost("s", 2)
+				clear(kept)
+			}
+			for i, s := range x.Lookup(start, account, keys).Stored {
+				assert.Equal(t, s.Generation, kept[keys[i].String()])
+			}
+			for _, other := range accounts {
+				if other != account {
+					assert.Equal(t, len(x.Lookup(start, other, keys).Stored), 0)
+				}
+			}
+		}
+		assert.Equal(t, x.Size().Stored, len(kept))
+	})
+}
+
+func BenchmarkCacheLookup(b *testing.B) {
+	const blocks = 24
+	for _, bench := range []struct {
+		fleet, homes int
+	}{{10_000, 1}, {10_000, 8}, {4_300_000, 1400}, {400_000, 1}} {
+		b.Run(fmt.Sprintf("prompts=%d/homes=%d", bench.fleet, bench.homes), func(b *testing.B) {
+			x := loomcache.NewIndex()
+			salt := saltFor("a", 1)
+			n := bench.fleet / bench.homes
+			chains := make([][]loomcache.Key, n)
+			for i := range chains {
+				chains[i] = loomcache.Chain(salt, tokens(uint32(i*blocks*loomcache.BlockTokens), blocks))
+				seal(x, start, salt, chains[i], "s1", 1)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			i := 0
+			for b.Loop() {
+				x.Lookup(start, "a", chains[i%n])
+				i++
+			}
+		})
+	}
+}
+
+func BenchmarkChain(b *testing.B) {
+	text := tokens(1, 32)
+	b.ReportAllocs()
+	for b.Loop() {
+		loomcache.Chain(saltFor("a", 1), text)
+	}
+}
--- /dev/null
+++ b/loomcatalogue/keeper_test.go
@@ -0,0 +1,226 @@
+package loomcatalogue_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"swiftloom/loomcatalogue"
+	"swiftloom/loomerror"
+	"swiftloom/loompb"
+	"swiftloom/loomstandin"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+var errLost = errors.New("reply lost")
+
+// flakyTable is a table whose writes fail before or after their effect.
+type flakyTable struct {
+	table *loomstandin.Table
+	// loseReplies and refuse count the writes that are still to fail.
+	loseReplies int
+	refuse      int
+}
+
+func (f *flakyTable) Transact(_ context.Context, r *loompb.TransactRequest) (*loompb.TransactReply, error) {
+	if f.refuse > 0 {
+		f.refuse--
+		return nil, errLost
+	}
+	reply := f.table.Transact(r)
+	if f.loseReplies > 0 {
+		f.loseReplies--
+		return nil, errLost
+	}
+	return reply, nil
+}
+
+func (f *flakyTable) ReadRows(_ context.Context, r *loompb.ReadRowsRequest) (*loompb.ReadRowsReply, error) {
+	return f.table.ReadRows(r), nil
+}
+
+func group(t assert.TestingT, name string, maxQueued int) loomcatalogue.Change {
+	e := loomcatalogue.UpstreamGroup{
+		Header:       loomcatalogue.Header{Owner: "parish", Class: "gold"},
+		UpstreamKind: "engine",
+		MaxQueued:    maxQueued,
+	}
+	spec, err := json.Marshal(e)
+	assert.NilError(t, err)
+	return loomcatalogue.Change{ID: loomcatalogue.ID{Kind: loomcatalogue.KindUpstreamGroup, Name: name}, Spec: spec}
+}
+
+func edit(t assert.TestingT, id string, base uint64, maxQueued int) loomcatalogue.Edit {
+	return loomcatalogue.Edit{ID: id, Operator: "jan", BaseRevision: base, Changes: []loomcatalogue.Change{group(t, "g", maxQueued)}}
+}
+
+func TestLostReplyIsRecognised(t *testing.T) {
+	table := &flakyTable{table: &loomstandin.Table{}, loseReplies: 1}
+	k := loomcatalogue.NewKeeper(table)
+	revision, err := k.Apply(t.Context(), start, edit(t, "e1", 0, 1))
+	assert.NilError(t, err)
+	assert.Equal(t, revision, uint64(1))
+	records, err := k.History(t.Context(), 0)
+	assert.NilError(t, err)
+	assert.Equal(t, len(records), 1)
+
+	revision, err = k.Apply(t.Context(), start, edit(t, "e1", 0, 1))
+	assert.NilError(t, err)
+	assert.Equal(t, revision, uint64(1), "a repeated edit makes no new revision")
+}
+
+func TestUnansweredWriteIsSentAgain(t *testing.T) {
+	table := &flakyTable{table: &loomstandin.Table{}, refuse: 1}
+	revision, err := loomcatalogue.NewKeeper(table).Apply(t.Context(), start, edit(t, "e1", 0, 1))
+	assert.NilError(t, err)
+	assert.Equal(t, revision, uint64(1))
+}
+
+func TestRacingOperators(t *testing.T) {
+	table := &flakyTable{table: &loomstandin.Table{}}
+	a, b := loomcatalogue.NewKeeper(table), loomcatalogue.NewKeeper(table)
+	_, err := a.Apply(t.Context(), start, edit(t, "a1", 0, 1))
+	assert.NilError(t, err)
+	_, err = b.Apply(t.Context(), start, edit(t, "b1", 0, 2))
+	assert.Assert(t, loomerror.Is(err, loomerror.RevisionConflict))
+	assert.ErrorContains(t, err, "the catalogue is at revision 1")
+	_, err = b.Apply(t.Context(), start, edit(t, "b2", 1, 2))
+	assert.NilError(t, err)
+}
+
+// Operators race through replies that are lost and writes that fail: each
+// accepted edit has one record, records are without gaps, and the snapshot of
+// every keeper is that of some record.
+func TestEditsAreLinear(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := &flakyTable{table: &loomstandin.Table{}}
+		ctx := context.Background()
+		keepers := []*loomcatalogue.Keeper{loomcatalogue.NewKeeper(table), loomcatalogue.NewKeeper(table)}
+		accepted := make(map[string]uint64)
+		for i := range rapid.IntRange(1, 12).Draw(t, "edits") {
+			k := keepers[rapid.IntRange(0, 1).Draw(t, "keeper")]
+			table.loseReplies = rapid.IntRange(0, 1).Draw(t, "lost")
+			base := rapid.Uint64Range(0, uint64(len(accepted))).Draw(t, "base")
+			id := fmt.Sprint("e", i)
+			revision, err := k.Apply(ctx, start, edit(t, id, base, i))
+			if err != nil {
+				assert.Assert(t, loomerror.Is(err, loomerror.RevisionConflict), "%s", err)
+				continue
+			}
+			assert.Equal(t, revision, base+1)
+			accepted[id] = revision
+		}
+		table.loseReplies = 0
+		records, err := keepers[0].History(ctx, 0)
+		assert.NilError(t, err)
+		assert.Equal(t, len(records), len(accepted))
+		for i, r := range records {
+			assert.Equal(t, r.Revision, uint64(i+1))
+			assert.Equal(t, accepted[r.EditID], r.Revision)
+		}
+	})
+}
+
+// Records and snapshots arrive from the platform and from peers in any order,
+// twice, and late: the revision never falls, and equal revisions mean equal
+// catalogues.
+func TestRevisionsNeverFall(t *testing.T) {
+	table := &flakyTable{table: &loomstandin.Table{}}
+	writer := loomcatalogue.NewKeeper(table)
+	const revisions = 8
+	for i := range uint64(revisions) {
+		_, err := writer.Apply(t.Context(), start, edit(t, fmt.Sprint("e", i), i, int(i)))
+		assert.NilError(t, err)
+	}
+	records, err := writer.History(t.Context(), 0)
+	assert.NilError(t, err)
+	rapid.Check(t, func(t *rapid.T) {
+		k := loomcatalogue.NewKeeper(table)
+		last := uint64(0)
+		for range rapid.IntRange(1, 20).Draw(t, "events") {
+			from := rapid.IntRange(0, revisions-1).Draw(t, "from")
+			to := rapid.IntRange(from+1, revisions).Draw(t, "to")
+			if rapid.Bool().Draw(t, "snapshot") {
+				s := loomcatalogue.Snapshot{}
+				for _, r := range records[:to] {
+					s, err = s.WithRecord(r)
+					assert.NilError(t, err)
+				}
+				s, err = loomcatalogue.FromDocument(s.Document())
+				assert.NilError(t, err)
+				k.TakeSnapshot(start, s)
+			} else {
+				_ = k.Take(start, records[from:to])
+			}
+			now := k.Snapshot().Revision()
+			assert.Assert(t, now >= last)
+			last = now
+			if now > 0 {
+				g, ok := k.Snapshot().UpstreamGroup("g")
+				assert.Assert(t, ok)
+				assert.Equal(t, g.MaxQueued, int(now-1))
+			}
+		}
+	})
+}
+
+func TestRefreshFromEmpty(t *testing.T) {
+	table := &flakyTable{table: &loomstandin.Table{}}
+	writer := loomcatalogue.NewKeeper(table)
+	for i := range uint64(3) {
+		_, err := writer.Apply(t.Context(), start, edit(t, fmt.Sprint("e", i), i, int(i)))
+		assert.NilError(t, err)
+	}
+	k := loomcatalogue.NewKeeper(table)
+	assert.NilError(t, k.Refresh(t.Context(), start))
+	assert.Equal(t, k.Snapshot().Revision(), uint64(3))
+	missing, ok := k.Since(1)
+	assert.Assert(t, !ok && missing == nil, "a keeper that began with the entries has no records to pass on")
+	missing, ok = writer.Since(1)
+	assert.Assert(t, ok)
+	assert.Equal(t, len(missing), 2)
+}
+
+func TestValidation(t *testing.T) {
+	tests := []struct {
+		name string
+		id   loomcatalogue.ID
+		spec string
+		want string
+	}{
+		{"no owner", loomcatalogue.ID{Kind: "upstream_group", Name: "g"}, `{"class":"gold","upstream_kind":"engine"}`, "owner: is required"},
+		{"bad class", loomcatalogue.ID{Kind: "upstream_group", Name: "g"}, `{"owner":"p","class":"tin","upstream_kind":"engine"}`, "class: must be gold, silver or bronze"},
+		{"bad name", loomcatalogue.ID{Kind: "upstream_group", Name: "G/1"}, `{"owner":"p","class":"gold","upstream_kind":"engine"}`, "name: must be"},
+		{"unknown field", loomcatalogue.ID{Kind: "upstream_group", Name: "g"}, `{"owner":"p","colour":"red"}`, `unknown field "colour"`},
+		{"unknown kind", loomcatalogue.ID{Kind: "boat", Name: "g"}, `{}`, "unknown kind of entry"},
+		{"dangling", loomcatalogue.ID{Kind: "adapter", Name: "a"}, `{"owner":"p","class":"gold","model":"m","version":1}`, `names the model "m", which does not exist`},
+		{"no key", loomcatalogue.ID{Kind: "client_account", Name: "a"}, `{"owner":"p","class":"gold","share":1,"tokens_per_second":1,"burst_tokens":1,"max_queued":1}`, "must hold at least one digest"},
+		{"floors above the limit", loomcatalogue.ID{Kind: "deployment", Name: "d"}, `{"owner":"p","class":"gold","load_limit":1,"min_domain_share":60,"failure_domains":["a","b"]}`, "min_domain_share"},
+		{"delete of nothing", loomcatalogue.ID{Kind: "adapter", Name: "a"}, ``, "can't be deleted"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var s loomcatalogue.Snapshot
+			_, _, err := s.Edit(start, loomcatalogue.Edit{ID: "e", Changes: []loomcatalogue.Change{{ID: tt.id, Spec: json.RawMessage(tt.spec)}}})
+			assert.ErrorContains(t, err, tt.want)
+		})
+	}
+}
+
+func ExampleSnapshot_Edit() {
+	var s loomcatalogue.Snapshot
+	change := loomcatalogue.Change{
+		ID:   loomcatalogue.ID{Kind: loomcatalogue.KindUpstreamGroup, Name: "desk"},
+		Spec: json.RawMessage(`{"owner":"parish","class":"gold","upstream_kind":"engine"}`),
+	}
+	next, record, err := s.Edit(start, loomcatalogue.Edit{ID: "first", Operator: "jan", Changes: []loomcatalogue.Change{change}})
+	fmt.Println(next.Revision(), record.Operator, err)
+	// Output: 1 jan <nil>
+}
--- a/loominstance/instance.go
+++ b/loominstance/instance.go
@@ -70,6 +70,10 @@
 	homesAt atomic.Int64
 	// stopping is set once and never unset.
 	stopping atomic.Bool
+	// settled is set once the first view of the members has lasted; it is
+	// never unset, so that changes of the members do not take the instance
+	// out of the balancer.
+	settled  atomic.Bool
 	inFlight sync.WaitGroup
 	active   atomic.Int64
 	requests atomic.Uint64
--- a/loominstance/status.go
+++ b/loominstance/status.go
@@ -30,16 +30,13 @@
 		return "", loomerror.New(loomerror.ShuttingDown, "the instance drains")
 	case n.keeper.Snapshot().Revision() == 0:
 		return "", loomerror.New(loomerror.PlatformUnavailable, "the catalogue is not known yet").WithRetryAfter(time.Second)
-	case time.Since(n.homesSince()) < quotaQuiet && n.requests.Load() < readyAfter:
+	case !n.settled.Load() && time.Since(n.homesSince()) < quotaQuiet:
 		return "", loomerror.New(loomerror.PlatformUnavailable, "the members are not settled yet").WithRetryAfter(time.Second)
 	}
+	n.settled.Store(true)
 	return "ready", nil
 }
 
-// readyAfter is the number of requests after which an instance stays ready
-// while members come and go.
-const readyAfter = 1000
-
 // Status is what an instance believes.
 type Status struct {
 	Instance          string           `json:"instance"`
--- a/loomtrial/faults.go
+++ b/loomtrial/faults.go
@@ -158,7 +158,7 @@
 		t.log.Error("instance does not start", "error", err)
 		return
 	}
-	t.balancer.SetAddresses(t.addresses())
+	t.balancer.SetAddresses(t.Addresses())
 }
 
 func killInstance(ctx context.Context, t *Trial, random *rand.Rand) {
--- a/loomtrial/run.go
+++ b/loomtrial/run.go
@@ -92,7 +92,7 @@
 func (t *Trial) Guide() string {
 	var b strings.Builder
 	account := t.site.Mix.Accounts[0]
-	addresses := t.addresses()
+	addresses := t.Addresses()
 	fmt.Fprintf(&b, "site %s is up; end it with an interrupt\n\ninstances:\n", t.site.Name)
 	for _, r := range t.running() {
 		fmt.Fprintf(&b, "  %s in %s at %s\n", r.instance.ID(), r.instance.FailureDomain(), r.instance.HTTPAddress())
