Cut prompts into segments, and fetch what an engine has lost

Cause: all prompts of an account that share a first block had one home and one store, and an engine that was believed to hold a prompt got no references to its stored blocks, so that a wrong belief cost the whole prompt: held prompts took 129 ms at p95 where 8 ms was expected. Ruled out: late exports, since the blocks were stored.

Prompts are cut at depths 4, 16, 64 ... blocks, each segment with a home of its own; references go with every dispatch for which fetching beats computing, and the engine fetches only what it lacks. Dropping goes by block.

--- a/cmd/swiftloom/status.go
+++ b/cmd/swiftloom/status.go
@@ -47,7 +47,7 @@
 		held = fmt.Sprintf("held here with token %d", s.Reconciler.Token)
 	}
 	fmt.Printf("reconciler lease of the domain: %s\n", held)
-	fmt.Printf("kept state: home of %d prompts, %d of %d blocks stored, %d MiB\n", s.Kept.Prompts, s.Kept.Stored, s.Kept.Blocks, s.Kept.StoredBytes>>20)
+	fmt.Printf("kept state: home of %d segments, %d of %d blocks stored, %d MiB\n", s.Kept.Trees, s.Kept.Stored, s.Kept.Blocks, s.Kept.StoredBytes>>20)
 	fmt.Printf("claims: %d in %d writes\n\n", s.Claims.Claims, s.Claims.Writes)
 	t := newTable(os.Stdout)
 	t.row("MEMBER", "KIND", "DOMAIN", "STATE", "WHY", "VERSION", "WAIT_MS", "OUTSTANDING")
--- a/loomcache/index.go
+++ b/loomcache/index.go
@@ -76,15 +76,15 @@
 
 type indexShard struct {
 	mu sync.Mutex
-	// prompts maps the key of the first block to its prompt tree.
-	prompts map[Key]*prompt
+	// trees maps the first key of a segment to the tree of all segments that
+	// begin with it.
+	trees map[Key]*tree
 }
 
-// prompt is the tree of all blocks that share a first block.
-type prompt struct {
+// tree holds the blocks of all segments with the same first block.
+type tree struct {
 	salt     Salt
 	lastUse  time.Time
-	uses     int
 	pinUntil time.Time
 	blocks   map[Key]*block
 	// storedBytes is the sum of the lengths of all stored blocks.
@@ -97,6 +97,7 @@
 	isStored bool
 	// exportAt is when an export was last asked for.
 	exportAt time.Time
+	lastUse  time.Time
 	holders  []blockHolder
 }
 
@@ -110,7 +111,7 @@
 func NewIndex() *Index {
 	x := &Index{returns: newReturnStats()}
 	for i := range x.shards {
-		x.shards[i].prompts = make(map[Key]*prompt)
+		x.shards[i].trees = make(map[Key]*tree)
 	}
 	return x
 }
@@ -119,7 +120,7 @@
 	return &x.shards[int(root[0])%indexShards]
 }
 
-// Lookup returns where the leading blocks of a prompt are held, and notes the
+// Lookup returns where the leading blocks of a segment are held, and notes the
 // use. The account must be that of the prompt, else nothing is found.
 func (x *Index) Lookup(now time.Time, account string, keys []Key) Found {
 	if len(keys) == 0 {
@@ -128,17 +129,33 @@
 	s := x.shard(keys[0])
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p, ok := s.prompts[keys[0]]
+	p, ok := s.trees[keys[0]]
 	if !ok || p.salt.ClientAccount != account {
 		return Found{}
 	}
-	x.returns.used(account, now.Sub(p.lastUse))
-	p.lastUse = now
-	p.uses++
+	if last := p.touch(now, keys); !last.IsZero() {
+		x.returns.used(account, now.Sub(last))
+	}
 	return p.find(keys)
 }
 
-func (p *prompt) find(keys []Key) Found {
+// touch notes the use of all known blocks of a segment, and returns when the
+// deepest of them was last used.
+func (p *tree) touch(now time.Time, keys []Key) time.Time {
+	var last time.Time
+	p.lastUse = now
+	for _, k := range keys {
+		b, ok := p.blocks[k]
+		if !ok {
+			break
+		}
+		last = b.lastUse
+		b.lastUse = now
+	}
+	return last
+}
+
+func (p *tree) find(keys []Key) Found {
 	var found Found
 	storedRun := true
 	var alive []Holder
@@ -188,11 +205,10 @@
 	s := x.shard(root)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p, ok := s.prompts[root]
+	p, ok := s.trees[root]
 	if !ok {
-		p = &prompt{salt: o.Salt, lastUse: now, uses: 1, blocks: make(map[Key]*block)}
-		s.prompts[root] = p
-		x.returns.first(o.Salt.ClientAccount)
+		p = &tree{salt: o.Salt, lastUse: now, blocks: make(map[Key]*block)}
+		s.trees[root] = p
 	}
 	if p.salt != o.Salt {
 		return nil
@@ -200,6 +216,10 @@
 	e := Export{Engine: o.Engine, Salt: o.Salt, Root: root}
 	for _, k := range o.Keys {
 		b := p.block(k)
+		if b.lastUse.IsZero() {
+			x.returns.first(o.Salt.ClientAccount)
+		}
+		b.lastUse = now
 		b.hold(blockHolder{engine: o.Engine, incarnation: o.Incarnation, event: o.Event})
 		if !b.isStored && now.Sub(b.exportAt) > exportRetry {
 			b.exportAt = now
@@ -212,7 +232,7 @@
 	return []Export{e}
 }
 
-func (p *prompt) block(k Key) *block {
+func (p *tree) block(k Key) *block {
 	b, ok := p.blocks[k]
 	if !ok {
 		b = &block{}
@@ -229,7 +249,7 @@
 	}
 }
 
-func (p *prompt) unstore(k Key) {
+func (p *tree) unstore(k Key) {
 	b, ok := p.blocks[k]
 	if !ok || !b.isStored {
 		return
@@ -248,7 +268,7 @@
 	s := x.shard(keys[0])
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p, ok := s.prompts[keys[0]]
+	p, ok := s.trees[keys[0]]
 	if !ok || p.salt.ClientAccount != account {
 		return nil
 	}
@@ -267,7 +287,7 @@
 	s := x.shard(e.Root)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p, ok := s.prompts[e.Root]
+	p, ok := s.trees[e.Root]
 	if !ok {
 		return
 	}
@@ -284,12 +304,15 @@
 	s := x.shard(root)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p, ok := s.prompts[root]
+	p, ok := s.trees[root]
 	if !ok {
-		p = &prompt{salt: salt, lastUse: now, blocks: make(map[Key]*block)}
-		s.prompts[root] = p
+		p = &tree{salt: salt, lastUse: now, blocks: make(map[Key]*block)}
+		s.trees[root] = p
 	}
 	b := p.block(key)
+	if b.lastUse.IsZero() {
+		b.lastUse = now
+	}
 	if b.isStored {
 		p.storedBytes -= int64(b.stored.Length)
 	}
@@ -303,7 +326,7 @@
 	s := x.shard(root)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p, ok := s.prompts[root]
+	p, ok := s.trees[root]
 	if !ok {
 		return
 	}
@@ -319,7 +342,7 @@
 	for i := range x.shards {
 		s := &x.shards[i]
 		s.mu.Lock()
-		for _, p := range s.prompts {
+		for _, p := range s.trees {
 			for k, b := range p.blocks {
 				if b.isStored && b.stored.Store == store && b.stored.Incarnation != incarnation {
 					p.unstore(k)
@@ -336,9 +359,9 @@
 	for i := range x.shards {
 		s := &x.shards[i]
 		s.mu.Lock()
-		for root := range s.prompts {
+		for root := range s.trees {
 			if !owns(root) {
-				delete(s.prompts, root)
+				delete(s.trees, root)
 			}
 		}
 		s.mu.Unlock()
@@ -350,20 +373,24 @@
 	s := x.shard(root)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if p, ok := s.prompts[root]; ok {
+	if p, ok := s.trees[root]; ok {
 		p.pinUntil = until
 	}
 }
 
-// Expire forgets prompts that no store keeps and that were not used for a
-// while.
+// Expire forgets blocks that no store keeps and that were not used for a while.
 func (x *Index) Expire(now time.Time, idle time.Duration) {
 	for i := range x.shards {
 		s := &x.shards[i]
 		s.mu.Lock()
-		for root, p := range s.prompts {
-			if p.storedBytes == 0 && now.Sub(p.lastUse) > idle {
-				delete(s.prompts, root)
+		for root, p := range s.trees {
+			for k, b := range p.blocks {
+				if !b.isStored && now.Sub(b.lastUse) > idle {
+					delete(p.blocks, k)
+				}
+			}
+			if len(p.blocks) == 0 {
+				delete(s.trees, root)
 			}
 		}
 		s.mu.Unlock()
@@ -372,7 +399,7 @@
 
 // Size is the extent of an index.
 type Size struct {
-	Prompts     int   `json:"prompts"`
+	Trees       int   `json:"trees"`
 	Blocks      int   `json:"blocks"`
 	Stored      int   `json:"stored"`
 	StoredBytes int64 `json:"stored_bytes"`
@@ -384,8 +411,8 @@
 	for i := range x.shards {
 		s := &x.shards[i]
 		s.mu.Lock()
-		for _, p := range s.prompts {
-			size.Prompts++
+		for _, p := range s.trees {
+			size.Trees++
 			size.Blocks += len(p.blocks)
 			size.StoredBytes += p.storedBytes
 			for _, b := range p.blocks {
--- a/loomcache/index_test.go
+++ b/loomcache/index_test.go
@@ -61,6 +61,18 @@
 	})
 }
 
+func TestSegmentsCoverTheChain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		keys := loomcache.Chain(saltFor("a", 1), tokens(1, rapid.IntRange(0, 100).Draw(t, "blocks")))
+		var joined []loomcache.Key
+		for _, s := range loomcache.Segments(keys) {
+			assert.Assert(t, len(s) > 0)
+			joined = append(joined, s...)
+		}
+		assert.DeepEqual(t, joined, append([]loomcache.Key(nil), keys...))
+	})
+}
+
 func observe(x *loomcache.Index, now time.Time, salt loomcache.Salt, keys []loomcache.Key, engine string) []loomcache.Export {
 	return x.Observe(now, loomcache.Observation{Salt: salt, Keys: keys, Engine: engine, Incarnation: 1})
 }
@@ -188,7 +200,7 @@
 	drops := x.Retire("m", func(v uint64) bool { return v >= 3 })
 	assert.Equal(t, len(drops), 1)
 	assert.Equal(t, len(drops[0].Keys), 4)
-	assert.Equal(t, x.Size().Prompts, 1)
+	assert.Equal(t, x.Size().Trees, 1)
 }
 
 // A model of what stores really keep: whatever order events arrive in, the
--- a/loomcache/key.go
+++ b/loomcache/key.go
@@ -13,6 +13,10 @@
 	BlockTokens = 64
 	// KeyBytes is the length of a block key.
 	KeyBytes = 16
+	// firstSegment is the number of blocks of the first segment of a prompt,
+	// and segmentGrowth the ratio of the depths at which segments end.
+	firstSegment  = 4
+	segmentGrowth = 4
 )
 
 // Key names the kept state of one block after all blocks before it. Equal
@@ -74,6 +78,21 @@
 	return keys
 }
 
+// Segments cuts the keys of a prompt into runs at fixed depths, each four times
+// as deep as the one before. A run has the home of its first key, so that
+// prompts with a common start share the homes of the common part and are spread
+// over other homes beyond it.
+func Segments(keys []Key) [][]Key {
+	var segments [][]Key
+	start := 0
+	for depth := firstSegment; start < len(keys); depth *= segmentGrowth {
+		end := min(depth, len(keys))
+		segments = append(segments, keys[start:end])
+		start = end
+	}
+	return segments
+}
+
 // Tokenize splits text at white space and maps each word to a token.
 func Tokenize(text string) []uint32 {
 	words := strings.Fields(text)
--- a/loomcache/retention.go
+++ b/loomcache/retention.go
@@ -85,44 +85,52 @@
 }
 
 // Trim returns what to free in a store so that at least need bytes become
-// free: first what accounts keep beyond their budgets, then the prompts that
-// are least likely to return. Pinned prompts go last.
+// free: first of accounts that keep more than their budgets, then the blocks
+// that are least likely to be used again. Pinned blocks go last.
 func (x *Index) Trim(now time.Time, store string, need int64, budgets []Budget) []Drop {
+	if need <= 0 {
+		return nil
+	}
 	candidates := x.valued(now, store)
 	over := overBudget(candidates, budgets)
+	for i := range candidates {
+		candidates[i].over = over[candidates[i].account]
+	}
 	slices.SortFunc(candidates, func(a, b valued) int {
-		if over[a.account] != over[b.account] && a.pinned == b.pinned {
-			return cmp.Compare(boolRank(over[b.account]), boolRank(over[a.account]))
-		}
-		return cmp.Or(cmp.Compare(boolRank(a.pinned), boolRank(b.pinned)), cmp.Compare(a.value, b.value))
+		return cmp.Or(boolCompare(a.pinned, b.pinned), boolCompare(b.over, a.over), cmp.Compare(a.value, b.value))
 	})
-	drop := Drop{Store: store}
+	drops := newDropSet()
 	for _, c := range candidates {
 		if need <= 0 {
 			break
 		}
-		need -= x.dropPrompt(c.root, store, &drop)
-	}
-	if len(drop.Keys) == 0 {
-		return nil
+		need -= x.dropBlock(c, store, drops)
 	}
-	return []Drop{drop}
+	return drops.list()
 }
 
-func boolRank(b bool) int {
-	if b {
+// boolCompare orders false before true.
+func boolCompare(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
 		return 1
 	}
-	return 0
 }
 
 // OverBudget returns what to free in a store so that no account keeps more
 // than its budget at this home.
 func (x *Index) OverBudget(now time.Time, store string, budgets []Budget) []Drop {
+	if len(budgets) == 0 {
+		return nil
+	}
 	candidates := x.valued(now, store)
 	slices.SortFunc(candidates, func(a, b valued) int { return cmp.Compare(a.value, b.value) })
 	used := bytesByAccount(candidates)
-	drop := Drop{Store: store}
+	drops := newDropSet()
 	for _, budget := range budgets {
 		excess := used[budget.ClientAccount] - budget.Bytes
 		for _, c := range candidates {
@@ -130,14 +138,11 @@
 				break
 			}
 			if c.account == budget.ClientAccount && !c.pinned {
-				excess -= x.dropPrompt(c.root, store, &drop)
+				excess -= x.dropBlock(c, store, drops)
 			}
 		}
 	}
-	if len(drop.Keys) == 0 {
-		return nil
-	}
-	return []Drop{drop}
+	return drops.list()
 }
 
 func overBudget(candidates []valued, budgets []Budget) map[string]bool {
@@ -157,29 +162,36 @@
 	return used
 }
 
+// valued is a stored block with what keeping it is worth.
 type valued struct {
 	root    Key
+	key     Key
 	account string
 	bytes   int64
 	value   float64
 	pinned  bool
+	over    bool
 }
 
-// valued lists the prompts with blocks in a store. Since every block of a
-// model saves the same work for the same bytes, the value of a prompt is its
-// chance to return.
+// valued lists the blocks in a store. Since every block of a model saves the
+// same work for the same bytes, the value of a block is its chance to be used
+// again.
 func (x *Index) valued(now time.Time, store string) []valued {
 	var all []valued
 	for i := range x.shards {
 		s := &x.shards[i]
 		s.mu.Lock()
-		for root, p := range s.prompts {
-			if n := p.bytesIn(store); n > 0 {
+		for root, p := range s.trees {
+			for k, b := range p.blocks {
+				if !b.isStored || b.stored.Store != store {
+					continue
+				}
 				all = append(all, valued{
 					root:    root,
+					key:     k,
 					account: p.salt.ClientAccount,
-					bytes:   n,
-					value:   x.returns.chance(p.salt.ClientAccount, now.Sub(p.lastUse)),
+					bytes:   int64(b.stored.Length),
+					value:   x.returns.chance(p.salt.ClientAccount, now.Sub(b.lastUse)),
 					pinned:  now.Before(p.pinUntil),
 				})
 			}
@@ -189,47 +201,34 @@
 	return all
 }
 
-func (p *prompt) bytesIn(store string) int64 {
-	var n int64
-	for _, b := range p.blocks {
-		if b.isStored && b.stored.Store == store {
-			n += int64(b.stored.Length)
-		}
-	}
-	return n
-}
-
-// dropPrompt takes the blocks of a prompt in a store out of the index, adds
-// them to drop, and returns their bytes.
-func (x *Index) dropPrompt(root Key, store string, drop *Drop) int64 {
-	s := x.shard(root)
+// dropBlock takes a block out of the index, adds it to drops, and returns its
+// bytes.
+func (x *Index) dropBlock(c valued, store string, drops dropSet) int64 {
+	s := x.shard(c.root)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p, ok := s.prompts[root]
+	p, ok := s.trees[c.root]
 	if !ok {
 		return 0
 	}
-	var freed int64
-	for k, b := range p.blocks {
-		if !b.isStored || b.stored.Store != store {
-			continue
-		}
-		drop.Keys = append(drop.Keys, k)
-		drop.Generations = append(drop.Generations, b.stored.Generation)
-		freed += int64(b.stored.Length)
-		p.unstore(k)
+	b, ok := p.blocks[c.key]
+	if !ok || !b.isStored || b.stored.Store != store {
+		return 0
 	}
-	return freed
+	drops.add(c.key, b.stored)
+	n := int64(b.stored.Length)
+	p.unstore(c.key)
+	return n
 }
 
-// Retire returns what to free when only one version of a model is still in
-// use, and forgets the prompts of all others.
+// Retire returns what to free when some versions of a model are no longer in
+// use, and forgets their blocks.
 func (x *Index) Retire(model string, inUse func(version uint64) bool) []Drop {
 	drops := newDropSet()
 	for i := range x.shards {
 		s := &x.shards[i]
 		s.mu.Lock()
-		for root, p := range s.prompts {
+		for root, p := range s.trees {
 			if p.salt.Model != model || inUse(p.salt.Version) {
 				continue
 			}
@@ -238,7 +237,7 @@
 					drops.add(k, b.stored)
 				}
 			}
-			delete(s.prompts, root)
+			delete(s.trees, root)
 		}
 		s.mu.Unlock()
 	}
--- a/loomcatalogue/codec.go
+++ b/loomcatalogue/codec.go
@@ -34,7 +34,7 @@
 		}
 		entries[c.ID] = e
 	}
-	return Snapshot{revision: d.Revision, entries: entries, accounts: accountsByDigest(entries)}, nil
+	return Snapshot{revision: d.Revision, entries: entries, accounts: accountsByDigest(entries), kept: keptByBlock(entries)}, nil
 }
 
 // Decode returns the entry that spec describes. The name of id wins over one
--- a/loomcatalogue/entry.go
+++ b/loomcatalogue/entry.go
@@ -121,13 +121,14 @@
 // ID implements Entry.
 func (e ClientAccount) ID() ID { return ID{KindClientAccount, e.Name} }
 
-// KeptPrompt asks for a prompt's kept state to outlive its usual retention.
+// KeptPrompt asks that the kept state of prompts outlive its usual retention:
+// of those that hold a certain block.
 type KeptPrompt struct {
 	Header        `ini:",extends"`
 	ClientAccount string `json:"client_account"`
 	Model         string `json:"model"`
-	// RootKey is the key of the first block of the prompt, in hexadecimal.
-	RootKey string `json:"root_key"`
+	// BlockKey is the key of a block of the prompts, in hexadecimal.
+	BlockKey string `json:"block_key"`
 	// RetainSeconds is how long the state is kept after its last use.
 	RetainSeconds int `json:"retain_seconds"`
 }
--- a/loomcatalogue/snapshot.go
+++ b/loomcatalogue/snapshot.go
@@ -20,6 +20,8 @@
 	entries map[ID]Entry
 	// accounts maps the digest of a bearer key to its account.
 	accounts map[string]ClientAccount
+	// kept maps the key of a block, in hexadecimal, to its entry.
+	kept map[string]KeptPrompt
 }
 
 // Change is one edited entry. A nil Spec deletes the entry.
@@ -115,6 +117,17 @@
 	return a, ok
 }
 
+// KeptPrompt returns the entry that names a block.
+func (s Snapshot) KeptPrompt(blockKey string) (KeptPrompt, bool) {
+	p, ok := s.kept[blockKey]
+	return p, ok
+}
+
+// KeptPrompts returns the number of entries that name a block.
+func (s Snapshot) KeptPrompts() int {
+	return len(s.kept)
+}
+
 // Edit returns the snapshot after e and the record for the audit trail. It
 // refuses an edit from another revision, one that leaves the catalogue
 // invalid, and one that lowers a weight version.
@@ -192,9 +205,11 @@
 	if entries == nil {
 		entries = make(map[ID]Entry)
 	}
-	accountsChanged := s.accounts == nil
+	next := Snapshot{revision: rec.Revision, entries: entries, accounts: s.accounts, kept: s.kept}
+	accountsChanged, keptChanged := s.accounts == nil, s.kept == nil
 	for _, c := range rec.Changes {
 		accountsChanged = accountsChanged || c.Kind == KindClientAccount
+		keptChanged = keptChanged || c.Kind == KindKeptPrompt
 		if len(c.After) == 0 {
 			delete(entries, c.ID)
 			continue
@@ -205,10 +220,12 @@
 		}
 		entries[c.ID] = e
 	}
-	next := Snapshot{revision: rec.Revision, entries: entries, accounts: s.accounts}
 	if accountsChanged {
 		next.accounts = accountsByDigest(entries)
 	}
+	if keptChanged {
+		next.kept = keptByBlock(entries)
+	}
 	return next, nil
 }
 
@@ -224,6 +241,16 @@
 	return accounts
 }
 
+func keptByBlock(entries map[ID]Entry) map[string]KeptPrompt {
+	kept := make(map[string]KeptPrompt)
+	for _, e := range entries {
+		if p, ok := e.(KeptPrompt); ok {
+			kept[p.BlockKey] = p
+		}
+	}
+	return kept
+}
+
 func invalid(problems []Problem) error {
 	text := ""
 	for i, p := range problems {
--- a/loomcatalogue/validate.go
+++ b/loomcatalogue/validate.go
@@ -114,8 +114,8 @@
 func (v *validator) keptPrompt(e KeptPrompt) {
 	v.refers("client_account", KindClientAccount, e.ClientAccount)
 	v.refers("model", KindModel, e.Model)
-	_, err := hex.DecodeString(e.RootKey)
-	v.check(err == nil && e.RootKey != "", "root_key", "must be hexadecimal")
+	_, err := hex.DecodeString(e.BlockKey)
+	v.check(err == nil && e.BlockKey != "", "block_key", "must be hexadecimal")
 	v.check(e.RetainSeconds > 0, "retain_seconds", "must be above zero")
 }
 
--- a/loominstance/dispatch.go
+++ b/loominstance/dispatch.go
@@ -7,6 +7,8 @@
 	"io"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"swiftloom/loomcache"
 	"swiftloom/loomerror"
 	"swiftloom/loomlimit"
@@ -48,7 +50,7 @@
 	ticket   loomroute.Ticket
 	tried    []string
 	observed bool
-	linked   *linkUse
+	linked   []linkUse
 	usage    usage
 	// reserved is what was taken from the account's allowance.
 	reserved float64
@@ -189,35 +191,42 @@
 	r.MaxTokens = uint32(p.maxTokens)
 	r.Priority = p.priority
 	r.BlockKeys = rawKeys(d.plan.keys)
-	r.Imports = d.plan.lookup.GetStored()[:d.choice.Import]
+	r.Imports = d.plan.stored[:d.choice.Import]
 	return r
 }
 
-// useLink charges the expected import to the budget of the store's link.
+// useLink charges the expected import to the budgets of the links. When one
+// has no room, nothing is imported.
 func (d *dispatch) useLink(now time.Time) {
 	if d.choice.Import == 0 {
 		return
 	}
-	blocks := d.choice.Import - heldBlocks(d.plan.lookup, d.engine)
-	refs := d.plan.lookup.GetStored()
-	for _, st := range d.instance.stores.all() {
-		if st.member.Address != refs[0].GetStoreAddress() {
-			continue
-		}
-		n := int64(blocks) * int64(refs[0].GetLength())
-		if st.budget.Begin(now, loomlink.Import, n) {
-			d.linked = &linkUse{budget: st.budget, bytes: n}
+	held := heldBlocks(d.plan, d.engine)
+	for address, bytes := range bytesByStore(d.plan.stored[:d.choice.Import], held) {
+		budget, ok := d.instance.stores.budget(address)
+		if !ok || !budget.Begin(now, loomlink.Import, bytes) {
+			d.endLink()
+			d.choice.Import = 0
 			return
 		}
+		d.linked = append(d.linked, linkUse{budget: budget, bytes: bytes})
 	}
-	d.choice.Import = 0
+}
+
+// bytesByStore adds up the blocks after the first skip ones by store address.
+func bytesByStore(refs []*loompb.BlockRef, skip int) map[string]int64 {
+	bytes := make(map[string]int64)
+	for _, ref := range refs[min(skip, len(refs)):] {
+		bytes[ref.GetStoreAddress()] += int64(ref.GetLength())
+	}
+	return bytes
 }
 
 func (d *dispatch) endLink() {
-	if d.linked != nil {
-		d.linked.budget.End(loomlink.Import, d.linked.bytes)
-		d.linked = nil
+	for _, l := range d.linked {
+		l.budget.End(loomlink.Import, l.bytes)
 	}
+	d.linked = nil
 }
 
 // next returns the next token. The result is false after the last one.
@@ -318,7 +327,7 @@
 			"actual_ms", time.Since(d.sentAt).Milliseconds(),
 			"recompute", d.choice.Recompute,
 			"import", d.choice.Import,
-			"held", heldBlocks(d.plan.lookup, d.engine),
+			"held", heldBlocks(d.plan, d.engine),
 			"tokens", len(d.prompt.tokens))
 	}
 	n.observe(ctx, d.plan, d.engine)
@@ -416,49 +425,54 @@
 	}
 }
 
-// observe tells the home of a prompt where its blocks are cached now.
+// observe tells the homes of a prompt where its blocks are cached now.
 func (n *Instance) observe(ctx context.Context, pl plan, c candidate) {
-	if len(pl.keys) == 0 {
-		return
-	}
 	report, _ := n.fleet.Latest(c.member.ID)
-	n.tellHome(ctx, &loompb.ObserveRequest{
-		Root:              pl.keys[0][:],
-		Keys:              rawKeys(pl.keys),
+	n.tellHomes(ctx, pl.segments, &loompb.ObserveRequest{
 		Salt:              wireSalt(pl.salt),
 		EngineId:          c.member.ID,
 		Event:             report.Event,
 		EngineIncarnation: report.Incarnation,
 		EngineAddress:     c.member.Address,
+		RetainMs:          uint64(n.retention(pl.salt.ClientAccount, pl.keys).Milliseconds()),
 	})
 }
 
-// importFailed tells the home of a prompt that stored blocks were not readable.
+// importFailed tells the homes of a prompt that its first blocks could not be
+// read from their stores.
 func (n *Instance) importFailed(ctx context.Context, pl plan, blocks int) {
-	n.tellHome(ctx, &loompb.ObserveRequest{
-		Root:         pl.keys[0][:],
-		Keys:         rawKeys(pl.keys[:blocks]),
+	n.tellHomes(ctx, loomcache.Segments(pl.keys[:blocks]), &loompb.ObserveRequest{
 		Salt:         wireSalt(pl.salt),
 		ImportFailed: true,
 	})
 }
 
-// tellHome sends an observation without waiting for it. A lost one costs a
-// worse choice later and nothing else.
-func (n *Instance) tellHome(ctx context.Context, r *loompb.ObserveRequest) {
-	home := n.homes.Load().Home(r.GetRoot())
+// tellHomes sends an observation to the home of each segment without waiting
+// for it. A lost one costs a worse choice later and nothing else.
+func (n *Instance) tellHomes(ctx context.Context, segments [][]loomcache.Key, r *loompb.ObserveRequest) {
 	ctx = context.WithoutCancel(ctx)
-	n.inFlight.Go(func() {
-		call, cancel := context.WithTimeout(ctx, observeTimeout)
-		defer cancel()
-		if home == n.ID() {
-			_, _ = (&peerServer{instance: n}).Observe(call, r)
-			return
+	for home, numbers := range n.byHome(segments) {
+		part, ok := proto.Clone(r).(*loompb.ObserveRequest)
+		if !ok {
+			continue
 		}
-		if client, err := n.peerByID(home); err == nil {
-			_, _ = client.Observe(call, r)
+		for _, i := range numbers {
+			part.Segments = append(part.Segments, &loompb.Segment{Keys: rawKeys(segments[i])})
 		}
-	})
+		n.inFlight.Go(func() { n.tellHome(ctx, home, part) })
+	}
+}
+
+func (n *Instance) tellHome(ctx context.Context, home string, r *loompb.ObserveRequest) {
+	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
+	defer cancel()
+	if home == n.ID() {
+		_, _ = (&peerServer{instance: n}).Observe(ctx, r)
+		return
+	}
+	if client, err := n.peerByID(home); err == nil {
+		_, _ = client.Observe(ctx, r)
+	}
 }
 
 func (n *Instance) importFailedHere(account string, keys []loomcache.Key) {
--- a/loominstance/export.go
+++ b/loominstance/export.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/hex"
 	"sync"
 	"time"
 
@@ -26,14 +25,6 @@
 
 var errUnknownPeer = errors.New("the peer is not known")
 
-func rootKey(text string) (loomcache.Key, bool) {
-	b, err := hex.DecodeString(text)
-	if err != nil {
-		return loomcache.Key{}, false
-	}
-	return loomcache.KeyFrom(b)
-}
-
 // exporter carries out the exports that the index asks for, at a low class of
 // the link and with a bounded backlog.
 type exporter struct {
--- a/loominstance/kept.go
+++ b/loominstance/kept.go
@@ -83,6 +83,16 @@
 	return st, ok
 }
 
+// budget returns the budget of the link to the store at an address.
+func (s *stores) budget(address string) (*loomlink.Budget, bool) {
+	for _, st := range s.all() {
+		if st.member.Address == address {
+			return st.budget, true
+		}
+	}
+	return nil, false
+}
+
 // readAgain makes the next listing a whole one, since this instance has become
 // the home of other shards.
 func (s *stores) readAgain() {
@@ -201,10 +211,10 @@
 	})
 }
 
-// lookupHere answers a lookup as the home of the prompt.
-func (n *Instance) lookupHere(now time.Time, account string, keys []loomcache.Key) *loompb.LookupReply {
+// lookupHere answers a lookup as the home of a segment.
+func (n *Instance) lookupHere(now time.Time, account string, keys []loomcache.Key) *loompb.SegmentHolding {
 	found := n.index.Lookup(now, account, keys)
-	reply := &loompb.LookupReply{}
+	reply := &loompb.SegmentHolding{}
 	for _, h := range found.Holders {
 		reply.Engines = append(reply.Engines, &loompb.EngineHolding{
 			EngineId:          h.Engine,
@@ -230,7 +240,7 @@
 	return reply
 }
 
-// observeHere takes in an observation as the home of the prompt.
+// observeHere takes in an observation as the home of a segment.
 func (n *Instance) observeHere(now time.Time, o loomcache.Observation, engineAddress string) {
 	if !n.policy.UsesKeptState() {
 		return
@@ -240,28 +250,56 @@
 	}
 }
 
-// lookup asks the home of a prompt. Without an answer in time nothing is known
-// of the prompt.
-func (n *Instance) lookup(ctx context.Context, account string, keys []loomcache.Key) *loompb.LookupReply {
-	if len(keys) == 0 {
-		return &loompb.LookupReply{}
-	}
-	home := n.homes.Load().Home(keys[0][:])
-	if home == n.ID() {
-		return n.lookupHere(time.Now(), account, keys)
+// byHome groups segments by the instance that is their home.
+func (n *Instance) byHome(segments [][]loomcache.Key) map[string][]int {
+	homes := n.homes.Load()
+	groups := make(map[string][]int)
+	for i, s := range segments {
+		h := homes.Home(s[0][:])
+		groups[h] = append(groups[h], i)
 	}
+	return groups
+}
+
+// lookup asks the homes of the segments of a prompt. Without an answer in time
+// nothing is known of a segment.
+func (n *Instance) lookup(ctx context.Context, account string, segments [][]loomcache.Key) []*loompb.SegmentHolding {
+	found := make([]*loompb.SegmentHolding, len(segments))
 	ctx, cancel := context.WithTimeout(ctx, n.settings.Timing.LookupTimeout)
 	defer cancel()
-	client, err := n.peerByID(home)
-	if err == nil {
-		var reply *loompb.LookupReply
-		reply, err = client.Lookup(ctx, &loompb.LookupRequest{Root: keys[0][:], Keys: rawKeys(keys), ClientAccount: account})
-		if err == nil {
-			return reply
+	var wait sync.WaitGroup
+	for home, numbers := range n.byHome(segments) {
+		if home == n.ID() {
+			for _, i := range numbers {
+				found[i] = n.lookupHere(time.Now(), account, segments[i])
+			}
+			continue
 		}
+		wait.Go(func() { n.lookupAt(ctx, home, account, segments, numbers, found) })
+	}
+	wait.Wait()
+	return found
+}
+
+// lookupAt asks one home for the numbered segments.
+func (n *Instance) lookupAt(ctx context.Context, home, account string, segments [][]loomcache.Key, numbers []int, found []*loompb.SegmentHolding) {
+	client, err := n.peerByID(home)
+	if err != nil {
+		n.metrics.lookupFailures.Inc(1)
+		return
+	}
+	request := &loompb.LookupRequest{ClientAccount: account}
+	for _, i := range numbers {
+		request.Segments = append(request.Segments, &loompb.Segment{Keys: rawKeys(segments[i])})
+	}
+	reply, err := client.Lookup(ctx, request)
+	if err != nil || len(reply.GetSegments()) != len(numbers) {
+		n.metrics.lookupFailures.Inc(1)
+		return
+	}
+	for k, i := range numbers {
+		found[i] = reply.GetSegments()[k]
 	}
-	n.metrics.lookupFailures.Inc(1)
-	return &loompb.LookupReply{}
 }
 
 func (n *Instance) peerByID(id string) (loompb.PeerClient, error) {
@@ -279,7 +317,6 @@
 	now := time.Now()
 	s := n.keeper.Snapshot()
 	n.index.Expire(now, forgetIdle)
-	n.pinPrompts(now, s)
 	for _, e := range s.Entries(loomcatalogue.KindModel) {
 		m, ok := e.(loomcatalogue.Model)
 		if ok {
@@ -306,16 +343,21 @@
 	}
 }
 
-func (n *Instance) pinPrompts(now time.Time, s loomcatalogue.Snapshot) {
-	for _, e := range s.Entries(loomcatalogue.KindKeptPrompt) {
-		p, ok := e.(loomcatalogue.KeptPrompt)
-		if !ok {
-			continue
-		}
-		if root, ok := rootKey(p.RootKey); ok {
-			n.index.Pin(root, now.Add(time.Duration(p.RetainSeconds)*time.Second))
+// retention returns how long the catalogue asks to keep a prompt after this
+// use, or zero.
+func (n *Instance) retention(account string, keys []loomcache.Key) time.Duration {
+	s := n.keeper.Snapshot()
+	if s.KeptPrompts() == 0 {
+		return 0
+	}
+	longest := time.Duration(0)
+	for _, k := range keys {
+		p, ok := s.KeptPrompt(k.String())
+		if ok && p.ClientAccount == account {
+			longest = max(longest, time.Duration(p.RetainSeconds)*time.Second)
 		}
 	}
+	return longest
 }
 
 // keptBudgets returns the part of each account's kept state that falls to this
--- a/loominstance/peer_server.go
+++ b/loominstance/peer_server.go
@@ -16,6 +16,8 @@
 
 const peerKeyHeader = "loom-peer-key"
 
+var errMalformedKey = status.Error(codes.InvalidArgument, "malformed block key")
+
 // servePeers answers other instances until ctx ends.
 func (n *Instance) servePeers(ctx context.Context) error {
 	server := grpc.NewServer(grpc.UnaryInterceptor(n.checkPeer))
@@ -50,30 +52,39 @@
 
 // Lookup implements the protocol between instances.
 func (s *peerServer) Lookup(_ context.Context, r *loompb.LookupRequest) (*loompb.LookupReply, error) {
-	keys, ok := keysOf(r.GetKeys())
-	if !ok {
-		return nil, status.Error(codes.InvalidArgument, "malformed block key")
+	reply := &loompb.LookupReply{}
+	for _, segment := range r.GetSegments() {
+		keys, ok := keysOf(segment.GetKeys())
+		if !ok {
+			return nil, errMalformedKey
+		}
+		reply.Segments = append(reply.Segments, s.instance.lookupHere(time.Now(), r.GetClientAccount(), keys))
 	}
-	return s.instance.lookupHere(time.Now(), r.GetClientAccount(), keys), nil
+	return reply, nil
 }
 
 // Observe implements the protocol between instances.
 func (s *peerServer) Observe(_ context.Context, r *loompb.ObserveRequest) (*loompb.ObserveReply, error) {
-	keys, ok := keysOf(r.GetKeys())
-	if !ok {
-		return nil, status.Error(codes.InvalidArgument, "malformed block key")
-	}
-	if r.GetImportFailed() {
-		s.instance.importFailedHere(r.GetSalt().GetClientAccount(), keys)
-		return &loompb.ObserveReply{}, nil
+	for _, segment := range r.GetSegments() {
+		keys, ok := keysOf(segment.GetKeys())
+		if !ok {
+			return nil, errMalformedKey
+		}
+		if r.GetImportFailed() {
+			s.instance.importFailedHere(r.GetSalt().GetClientAccount(), keys)
+			continue
+		}
+		s.instance.observeHere(time.Now(), loomcache.Observation{
+			Salt:        saltOf(r.GetSalt()),
+			Keys:        keys,
+			Engine:      r.GetEngineId(),
+			Incarnation: r.GetEngineIncarnation(),
+			Event:       r.GetEvent(),
+		}, r.GetEngineAddress())
+		if retain := r.GetRetainMs(); retain > 0 {
+			s.instance.index.Pin(keys[0], time.Now().Add(time.Duration(retain)*time.Millisecond))
+		}
 	}
-	s.instance.observeHere(time.Now(), loomcache.Observation{
-		Salt:        saltOf(r.GetSalt()),
-		Keys:        keys,
-		Engine:      r.GetEngineId(),
-		Incarnation: r.GetEngineIncarnation(),
-		Event:       r.GetEvent(),
-	}, r.GetEngineAddress())
 	return &loompb.ObserveReply{}, nil
 }
 
--- a/loominstance/prompt.go
+++ b/loominstance/prompt.go
@@ -36,26 +36,60 @@
 	version  uint64
 	salt     loomcache.Salt
 	keys     []loomcache.Key
-	lookup   *loompb.LookupReply
+	segments [][]loomcache.Key
+	// found has one holding for each segment; it is nil when nothing is known.
+	found []*loompb.SegmentHolding
+	// stored holds one reference for each leading block that a store keeps.
+	stored []*loompb.BlockRef
+	// linkWait is the longest wait for the links of the stores involved, and
+	// blockFor the time of one block when all of them work at once.
 	linkWait time.Duration
 	blockFor time.Duration
 }
 
-// stored returns the number of leading blocks that a store keeps.
-func (p plan) stored() int {
-	return len(p.lookup.GetStored())
+// storedRun returns the leading blocks that stores keep, over all segments.
+func storedRun(segments [][]loomcache.Key, found []*loompb.SegmentHolding) []*loompb.BlockRef {
+	var run []*loompb.BlockRef
+	for i, f := range found {
+		run = append(run, f.GetStored()...)
+		if len(f.GetStored()) < len(segments[i]) {
+			break
+		}
+	}
+	return run
 }
 
 // expectedRecompute returns the tokens that will be computed when the best
 // place is free.
 func (p plan) expectedRecompute(tokens int) int {
-	best := p.stored()
-	for _, e := range p.lookup.GetEngines() {
-		best = max(best, int(e.GetBlocks()))
+	best := len(p.stored)
+	if len(p.found) > 0 {
+		for _, e := range p.found[0].GetEngines() {
+			best = max(best, p.heldRun(e.GetEngineId(), e.GetEngineIncarnation(), 0))
+		}
 	}
 	return max(tokens-best*loomcache.BlockTokens, 1)
 }
 
+// heldRun returns the leading blocks that an engine incarnation is believed to
+// cache, counting only what it used after a cache event.
+func (p plan) heldRun(engine string, incarnation uint64, after int64) int {
+	run := 0
+	for i, f := range p.found {
+		n := 0
+		for _, h := range f.GetEngines() {
+			if h.GetEngineId() == engine && h.GetEngineIncarnation() == incarnation && int64(h.GetEvent()) >= after {
+				n = int(h.GetBlocks())
+			}
+		}
+		run += n
+		if n < len(p.segments[i]) {
+			break
+		}
+	}
+	return run
+}
+
 // candidate is an engine that may take a prompt.
 type candidate struct {
 	member loommember.Believed
@@ -96,22 +130,30 @@
 		AdapterVersion: p.adapter.Version,
 	}
 	pl := plan{version: version, salt: salt, keys: loomcache.Chain(salt, p.tokens)}
-	pl.lookup = n.lookup(ctx, p.account.Name, pl.keys)
-	if refs := pl.lookup.GetStored(); len(refs) > 0 {
-		pl.linkWait, pl.blockFor = n.linkTimes(refs[0].GetStoreAddress(), int64(refs[0].GetLength()))
-	}
+	pl.segments = loomcache.Segments(pl.keys)
+	pl.found = n.lookup(ctx, p.account.Name, pl.segments)
+	pl.stored = storedRun(pl.segments, pl.found)
+	n.setLinkTimes(&pl)
 	return pl, nil
 }
 
-// linkTimes returns the wait for the link of a store and the time that one
-// block takes on it.
-func (n *Instance) linkTimes(address string, blockBytes int64) (wait, blockTime time.Duration) {
-	for _, st := range n.stores.all() {
-		if st.member.Address == address {
-			return st.budget.Wait(time.Now()), st.budget.Time(blockBytes)
+// setLinkTimes works out how long an import of the stored blocks takes.
+func (n *Instance) setLinkTimes(pl *plan) {
+	if len(pl.stored) == 0 {
+		return
+	}
+	now := time.Now()
+	var longest time.Duration
+	for address, bytes := range bytesByStore(pl.stored, 0) {
+		budget, ok := n.stores.budget(address)
+		if !ok {
+			pl.linkWait = time.Hour
+			return
 		}
+		pl.linkWait = max(pl.linkWait, budget.Wait(now))
+		longest = max(longest, budget.Time(bytes))
 	}
-	return time.Second, time.Second
+	pl.blockFor = longest / time.Duration(len(pl.stored))
 }
 
 // route chooses the engine for a bound prompt.
@@ -127,7 +169,7 @@
 		candidates = append(candidates, loomroute.Candidate{
 			ID:            c.member.ID,
 			FailureDomain: c.member.FailureDomain,
-			Held:          heldBlocks(pl.lookup, c),
+			Held:          heldBlocks(pl, c),
 			Wait:          e.Wait,
 			Outstanding:   e.Outstanding,
 			Suspect:       c.member.Status == loommember.Suspect,
@@ -143,7 +185,7 @@
 		BlockTokens:     loomcache.BlockTokens,
 		Adapter:         p.adapter.Name,
 		FailureDomain:   n.FailureDomain(),
-		Stored:          pl.stored(),
+		Stored:          len(pl.stored),
 		LinkWait:        pl.linkWait,
 		BlockTime:       pl.blockFor,
 		TokenTime:       per,
@@ -194,17 +236,9 @@
 
 // heldBlocks returns the leading blocks that an engine is believed to cache
 // still: those it used less than a cache's worth of events ago.
-func heldBlocks(l *loompb.LookupReply, c candidate) int {
-	for _, h := range l.GetEngines() {
-		if h.GetEngineId() != c.member.ID || h.GetEngineIncarnation() != c.report.Incarnation {
-			continue
-		}
-		age := int64(c.report.Event) - int64(h.GetEvent())
-		if age < int64(eventsPerBlock*c.report.CacheBlocks) {
-			return int(h.GetBlocks())
-		}
-	}
-	return 0
+func heldBlocks(pl plan, c candidate) int {
+	oldest := int64(c.report.Event) - int64(eventsPerBlock*c.report.CacheBlocks)
+	return pl.heldRun(c.member.ID, c.report.Incarnation, oldest)
 }
 
 // eventsPerBlock is the number of cache events for each block that enters a
--- a/loomroute/cost.go
+++ b/loomroute/cost.go
@@ -86,9 +86,20 @@
 	n := recompute(r, c.Held)
 	compute := time.Duration(n) * r.TokenTime
 	choice := Choice{ID: c.ID, Recompute: n, Expected: lead + compute}
+	if c.Held >= r.Stored && importPays(r) {
+		choice.Import = r.Stored
+	}
 	return choice, choice.Expected + weighed(r, compute)
 }
 
+// importPays reports whether fetching the stored blocks beats computing them,
+// should the engine turn out to have evicted what it is believed to hold. An
+// engine fetches only what it lacks.
+func importPays(r Request) bool {
+	fetch := importSetup + r.LinkWait + time.Duration(r.Stored)*r.BlockTime
+	return fetch < time.Duration(r.Stored*r.BlockTokens)*r.TokenTime
+}
+
 func withImport(r Request, c Candidate, lead time.Duration) (Choice, time.Duration) {
 	n := recompute(r, r.Stored)
 	compute := time.Duration(n) * r.TokenTime
