--- a/cmd/swiftloom/script_test.go
+++ b/cmd/swiftloom/script_test.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
+	"sync/atomic"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -35,12 +37,25 @@
 	})
 }
 
-// freeAddress returns a loopback address whose port was free a moment ago.
+const (
+	// firstPort and ports lie below the range from which the system chooses
+	// ports by itself, so that no other process of the tests gets one of them.
+	firstPort = 20_000
+	ports     = 10_000
+)
+
+// nextPort is the offset of the port that is tried next; scripts run at the
+// same time.
+var nextPort atomic.Uint32
+
+// freeAddress returns a loopback address that no process listens on.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("find a port: %w", err)
+	for range ports {
+		port := firstPort + (uint32(os.Getpid())*64+nextPort.Add(1))%ports
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		if l, err := net.Listen("tcp", address); err == nil {
+			return address, l.Close()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", errors.New("no free port")
 }
--- a/cmd/swiftloom/try.go
+++ b/cmd/swiftloom/try.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"reflect"
 	"slices"
 	"strings"
 
@@ -22,6 +23,7 @@
 			&cli.StringFlag{Name: "site", Value: "port", Usage: "one of " + strings.Join(loomtrial.Sites(), ", ")},
 			&cli.StringFlag{Name: "policy", Value: "cost", Usage: "one of " + strings.Join(loomroute.Policies(), ", ")},
 			&cli.IntFlag{Name: "requests", Usage: "number of requests (default: that of the site)"},
+			&cli.IntFlag{Name: "instances", Usage: "number of instances (default: that of the site)"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of all random numbers"},
 			&cli.StringSliceFlag{Name: "fault", Usage: "fault to inject; may be repeated; all for every one, list to name them"},
 			&cli.StringFlag{Name: "scenario", Usage: "one of " + strings.Join(loomtrial.Scenarios(), ", ")},
@@ -53,21 +55,22 @@
 	if name := c.String("scenario"); name != "" && !slices.Contains(loomtrial.Scenarios(), name) {
 		return usagef("--scenario: unknown scenario %q (have %v)", name, loomtrial.Scenarios())
 	}
-	if c.Int("requests") < 0 {
-		return usagef("--requests: must not be negative")
+	if c.Int("requests") < 0 || c.Int("instances") < 0 {
+		return usagef("--requests and --instances must not be negative")
 	}
 	log, err := newLog(c.String("log-level"))
 	if err != nil {
 		return err
 	}
 	o := loomtrial.Options{
-		Site:     site,
-		Policy:   c.String("policy"),
-		Seed:     c.Uint64("seed"),
-		Requests: c.Int("requests"),
-		Faults:   faults,
-		Scenario: c.String("scenario"),
-		Log:      log,
+		Site:      site,
+		Policy:    c.String("policy"),
+		Seed:      c.Uint64("seed"),
+		Requests:  c.Int("requests"),
+		Instances: c.Int("instances"),
+		Faults:    faults,
+		Scenario:  c.String("scenario"),
+		Log:       log,
 	}
 	switch {
 	case c.Bool("hold"):
@@ -83,7 +86,7 @@
 	if c.Bool("json") {
 		err = printJSON(report)
 	} else {
-		printReports([]loomtrial.Report{report})
+		printReport(report)
 	}
 	if err != nil {
 		return err
@@ -119,6 +122,32 @@
 	return broken(comparison.Policies...)
 }
 
+// printReport prints what a scenario measured, or a plain run.
+func printReport(r loomtrial.Report) {
+	switch {
+	case r.Fairness != nil:
+		printFields(r.Fairness)
+	case r.Overhead != nil:
+		printFields(r.Overhead)
+	case r.Idle != nil:
+		printFields(r.Idle)
+	}
+	if r.Requests > 0 {
+		printReports([]loomtrial.Report{r})
+	}
+}
+
+// printFields prints the fields of a struct by their names in JSON.
+func printFields(v any) {
+	t := newTable(os.Stdout)
+	fields := reflect.Indirect(reflect.ValueOf(v))
+	for i := range fields.NumField() {
+		name := fields.Type().Field(i).Tag.Get("json")
+		t.row(strings.ReplaceAll(name, "_", " "), fields.Field(i).Interface())
+	}
+	t.flush()
+}
+
 func printReports(reports []loomtrial.Report) {
 	t := newTable(os.Stdout)
 	row := func(name string, value func(r loomtrial.Report) any) {
--- a/gen/http/completions/server/encode_decode.go
+++ b/gen/http/completions/server/encode_decode.go
@@ -72,8 +72,8 @@
 			idempotencyKey = &idempotencyKeyRaw
 		}
 		if idempotencyKey != nil {
-			if utf8.RuneCountInString(*idempotencyKey) > 128 {
-				err = goa.MergeErrors(err, goa.InvalidLengthError("idempotency_key", *idempotencyKey, utf8.RuneCountInString(*idempotencyKey), 128, false))
+			if utf8.RuneCountInString(*idempotencyKey) > 512 {
+				err = goa.MergeErrors(err, goa.InvalidLengthError("idempotency_key", *idempotencyKey, utf8.RuneCountInString(*idempotencyKey), 512, false))
 			}
 		}
 		{
@@ -157,8 +157,8 @@
 			idempotencyKey = &idempotencyKeyRaw
 		}
 		if idempotencyKey != nil {
-			if utf8.RuneCountInString(*idempotencyKey) > 128 {
-				err = goa.MergeErrors(err, goa.InvalidLengthError("idempotency_key", *idempotencyKey, utf8.RuneCountInString(*idempotencyKey), 128, false))
+			if utf8.RuneCountInString(*idempotencyKey) > 512 {
+				err = goa.MergeErrors(err, goa.InvalidLengthError("idempotency_key", *idempotencyKey, utf8.RuneCountInString(*idempotencyKey), 512, false))
 			}
 		}
 		{
--- a/gen/http/services/client/client.go
+++ b/gen/http/services/client/client.go
@@ -18,6 +18,9 @@
 
 // Client lists the services service endpoint HTTP clients.
 type Client struct {
+	// Ticket Doer is the HTTP client used to make requests to the ticket endpoint.
+	TicketDoer goahttp.Doer
+
 	// Call Doer is the HTTP client used to make requests to the call endpoint.
 	CallDoer goahttp.Doer
 
@@ -41,6 +44,7 @@
 	restoreBody bool,
 ) *Client {
 	return &Client{
+		TicketDoer:          doer,
 		CallDoer:            doer,
 		RestoreResponseBody: restoreBody,
 		scheme:              scheme,
@@ -50,6 +54,30 @@
 	}
 }
 
+// Ticket returns an endpoint that makes HTTP requests to the services service
+// ticket server.
+func (c *Client) Ticket() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeTicketRequest(c.encoder)
+		decodeResponse = DecodeTicketResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildTicketRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.TicketDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("services", "ticket", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
 // Call returns an endpoint that makes HTTP requests to the services service
 // call server.
 func (c *Client) Call() goa.Endpoint {
--- a/gen/http/services/client/encode_decode.go
+++ b/gen/http/services/client/encode_decode.go
@@ -21,6 +21,77 @@
 	goa "goa.design/goa/v3/pkg"
 )
 
+// BuildTicketRequest instantiates a HTTP request object with method and path
+// set to call the "services" service "ticket" endpoint
+func (c *Client) BuildTicketRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: TicketServicesPath()}
+	req, err := http.NewRequest("POST", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("services", "ticket", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeTicketRequest returns an encoder for requests sent to the services
+// ticket server.
+func EncodeTicketRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*services.TicketPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("services", "ticket", "*services.TicketPayload", v)
+		}
+		if p.Authorization != nil {
+			head := *p.Authorization
+			req.Header.Set("Authorization", head)
+		}
+		return nil
+	}
+}
+
+// DecodeTicketResponse returns a decoder for responses returned by the
+// services ticket endpoint. restoreBody controls whether the response body
+// should be restored after having been read.
+func DecodeTicketResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body TicketResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("services", "ticket", err)
+			}
+			err = ValidateTicketResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("services", "ticket", err)
+			}
+			res := NewTicketResultOK(&body)
+			return res, nil
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("services", "ticket", resp.StatusCode, string(body))
+		}
+	}
+}
+
 // BuildCallRequest instantiates a HTTP request object with method and path set
 // to call the "services" service "call" endpoint
 func (c *Client) BuildCallRequest(ctx context.Context, v any) (*http.Request, error) {
--- a/gen/http/services/client/types.go
+++ b/gen/http/services/client/types.go
@@ -9,8 +9,30 @@
 
 import (
 	services "swiftloom/gen/services"
+
+	goa "goa.design/goa/v3/pkg"
 )
 
+// TicketResponseBody is the type of the "services" service "ticket" endpoint
+// HTTP response body.
+type TicketResponseBody struct {
+	// The key, to be sent as Idempotency-Key
+	Ticket *string `form:"ticket,omitempty" json:"ticket,omitempty" xml:"ticket,omitempty"`
+	// How long it may be used
+	ExpiresInSeconds *int `form:"expires_in_seconds,omitempty" json:"expires_in_seconds,omitempty" xml:"expires_in_seconds,omitempty"`
+}
+
+// NewTicketResultOK builds a "services" service "ticket" endpoint result from
+// a HTTP "OK" response.
+func NewTicketResultOK(body *TicketResponseBody) *services.TicketResult {
+	v := &services.TicketResult{
+		Ticket:           *body.Ticket,
+		ExpiresInSeconds: *body.ExpiresInSeconds,
+	}
+
+	return v
+}
+
 // NewCallResultOK builds a "services" service "call" endpoint result from a
 // HTTP "OK" response.
 func NewCallResultOK(contentType string, requestID string) *services.CallResult {
@@ -20,3 +42,14 @@
 
 	return v
 }
+
+// ValidateTicketResponseBody runs the validations defined on TicketResponseBody
+func ValidateTicketResponseBody(body *TicketResponseBody) (err error) {
+	if body.Ticket == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ticket", "body"))
+	}
+	if body.ExpiresInSeconds == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("expires_in_seconds", "body"))
+	}
+	return
+}
--- a/gen/http/services/server/encode_decode.go
+++ b/gen/http/services/server/encode_decode.go
@@ -18,6 +18,36 @@
 	goa "goa.design/goa/v3/pkg"
 )
 
+// EncodeTicketResponse returns an encoder for responses returned by the
+// services ticket endpoint.
+func EncodeTicketResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*services.TicketResult)
+		enc := encoder(ctx, w)
+		body := NewTicketResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeTicketRequest returns a decoder for requests sent to the services
+// ticket endpoint.
+func DecodeTicketRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*services.TicketPayload, error) {
+	return func(r *http.Request) (*services.TicketPayload, error) {
+		var payload *services.TicketPayload
+		var (
+			authorization *string
+		)
+		authorizationRaw := r.Header.Get("Authorization")
+		if authorizationRaw != "" {
+			authorization = &authorizationRaw
+		}
+		payload = NewTicketPayload(authorization)
+
+		return payload, nil
+	}
+}
+
 // EncodeCallResponse returns an encoder for responses returned by the services
 // call endpoint.
 func EncodeCallResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
@@ -58,8 +88,8 @@
 			idempotencyKey = &idempotencyKeyRaw
 		}
 		if idempotencyKey != nil {
-			if utf8.RuneCountInString(*idempotencyKey) > 128 {
-				err = goa.MergeErrors(err, goa.InvalidLengthError("idempotency_key", *idempotencyKey, utf8.RuneCountInString(*idempotencyKey), 128, false))
+			if utf8.RuneCountInString(*idempotencyKey) > 512 {
+				err = goa.MergeErrors(err, goa.InvalidLengthError("idempotency_key", *idempotencyKey, utf8.RuneCountInString(*idempotencyKey), 512, false))
 			}
 		}
 		{
--- a/gen/http/services/server/paths.go
+++ b/gen/http/services/server/paths.go
@@ -11,6 +11,11 @@
 	"fmt"
 )
 
+// TicketServicesPath returns the URL path to the services service ticket HTTP endpoint.
+func TicketServicesPath() string {
+	return "/v1/tickets"
+}
+
 // CallServicesPath returns the URL path to the services service call HTTP endpoint.
 func CallServicesPath(name string, path string) string {
 	return fmt.Sprintf("/v1/services/%v/%v", name, path)
--- a/gen/http/services/server/server.go
+++ b/gen/http/services/server/server.go
@@ -21,6 +21,7 @@
 // Server lists the services service endpoint HTTP handlers.
 type Server struct {
 	Mounts []*MountPoint
+	Ticket http.Handler
 	Call   http.Handler
 }
 
@@ -51,9 +52,11 @@
 ) *Server {
 	return &Server{
 		Mounts: []*MountPoint{
+			{"Ticket", "POST", "/v1/tickets"},
 			{"Call", "POST", "/v1/services/{name}/{*path}"},
 		},
-		Call: NewCallHandler(e.Call, mux, decoder, encoder, errhandler, formatter),
+		Ticket: NewTicketHandler(e.Ticket, mux, decoder, encoder, errhandler, formatter),
+		Call:   NewCallHandler(e.Call, mux, decoder, encoder, errhandler, formatter),
 	}
 }
 
@@ -62,6 +65,7 @@
 
 // Use wraps the server handlers with the given middleware.
 func (s *Server) Use(m func(http.Handler) http.Handler) {
+	s.Ticket = m(s.Ticket)
 	s.Call = m(s.Call)
 }
 
@@ -70,6 +74,7 @@
 
 // Mount configures the mux to serve the services endpoints.
 func Mount(mux goahttp.Muxer, h *Server) {
+	MountTicketHandler(mux, h.Ticket)
 	MountCallHandler(mux, h.Call)
 }
 
@@ -78,6 +83,59 @@
 	Mount(mux, s)
 }
 
+// MountTicketHandler configures the mux to serve the "services" service
+// "ticket" endpoint.
+func MountTicketHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("POST", "/v1/tickets", f)
+}
+
+// NewTicketHandler creates a HTTP handler which loads the HTTP request and
+// calls the "services" service "ticket" endpoint.
+func NewTicketHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeTicketRequest(mux, decoder)
+		encodeResponse = EncodeTicketResponse(encoder)
+		encodeError    = goahttp.ErrorEncoder(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "ticket")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "services")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
 // MountCallHandler configures the mux to serve the "services" service "call"
 // endpoint.
 func MountCallHandler(mux goahttp.Muxer, h http.Handler) {
--- a/gen/http/services/server/types.go
+++ b/gen/http/services/server/types.go
@@ -11,6 +11,33 @@
 	services "swiftloom/gen/services"
 )
 
+// TicketResponseBody is the type of the "services" service "ticket" endpoint
+// HTTP response body.
+type TicketResponseBody struct {
+	// The key, to be sent as Idempotency-Key
+	Ticket string `form:"ticket" json:"ticket" xml:"ticket"`
+	// How long it may be used
+	ExpiresInSeconds int `form:"expires_in_seconds" json:"expires_in_seconds" xml:"expires_in_seconds"`
+}
+
+// NewTicketResponseBody builds the HTTP response body from the result of the
+// "ticket" endpoint of the "services" service.
+func NewTicketResponseBody(res *services.TicketResult) *TicketResponseBody {
+	body := &TicketResponseBody{
+		Ticket:           res.Ticket,
+		ExpiresInSeconds: res.ExpiresInSeconds,
+	}
+	return body
+}
+
+// NewTicketPayload builds a services service ticket endpoint payload.
+func NewTicketPayload(authorization *string) *services.TicketPayload {
+	v := &services.TicketPayload{}
+	v.Authorization = authorization
+
+	return v
+}
+
 // NewCallPayload builds a services service call endpoint payload.
 func NewCallPayload(name string, path string, authorization *string, idempotencyKey *string, notRepeatable *bool, deadlineMs *int64, requestContentType *string) *services.CallPayload {
 	v := &services.CallPayload{}
--- a/gen/services/client.go
+++ b/gen/services/client.go
@@ -16,16 +16,28 @@
 
 // Client is the "services" service client.
 type Client struct {
-	CallEndpoint goa.Endpoint
+	TicketEndpoint goa.Endpoint
+	CallEndpoint   goa.Endpoint
 }
 
 // NewClient initializes a "services" service client given the endpoints.
-func NewClient(call goa.Endpoint) *Client {
+func NewClient(ticket, call goa.Endpoint) *Client {
 	return &Client{
-		CallEndpoint: call,
+		TicketEndpoint: ticket,
+		CallEndpoint:   call,
 	}
 }
 
+// Ticket calls the "ticket" endpoint of the "services" service.
+func (c *Client) Ticket(ctx context.Context, p *TicketPayload) (res *TicketResult, err error) {
+	var ires any
+	ires, err = c.TicketEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*TicketResult), nil
+}
+
 // Call calls the "call" endpoint of the "services" service.
 func (c *Client) Call(ctx context.Context, p *CallPayload, req io.ReadCloser) (res *CallResult, resp io.ReadCloser, err error) {
 	var ires any
--- a/gen/services/endpoints.go
+++ b/gen/services/endpoints.go
@@ -16,7 +16,8 @@
 
 // Endpoints wraps the "services" service endpoints.
 type Endpoints struct {
-	Call goa.Endpoint
+	Ticket goa.Endpoint
+	Call   goa.Endpoint
 }
 
 // CallRequestData holds both the payload and the HTTP request body reader of
@@ -40,15 +41,26 @@
 // NewEndpoints wraps the methods of the "services" service with endpoints.
 func NewEndpoints(s Service) *Endpoints {
 	return &Endpoints{
-		Call: NewCallEndpoint(s),
+		Ticket: NewTicketEndpoint(s),
+		Call:   NewCallEndpoint(s),
 	}
 }
 
 // Use applies the given middleware to all the "services" service endpoints.
 func (e *Endpoints) Use(m func(goa.Endpoint) goa.Endpoint) {
+	e.Ticket = m(e.Ticket)
 	e.Call = m(e.Call)
 }
 
+// NewTicketEndpoint returns an endpoint function that calls the method
+// "ticket" of service "services".
+func NewTicketEndpoint(s Service) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*TicketPayload)
+		return s.Ticket(ctx, p)
+	}
+}
+
 // NewCallEndpoint returns an endpoint function that calls the method "call" of
 // service "services".
 func NewCallEndpoint(s Service) goa.Endpoint {
--- a/gen/services/service.go
+++ b/gen/services/service.go
@@ -12,8 +12,11 @@
 	"io"
 )
 
-// Passes calls to plain services.
+// Passes calls to plain services, and gives out tickets.
 type Service interface {
+	// Gives out an idempotency key that is bound to one instance and works while
+	// the platform is out.
+	Ticket(context.Context, *TicketPayload) (res *TicketResult, err error)
 	// Call implements call.
 
 	// If body implements [io.WriterTo], that implementation will be used instead.
@@ -36,7 +39,7 @@
 // MethodNames lists the service method names as defined in the design. These
 // are the same values that are set in the endpoint request contexts under the
 // MethodKey key.
-var MethodNames = [1]string{"call"}
+var MethodNames = [2]string{"ticket", "call"}
 
 // CallPayload is the payload type of the services service call method.
 type CallPayload struct {
@@ -60,3 +63,17 @@
 	ContentType string
 	RequestID   string
 }
+
+// TicketPayload is the payload type of the services service ticket method.
+type TicketPayload struct {
+	// Bearer key of the client account
+	Authorization *string
+}
+
+// TicketResult is the result type of the services service ticket method.
+type TicketResult struct {
+	// The key, to be sent as Idempotency-Key
+	Ticket string
+	// How long it may be used
+	ExpiresInSeconds int
+}
--- a/loomcache/index_test.go
+++ b/loomcache/index_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -276,3 +277,29 @@
 		loomcache.Chain(saltFor("a", 1), text)
 	}
 }
+
+// BenchmarkIndexMemory measures the memory of one stored block in the index.
+func BenchmarkIndexMemory(b *testing.B) {
+	const blocks = 24
+	for _, prompts := range []int{1000, 4000, 16_000} {
+		b.Run(fmt.Sprintf("prompts=%d", prompts), func(b *testing.B) {
+			salt := saltFor("a", 1)
+			for b.Loop() {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				x := loomcache.NewIndex()
+				for i := range prompts {
+					for _, segment := range loomcache.Segments(loomcache.Chain(salt, tokens(uint32(i*blocks*loomcache.BlockTokens), blocks))) {
+						observe(x, start, salt, segment, "e1")
+						seal(x, start, salt, segment, "s1", 1)
+					}
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(prompts*blocks), "B/block")
+				runtime.KeepAlive(x)
+			}
+		})
+	}
+}
--- a/loomcatalogue/codec.go
+++ b/loomcatalogue/codec.go
@@ -27,14 +27,16 @@
 // FromDocument returns the snapshot that d describes.
 func FromDocument(d Document) (Snapshot, error) {
 	entries := make(map[ID]Entry, len(d.Entries))
+	changed := make(map[Kind]bool)
 	for _, c := range d.Entries {
 		e, err := Decode(c.ID, c.Spec)
 		if err != nil {
 			return Snapshot{}, err
 		}
 		entries[c.ID] = e
+		changed[c.Kind] = true
 	}
-	return Snapshot{revision: d.Revision, entries: entries, accounts: accountsByDigest(entries), kept: keptByBlock(entries)}, nil
+	return Snapshot{}.derive(d.Revision, entries, changed), nil
 }
 
 // Decode returns the entry that spec describes. The name of id wins over one
--- a/loomcatalogue/entry.go
+++ b/loomcatalogue/entry.go
@@ -46,6 +46,18 @@
 	header() Header
 }
 
+// Rank returns the importance of the class: 2 for gold, 1 for silver, 0 else.
+func (h Header) Rank() uint32 {
+	switch h.Class {
+	case "gold":
+		return 2
+	case "silver":
+		return 1
+	default:
+		return 0
+	}
+}
+
 func (h Header) header() Header {
 	return h
 }
--- a/loomcatalogue/snapshot.go
+++ b/loomcatalogue/snapshot.go
@@ -18,6 +18,8 @@
 	revision uint64
 	// entries is never changed after the snapshot was made.
 	entries map[ID]Entry
+	// byKind holds the entries of each kind in order of their names.
+	byKind map[Kind][]Entry
 	// accounts maps the digest of a bearer key to its account.
 	accounts map[string]ClientAccount
 	// kept maps the key of a block, in hexadecimal, to its entry.
@@ -68,16 +70,16 @@
 }
 
 // Entries returns the entries of a kind, or all for the empty kind, ordered
-// by kind and name.
+// by kind and name. The caller must not change the slice.
 func (s Snapshot) Entries(kind Kind) []Entry {
-	var es []Entry
-	for id, e := range s.entries {
-		if kind == "" || id.Kind == kind {
-			es = append(es, e)
-		}
+	if kind != "" {
+		return s.byKind[kind]
 	}
-	slices.SortFunc(es, func(a, b Entry) int { return cmp.Compare(a.ID().String(), b.ID().String()) })
-	return es
+	var all []Entry
+	for _, k := range slices.Sorted(maps.Keys(s.byKind)) {
+		all = append(all, s.byKind[k]...)
+	}
+	return all
 }
 
 // Deployment returns the deployment entry with the given name.
@@ -205,11 +207,9 @@
 	if entries == nil {
 		entries = make(map[ID]Entry)
 	}
-	next := Snapshot{revision: rec.Revision, entries: entries, accounts: s.accounts, kept: s.kept}
-	accountsChanged, keptChanged := s.accounts == nil, s.kept == nil
+	changed := make(map[Kind]bool)
 	for _, c := range rec.Changes {
-		accountsChanged = accountsChanged || c.Kind == KindClientAccount
-		keptChanged = keptChanged || c.Kind == KindKeptPrompt
+		changed[c.Kind] = true
 		if len(c.After) == 0 {
 			delete(entries, c.ID)
 			continue
@@ -220,13 +220,37 @@
 		}
 		entries[c.ID] = e
 	}
-	if accountsChanged {
+	return s.derive(rec.Revision, entries, changed), nil
+}
+
+// derive returns the snapshot with new entries, of which only some kinds differ
+// from those of s.
+func (s Snapshot) derive(revision uint64, entries map[ID]Entry, changed map[Kind]bool) Snapshot {
+	next := Snapshot{revision: revision, entries: entries, byKind: maps.Clone(s.byKind), accounts: s.accounts, kept: s.kept}
+	if next.byKind == nil {
+		next.byKind = make(map[Kind][]Entry)
+	}
+	for kind := range changed {
+		next.byKind[kind] = sortedOfKind(entries, kind)
+	}
+	if changed[KindClientAccount] {
 		next.accounts = accountsByDigest(entries)
 	}
-	if keptChanged {
+	if changed[KindKeptPrompt] {
 		next.kept = keptByBlock(entries)
 	}
-	return next, nil
+	return next
+}
+
+func sortedOfKind(entries map[ID]Entry, kind Kind) []Entry {
+	var es []Entry
+	for id, e := range entries {
+		if id.Kind == kind {
+			es = append(es, e)
+		}
+	}
+	slices.SortFunc(es, func(a, b Entry) int { return cmp.Compare(a.ID().Name, b.ID().Name) })
+	return es
 }
 
 func accountsByDigest(entries map[ID]Entry) map[string]ClientAccount {
--- /dev/null
+++ b/loomclaim/bench_test.go
@@ -0,0 +1,40 @@
+package loomclaim_test
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"swiftloom/loomclaim"
+	"swiftloom/loomstandin"
+)
+
+// BenchmarkDesk measures one claim, in writes of several sizes, and the bytes
+// that it adds to a write.
+func BenchmarkDesk(b *testing.B) {
+	for _, batch := range []int{1, 50, 400} {
+		b.Run(fmt.Sprintf("batch=%d", batch), func(b *testing.B) {
+			var table loomstandin.Table
+			d := loomclaim.NewDesk()
+			decided := make(chan loomclaim.Decision, batch)
+			n := 0
+			bytes := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				n++
+				d.Ask(start, loomclaim.Ask{Key: loomclaim.Key{ClientAccount: "hotel", Key: fmt.Sprintf("key-%09d", n)}, Attempt: fmt.Sprintf("entry-01-%09d", n)}, decided)
+				if n%batch != 0 {
+					continue
+				}
+				write, _ := d.Next(start)
+				bytes = proto.Size(write.Request)
+				d.Done(start, write, table.Transact(write.Request))
+				for range batch {
+					<-decided
+				}
+			}
+			b.ReportMetric(float64(bytes)/float64(batch), "B/claim")
+		})
+	}
+}
--- /dev/null
+++ b/loomclaim/ticket_test.go
@@ -0,0 +1,73 @@
+package loomclaim_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"swiftloom/loomclaim"
+)
+
+func TestTicketIsSigned(t *testing.T) {
+	ticket := loomclaim.NewBook().Issue(start, "hotel", "entry-1", 7)
+	key, err := ticket.Sign("secret")
+	assert.NilError(t, err)
+	parsed, err := loomclaim.ParseTicket(key, "secret")
+	assert.NilError(t, err)
+	assert.Equal(t, parsed, ticket)
+	tests := []struct{ name, key, secret string }{
+		{"other secret", key, "guess"},
+		{"changed", key[:20] + "A" + key[21:], "secret"},
+		{"cut", key[:len(key)-1], "secret"},
+		{"plain key", "k1", "secret"},
+		{"empty", "ticket.", "secret"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := loomclaim.ParseTicket(tt.key, tt.secret)
+			assert.ErrorContains(t, err, "not valid")
+		})
+	}
+}
+
+// Attempts race for tickets, repeat, are taken back and settled: no second
+// attempt is granted unless the first was taken back, and answers are those of
+// the attempt that ran.
+func TestTicketIsGrantedOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := loomclaim.NewBook()
+		now := start
+		ticket := b.Issue(now, "a", "h", 1)
+		holder, settled := "", ""
+		for i := range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "pause_s")) * time.Second)
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				attempt := fmt.Sprint(i)
+				d := b.Ask(now, ticket, loomclaim.Ask{Attempt: attempt})
+				if d.Outcome == loomclaim.Granted {
+					assert.Equal(t, holder, "")
+					holder = attempt
+				}
+				if d.Outcome == loomclaim.Answered {
+					assert.Equal(t, string(d.Answer), settled)
+				}
+			case 2:
+				if holder != "" && settled == "" {
+					b.Release(ticket, holder)
+					holder = ""
+				}
+			default:
+				if holder != "" && settled == "" {
+					settled = "by " + holder
+					b.Settle(ticket, holder, []byte(settled))
+				}
+			}
+		}
+		now = now.Add(loomclaim.TicketLife)
+		assert.Equal(t, b.Ask(now, ticket, loomclaim.Ask{Attempt: "late"}).Outcome, loomclaim.InDoubt)
+	})
+}
--- a/loomdesign/design.go
+++ b/loomdesign/design.go
@@ -38,7 +38,7 @@
 
 func requestAttributes() {
 	Attribute("authorization", String, "Bearer key of the client account")
-	Attribute("idempotency_key", String, "Key under which the request runs at most once", func() { MaxLength(128) })
+	Attribute("idempotency_key", String, "Key under which the request runs at most once", func() { MaxLength(512) })
 	Attribute("not_repeatable", Boolean, "The request may run at most once")
 	Attribute("deadline_ms", Int64, "Milliseconds that the caller waits for the answer")
 }
@@ -97,7 +97,23 @@
 })
 
 var _ = Service("services", func() {
-	Description("Passes calls to plain services.")
+	Description("Passes calls to plain services, and gives out tickets.")
+	Method("ticket", func() {
+		Description("Gives out an idempotency key that is bound to one instance and works while the platform is out.")
+		Payload(func() {
+			Attribute("authorization", String, "Bearer key of the client account")
+		})
+		Result(func() {
+			Attribute("ticket", String, "The key, to be sent as Idempotency-Key")
+			Attribute("expires_in_seconds", Int, "How long it may be used")
+			Required("ticket", "expires_in_seconds")
+		})
+		HTTP(func() {
+			POST("/v1/tickets")
+			Header("authorization:Authorization")
+			Response(StatusOK)
+		})
+	})
 	Method("call", func() {
 		Payload(func() {
 			requestAttributes()
--- a/loominstance/catalogue.go
+++ b/loominstance/catalogue.go
@@ -81,6 +81,7 @@
 		Stopping:          n.stopping.Load(),
 		CatalogueRevision: n.keeper.Snapshot().Revision(),
 		Leaving:           n.leavingMarks(),
+		Rumours:           n.rumours(),
 	})
 	now := time.Now()
 	if ctx.Err() != nil {
@@ -95,6 +96,7 @@
 		n.tracker.Apply(now, loommember.Marked{ID: m.ID, Incarnation: reply.GetIncarnation()})
 	}
 	n.takeMarks(now, reply.GetLeaving())
+	n.takeRumours(now, reply.GetRumours())
 	n.takeChanges(now, reply)
 }
 
@@ -106,6 +108,36 @@
 	return marks
 }
 
+func (n *Instance) rumours() []*loompb.Rumour {
+	now := time.Now()
+	var rumours []*loompb.Rumour
+	for _, r := range n.tracker.News(now) {
+		rumours = append(rumours, &loompb.Rumour{
+			Id:          r.ID,
+			Incarnation: r.Incarnation,
+			Unanswered:  r.Unanswered,
+			AgeMs:       uint64(now.Sub(r.At).Milliseconds()),
+		})
+	}
+	return rumours
+}
+
+// takeRumours takes in second-hand evidence. One about this instance itself is
+// answered by the evidence that it lives.
+func (n *Instance) takeRumours(now time.Time, rumours []*loompb.Rumour) {
+	for _, r := range rumours {
+		n.tracker.Apply(now, loommember.Rumour{
+			ID:          r.GetId(),
+			Incarnation: r.GetIncarnation(),
+			Unanswered:  r.GetUnanswered(),
+			At:          now.Add(-time.Duration(r.GetAgeMs()) * time.Millisecond),
+		})
+		if r.GetId() == n.ID() {
+			n.tracker.Apply(now, loommember.Heard{ID: n.ID(), Incarnation: n.incarnation})
+		}
+	}
+}
+
 func (n *Instance) takeMarks(now time.Time, marks []*loompb.LeavingMark) {
 	for _, m := range marks {
 		n.tracker.Apply(now, loommember.Marked{ID: m.GetId(), Incarnation: m.GetIncarnation()})
@@ -149,6 +181,7 @@
 // answerGossip returns this instance's state for a peer.
 func (n *Instance) answerGossip(now time.Time, r *loompb.GossipRequest) (*loompb.GossipReply, error) {
 	n.takeMarks(now, r.GetLeaving())
+	n.takeRumours(now, r.GetRumours())
 	if r.GetStopping() {
 		n.tracker.Apply(now, loommember.Marked{ID: r.GetInstanceId(), Incarnation: r.GetIncarnation()})
 	} else {
@@ -160,6 +193,7 @@
 		Incarnation:       n.incarnation,
 		Stopping:          n.stopping.Load(),
 		Leaving:           n.leavingMarks(),
+		Rumours:           n.rumours(),
 	}
 	records, ok := n.keeper.Since(r.GetCatalogueRevision())
 	if !ok {
--- a/loominstance/claims.go
+++ b/loominstance/claims.go
@@ -106,6 +106,9 @@
 func (c *claims) claim(ctx context.Context, r *loompb.ClaimRequest) (*loompb.ClaimReply, error) {
 	n := c.instance
 	n.metrics.claims.Inc(1)
+	if loomclaim.IsTicket(r.GetKey()) {
+		return c.claimTicket(ctx, r)
+	}
 	key := loomclaim.Key{ClientAccount: r.GetClientAccount(), Key: r.GetKey()}
 	home := n.homes.Load().Home([]byte(key.RowKey()))
 	if home != n.ID() {
@@ -126,6 +129,9 @@
 
 // claimHere decides a claim at the desk of this instance.
 func (c *claims) claimHere(ctx context.Context, r *loompb.ClaimRequest) *loompb.ClaimReply {
+	if loomclaim.IsTicket(r.GetKey()) {
+		return c.claimTicketHere(time.Now(), r)
+	}
 	decided := make(chan loomclaim.Decision, 1)
 	c.instance.desk.Ask(time.Now(), loomclaim.Ask{
 		Key:     loomclaim.Key{ClientAccount: r.GetClientAccount(), Key: r.GetKey()},
@@ -161,6 +167,10 @@
 // settle stores the answer of a granted attempt at the key's home.
 func (c *claims) settle(ctx context.Context, r *loompb.SettleRequest) {
 	n := c.instance
+	if loomclaim.IsTicket(r.GetKey()) {
+		c.settleTicket(ctx, r)
+		return
+	}
 	key := loomclaim.Key{ClientAccount: r.GetClientAccount(), Key: r.GetKey()}
 	home := n.homes.Load().Home([]byte(key.RowKey()))
 	if home != n.ID() {
@@ -176,6 +186,10 @@
 }
 
 func (c *claims) settleHere(r *loompb.SettleRequest) {
+	if loomclaim.IsTicket(r.GetKey()) {
+		c.settleTicketHere(r)
+		return
+	}
 	key := loomclaim.Key{ClientAccount: r.GetClientAccount(), Key: r.GetKey()}
 	c.instance.desk.Settle(time.Now(), key, r.GetAttemptId(), r.GetRequestDigest(), r.GetAnswer())
 	c.wake()
@@ -184,6 +198,15 @@
 // takeBack frees the claim of an attempt that did not run, so that the key may
 // be used again. While the platform is out it is tried again later.
 func (c *claims) takeBack(ctx context.Context, key loomclaim.Key, attempt string) {
+	if loomclaim.IsTicket(key.Key) {
+		c.settleTicket(ctx, &loompb.SettleRequest{
+			ClientAccount: key.ClientAccount,
+			Key:           key.Key,
+			AttemptId:     attempt,
+			Released:      true,
+		})
+		return
+	}
 	r := release{key: key, attempt: attempt}
 	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
 	defer cancel()
--- a/loominstance/dispatch.go
+++ b/loominstance/dispatch.go
@@ -7,9 +7,6 @@
 	"io"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
-	"swiftloom/loomcache"
 	"swiftloom/loomerror"
 	"swiftloom/loomlimit"
 	"swiftloom/loomlink"
@@ -19,10 +16,7 @@
 	"swiftloom/loomupstream"
 )
 
-const (
-	cancelTimeout  = 500 * time.Millisecond
-	observeTimeout = 300 * time.Millisecond
-)
+const cancelTimeout = 500 * time.Millisecond
 
 // usage is what a complete answer cost.
 type usage struct {
@@ -189,7 +183,7 @@
 	}
 	r.Tokens = p.tokens
 	r.MaxTokens = uint32(p.maxTokens)
-	r.Priority = p.priority
+	r.Priority = p.account.Rank()
 	r.BlockKeys = rawKeys(d.plan.keys)
 	r.Imports = d.plan.stored[:d.choice.Import]
 	return r
@@ -268,6 +262,7 @@
 	if d.answer.Delivered() {
 		d.life.Apply(now, loomstream.Delivered{Attempt: d.attempt})
 	}
+	d.instance.fleet.Broke(now, d.engine.member.ID)
 	resumable := d.life.Relayed() > 0 || errors.Is(err, io.EOF)
 	return d.life.Apply(now, loomstream.Broken{Attempt: d.attempt, Resumable: resumable}), nil
 }
@@ -339,6 +334,7 @@
 		cachedTokens: int(f.GetCachedTokens()),
 		answerTokens: int(f.GetAnswerTokens()),
 	}
+	d.instance.fleet.Worked(d.engine.member.ID)
 	d.instance.metrics.imported.Inc(int64(f.GetImportedTokens()))
 	d.instance.metrics.failedImports.Inc(int64(f.GetFailedImports()))
 	if f.GetFailedImports() > 0 {
@@ -424,61 +420,3 @@
 		n.metrics.answered.Inc(1)
 	}
 }
-
-// observe tells the homes of a prompt where its blocks are cached now.
-func (n *Instance) observe(ctx context.Context, pl plan, c candidate) {
-	report, _ := n.fleet.Latest(c.member.ID)
-	n.tellHomes(ctx, pl.segments, &loompb.ObserveRequest{
-		Salt:              wireSalt(pl.salt),
-		EngineId:          c.member.ID,
-		Event:             report.Event,
-		EngineIncarnation: report.Incarnation,
-		EngineAddress:     c.member.Address,
-		RetainMs:          uint64(n.retention(pl.salt.ClientAccount, pl.keys).Milliseconds()),
-	})
-}
-
-// importFailed tells the homes of a prompt that its first blocks could not be
-// read from their stores.
-func (n *Instance) importFailed(ctx context.Context, pl plan, blocks int) {
-	n.tellHomes(ctx, loomcache.Segments(pl.keys[:blocks]), &loompb.ObserveRequest{
-		Salt:         wireSalt(pl.salt),
-		ImportFailed: true,
-	})
-}
-
-// tellHomes sends an observation to the home of each segment without waiting
-// for it. A lost one costs a worse choice later and nothing else.
-func (n *Instance) tellHomes(ctx context.Context, segments [][]loomcache.Key, r *loompb.ObserveRequest) {
-	ctx = context.WithoutCancel(ctx)
-	for home, numbers := range n.byHome(segments) {
-		part, ok := proto.Clone(r).(*loompb.ObserveRequest)
-		if !ok {
-			continue
-		}
-		for _, i := range numbers {
-			part.Segments = append(part.Segments, &loompb.Segment{Keys: rawKeys(segments[i])})
-		}
-		n.inFlight.Go(func() { n.tellHome(ctx, home, part) })
-	}
-}
-
-func (n *Instance) tellHome(ctx context.Context, home string, r *loompb.ObserveRequest) {
-	ctx, cancel := context.WithTimeout(ctx, observeTimeout)
-	defer cancel()
-	if home == n.ID() {
-		_, _ = (&peerServer{instance: n}).Observe(ctx, r)
-		return
-	}
-	if client, err := n.peerByID(home); err == nil {
-		_, _ = client.Observe(ctx, r)
-	}
-}
-
-func (n *Instance) importFailedHere(account string, keys []loomcache.Key) {
-	drops := n.index.Failed(account, keys)
-	if len(drops) == 0 {
-		return
-	}
-	n.inFlight.Go(func() { n.free(context.Background(), drops) })
-}
--- a/loominstance/instance.go
+++ b/loominstance/instance.go
@@ -52,6 +52,7 @@
 	policy     loomroute.Policy
 	index      *loomcache.Index
 	desk       *loomclaim.Desk
+	book       *loomclaim.Book
 	retries    *loomstream.RetryBudget
 	services   *loomupstream.Services
 	peers      *peers
@@ -68,6 +69,10 @@
 	homes atomic.Pointer[loomhome.Table]
 	// homesAt is when homes was last replaced, in nanoseconds.
 	homesAt atomic.Int64
+	// parts is derived from view; it is never nil.
+	parts atomic.Pointer[engineParts]
+	// listRevision is that of the platform's list when it was last read.
+	listRevision atomic.Uint64
 	// stopping is set once and never unset.
 	stopping atomic.Bool
 	// settled is set once the first view of the members has lasted; it is
@@ -111,6 +116,7 @@
 		policy:      policy,
 		index:       loomcache.NewIndex(),
 		desk:        loomclaim.NewDesk(),
+		book:        loomclaim.NewBook(),
 		retries:     loomstream.NewRetryBudget(),
 		services:    loomupstream.NewServices(o.Dialer),
 		peers:       newPeers(s.Deployment.PeerKey, o.Dialer),
@@ -126,6 +132,7 @@
 	n.reconciler = newReconciler(n)
 	n.view.Store(&loommember.View{})
 	n.homes.Store(&loomhome.Table{})
+	n.parts.Store(&engineParts{})
 	return n, n.listen()
 }
 
@@ -186,8 +193,8 @@
 	var kernel loomkernel.Kernel
 	t := n.settings.Timing
 	kernel.Add("peer_server", loomkernel.Func(n.servePeers))
-	kernel.Add("catalogue", n.every(t.CatalogueInterval, n.refreshCatalogue))
-	kernel.Add("members", n.every(t.MembersInterval, n.refreshMembers))
+	kernel.Add("catalogue", n.everyScaled(t.CatalogueInterval, n.refreshCatalogue))
+	kernel.Add("members", n.everyScaled(t.MembersInterval, n.refreshMembers))
 	kernel.Add("gossip", n.every(t.GossipInterval, n.gossip))
 	kernel.Add("reports", n.every(t.ReportInterval, n.collectReports))
 	kernel.Add("stores", n.every(storeInterval, n.stores.refresh(n)))
@@ -221,10 +228,19 @@
 
 // every calls f at once and then in an interval with some jitter.
 func (n *Instance) every(interval time.Duration, f func(ctx context.Context)) loomkernel.Component {
+	return n.repeat(func() time.Duration { return interval }, f)
+}
+
+// everyScaled is every with an interval that grows with the fleet.
+func (n *Instance) everyScaled(interval time.Duration, f func(ctx context.Context)) loomkernel.Component {
+	return n.repeat(func() time.Duration { return n.scaled(interval) }, f)
+}
+
+func (n *Instance) repeat(interval func() time.Duration, f func(ctx context.Context)) loomkernel.Component {
 	return loomkernel.Func(func(ctx context.Context) error {
 		for {
 			f(ctx)
-			timer := time.NewTimer(n.jitter(interval))
+			timer := time.NewTimer(n.jitter(interval()))
 			select {
 			case <-ctx.Done():
 				timer.Stop()
--- a/loominstance/kept.go
+++ b/loominstance/kept.go
@@ -103,8 +103,9 @@
 	}
 }
 
-// update opens and closes connections so that they match the view.
-func (s *stores) update(v loommember.View) (gone []string) {
+// update opens and closes connections so that they match the view. Until a
+// store has reported, the link has the rate that the catalogue gives its group.
+func (s *stores) update(v loommember.View, c loomcatalogue.Snapshot) (gone []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	live := make(map[string]bool)
@@ -121,7 +122,7 @@
 			member: b.Member,
 			conn:   conn,
 			client: loompb.NewStoreClient(conn),
-			budget: loomlink.NewBudget(defaultLinkRate),
+			budget: loomlink.NewBudget(linkRate(c, b.Group)),
 		}
 	}
 	for id, st := range s.byID {
@@ -134,10 +135,17 @@
 	return gone
 }
 
+func linkRate(c loomcatalogue.Snapshot, group string) int64 {
+	if g, ok := c.UpstreamGroup(group); ok && g.LinkBytesPerSecond > 0 {
+		return g.LinkBytesPerSecond
+	}
+	return defaultLinkRate
+}
+
 // refresh returns the periodic task that lists the stores.
 func (s *stores) refresh(n *Instance) func(ctx context.Context) {
 	return func(ctx context.Context) {
-		for _, id := range s.update(*n.view.Load()) {
+		for _, id := range s.update(*n.view.Load(), n.keeper.Snapshot()) {
 			n.index.StoreLost(id, 0)
 		}
 		shards := n.homes.Load().Shards(n.ID())
--- a/loominstance/members.go
+++ b/loominstance/members.go
@@ -19,6 +19,11 @@
 	maxEngines     = 24
 	foreignEngines = 6
 	reportTimeout  = 500 * time.Millisecond
+	// viewInterval is how old a view may be; marks renew it at once.
+	viewInterval = 250 * time.Millisecond
+	// readPerMember lengthens the interval of reads from the platform as the
+	// fleet grows, so that all instances together stay within its rate.
+	readPerMember = 2 * time.Millisecond
 )
 
 // refreshMembers announces the instance, reads the platform's list and takes
@@ -30,12 +35,18 @@
 	if err != nil {
 		n.log.Debug("announce failed", "error", err)
 	}
-	reply, err := n.platform.Members(ctx, &loompb.MembersRequest{})
+	after := n.listRevision.Load()
+	reply, err := n.platform.Members(ctx, &loompb.MembersRequest{After: after})
 	now := time.Now()
-	if err != nil {
+	switch {
+	case err != nil:
 		n.log.Debug("list of members not read", "error", err)
-	} else {
-		n.tracker.Apply(now, listed(reply))
+	case after == 0:
+		n.tracker.Apply(now, loommember.Listed{Members: listings(reply)})
+		n.listRevision.Store(reply.GetRevision())
+	default:
+		n.tracker.Apply(now, loommember.Changed{Members: listings(reply), Gone: reply.GetGone()})
+		n.listRevision.Store(reply.GetRevision())
 	}
 	n.updateView(now)
 }
@@ -57,10 +68,10 @@
 	}
 }
 
-func listed(reply *loompb.MembersReply) loommember.Listed {
-	var e loommember.Listed
+func listings(reply *loompb.MembersReply) []loommember.Listing {
+	all := make([]loommember.Listing, 0, len(reply.GetMembers()))
 	for _, m := range reply.GetMembers() {
-		e.Members = append(e.Members, loommember.Listing{
+		all = append(all, loommember.Listing{
 			Member: loommember.Member{
 				ID:            m.GetId(),
 				Kind:          m.GetKind(),
@@ -73,7 +84,7 @@
 			Leaving: m.GetLiveness() == loompb.Liveness_LIVENESS_LEAVING,
 		})
 	}
-	return e
+	return all
 }
 
 // updateView replaces the view and, when the live instances have changed, the
@@ -81,6 +92,7 @@
 func (n *Instance) updateView(now time.Time) {
 	v := n.tracker.View(now)
 	n.view.Store(&v)
+	n.parts.Store(n.enginesByGroup(v))
 	n.keepConnections(v)
 	members := v.LiveIDs(loommember.KindInstance, "")
 	if !slices.Contains(members, n.ID()) && !n.stopping.Load() {
@@ -111,6 +123,12 @@
 	n.fleet.Forget(ids)
 }
 
+// scaled returns the interval at which an instance may read the platform.
+func (n *Instance) scaled(interval time.Duration) time.Duration {
+	members := len(n.homes.Load().Members())
+	return max(interval, time.Duration(members)*readPerMember)
+}
+
 // homesSince returns when the set of live instances last changed.
 func (n *Instance) homesSince() time.Time {
 	return time.Unix(0, n.homesAt.Load())
@@ -121,10 +139,32 @@
 	return n.view.Load().Find(id)
 }
 
-// groupEngines returns the engines of a group that this instance talks to: all
-// of a small group, else a part that differs between instances.
+// engineParts holds the engines that an instance talks to, by group.
+type engineParts map[string][]loommember.Believed
+
+// groupEngines returns the engines of a group that this instance talks to. The
+// caller must not change the slice.
 func (n *Instance) groupEngines(group string) []loommember.Believed {
-	all := n.view.Load().Kind(loommember.KindEngine, group)
+	return (*n.parts.Load())[group]
+}
+
+// enginesByGroup chooses the engines that this instance talks to.
+func (n *Instance) enginesByGroup(v loommember.View) *engineParts {
+	all := make(engineParts)
+	for _, b := range v.All() {
+		if b.Kind == loommember.KindEngine {
+			all[b.Group] = append(all[b.Group], b)
+		}
+	}
+	for group, engines := range all {
+		all[group] = n.partOf(engines)
+	}
+	return &all
+}
+
+// partOf returns all of a small group, else a part that differs between
+// instances.
+func (n *Instance) partOf(all []loommember.Believed) []loommember.Believed {
 	if len(all) <= maxEngines {
 		return all
 	}
@@ -151,11 +191,15 @@
 // collectReports asks every engine of this instance for its load.
 func (n *Instance) collectReports(ctx context.Context) {
 	var wait sync.WaitGroup
-	for _, b := range n.groupEngines("") {
-		wait.Go(func() { n.collectReport(ctx, b.Member) })
+	for _, engines := range *n.parts.Load() {
+		for _, b := range engines {
+			wait.Go(func() { n.collectReport(ctx, b.Member) })
+		}
 	}
 	wait.Wait()
-	n.updateView(time.Now())
+	if now := time.Now(); now.Sub(n.view.Load().At()) > viewInterval {
+		n.updateView(now)
+	}
 }
 
 func (n *Instance) collectReport(ctx context.Context, m loommember.Member) {
--- a/loominstance/prompt.go
+++ b/loominstance/prompt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"swiftloom/loomcache"
@@ -159,9 +160,11 @@
 // route chooses the engine for a bound prompt.
 func (n *Instance) route(now time.Time, p *prompt, pl plan, avoid []string) (loomroute.Choice, candidate, error) {
 	per := tokenTime(p.model)
+	serving := n.serving(p)
+	ejected := n.fleet.Ejected(now, idsOf(serving))
 	var candidates []loomroute.Candidate
 	byID := make(map[string]candidate)
-	for _, c := range n.serving(p) {
+	for _, c := range serving {
 		if c.report.Version != pl.version {
 			continue
 		}
@@ -172,7 +175,7 @@
 			Held:          heldBlocks(pl, c),
 			Wait:          e.Wait,
 			Outstanding:   e.Outstanding,
-			Suspect:       c.member.Status == loommember.Suspect,
+			Suspect:       c.member.Status == loommember.Suspect || slices.Contains(ejected, c.member.ID),
 		})
 		byID[c.member.ID] = c
 	}
@@ -198,6 +201,14 @@
 	return choice, byID[choice.ID], nil
 }
 
+func idsOf(cs []candidate) []string {
+	ids := make([]string, 0, len(cs))
+	for _, c := range cs {
+		ids = append(ids, c.member.ID)
+	}
+	return ids
+}
+
 // preferUntried leaves out upstreams that were tried, and the whole failure
 // domain of the last one, unless nothing else is left.
 func preferUntried(all []loomroute.Candidate, avoid []string) []loomroute.Candidate {
--- a/loominstance/quotas.go
+++ b/loominstance/quotas.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -246,9 +247,11 @@
 
 func (q *quotas) take(askedAt time.Time, reply *loompb.QuotaReply, pool bool) {
 	now := time.Now()
+	s := q.instance.keeper.Snapshot()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, g := range reply.GetGrants() {
+		account, _ := s.ClientAccount(g.GetClientAccount())
 		holders := q.allowances
 		if pool {
 			holders = q.borrowed
@@ -258,7 +261,7 @@
 				Rate:  float64(g.GetRate()),
 				Lease: g.GetLease(),
 				For:   time.Duration(g.GetLeaseMs()) * time.Millisecond,
-			})
+			}, float64(account.BurstTokens))
 		}
 	}
 }
@@ -427,13 +430,5 @@
 
 // mayUse tells whether an account may use a model.
 func mayUse(a loomcatalogue.ClientAccount, model string) bool {
-	if len(a.Models) == 0 {
-		return true
-	}
-	for _, m := range a.Models {
-		if m == model {
-			return true
-		}
-	}
-	return false
+	return len(a.Models) == 0 || slices.Contains(a.Models, model)
 }
--- a/loominstance/services.go
+++ b/loominstance/services.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"swiftloom/gen/services"
@@ -201,7 +202,7 @@
 	var near, far []string
 	byID := make(map[string]loommember.Member)
 	for _, b := range n.view.Load().Kind(loommember.KindService, group) {
-		if b.Status != loommember.Live || contains(tried, b.ID) {
+		if b.Status != loommember.Live || slices.Contains(tried, b.ID) {
 			continue
 		}
 		byID[b.ID] = b.Member
@@ -227,12 +228,3 @@
 	}
 	return byID[best], nil
 }
-
-func contains(all []string, s string) bool {
-	for _, one := range all {
-		if one == s {
-			return true
-		}
-	}
-	return false
-}
--- a/loominstance/status.go
+++ b/loominstance/status.go
@@ -129,7 +129,7 @@
 		Group:         b.Group,
 		FailureDomain: b.FailureDomain,
 		State:         b.Status.String(),
-		Reason:        b.Reason,
+		Reason:        b.Reason(),
 	}
 	if r, ok := n.fleet.Latest(b.ID); ok {
 		e := n.fleet.Estimate(now, b.ID, groupTokenTime(n.keeper.Snapshot(), b.Group))
--- a/loomlimit/allowance.go
+++ b/loomlimit/allowance.go
@@ -32,12 +32,13 @@
 	return &Allowance{bucket: NewBucket(now, 0, 0), askedAt: now}
 }
 
-// Lease takes in a grant that was asked for at askedAt.
-func (a *Allowance) Lease(now, askedAt time.Time, g Grant) {
+// Lease takes in a grant that was asked for at askedAt. At most burst is saved
+// up.
+func (a *Allowance) Lease(now, askedAt time.Time, g Grant, burst float64) {
 	a.rate = g.Rate
 	a.lease = g.Lease
 	a.until = askedAt.Add(g.For)
-	a.bucket.SetRate(now, g.Rate, g.Rate*burstTime.Seconds())
+	a.bucket.SetRate(now, g.Rate, math.Min(g.Rate*burstTime.Seconds(), burst))
 }
 
 // Valid reports whether the lease may be used at now.
--- a/loomlimit/ledger_test.go
+++ b/loomlimit/ledger_test.go
@@ -67,7 +67,7 @@
 			askedAt := now
 			g := l.Lend(now, budget, a.Wish(now, fmt.Sprint(i)))
 			if rapid.IntRange(0, 3).Draw(t, "lost") > 0 {
-				a.Lease(now, askedAt, g)
+				a.Lease(now, askedAt, g, budget)
 			}
 			sum := 0.0
 			for _, other := range allowances {
@@ -92,7 +92,7 @@
 
 func TestPausedHolderSpendsNothing(t *testing.T) {
 	a := loomlimit.NewAllowance(start)
-	a.Lease(start, start, loomlimit.Grant{Rate: 1000, Lease: 1, For: lease})
+	a.Lease(start, start, loomlimit.Grant{Rate: 1000, Lease: 1, For: lease}, budget)
 	_, ok := a.Spend(start.Add(lease/2), 10)
 	assert.Assert(t, ok)
 	_, ok = a.Spend(start.Add(lease), 10)
@@ -107,7 +107,7 @@
 	spent := 0.0
 	for ms := range 10_000 {
 		now := start.Add(time.Duration(ms) * time.Millisecond)
-		a.Lease(now, now, loomlimit.Grant{Rate: rate, Lease: 1, For: lease})
+		a.Lease(now, now, loomlimit.Grant{Rate: rate, Lease: 1, For: lease}, budget)
 		if _, ok := a.Spend(now, cost); ok {
 			spent += cost
 		}
--- a/loomload/client.go
+++ b/loomload/client.go
@@ -37,6 +37,7 @@
 	text        string
 	fingerprint string
 	tokens      int
+	cached      int
 	firstToken  time.Duration
 	fault       fault
 }
@@ -68,6 +69,7 @@
 	} `json:"choices"`
 	Usage *struct {
 		CompletionTokens int `json:"completion_tokens"`
+		CachedTokens     int `json:"cached_tokens"`
 	} `json:"usage"`
 	Error *fault `json:"error"`
 }
@@ -146,6 +148,7 @@
 		if f.Usage != nil {
 			r.whole = true
 			r.tokens = f.Usage.CompletionTokens
+			r.cached = f.Usage.CachedTokens
 		}
 	}
 	return r, errors.Annotate(scanner.Err(), "stream")
@@ -178,3 +181,21 @@
 	r.text = receipt.Job
 	return r, nil
 }
+
+type ticketBody struct {
+	Ticket string `json:"ticket"`
+}
+
+// ticket fetches an idempotency key that works while the platform is out.
+func (c *client) ticket(ctx context.Context, address, key string) (string, error) {
+	w, err := c.post(ctx, address, "/v1/tickets", key, "", nil)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = w.Body.Close() }()
+	if w.StatusCode != http.StatusOK {
+		return "", errors.Errorf("ticket: status %d", w.StatusCode)
+	}
+	var body ticketBody
+	return body.Ticket, errors.Trace(json.NewDecoder(w.Body).Decode(&body))
+}
--- a/loomload/mix.go
+++ b/loomload/mix.go
@@ -33,8 +33,10 @@
 	AnswerTokens int
 	// Accounts are those that send, with the weight of each.
 	Accounts []Account
-	Model    string
-	Service  string
+	// Tries bounds how often a request is sent; zero means the default.
+	Tries   int
+	Model   string
+	Service string
 }
 
 // Account is a sender of requests.
@@ -69,6 +71,8 @@
 	Job string
 	// Key is empty for calls without an idempotency key.
 	Key string
+	// Ticket tells that the key is a ticket, fetched before the call.
+	Ticket bool
 	// Twin tells that the same call is sent to a second instance at once.
 	Twin bool
 }
@@ -254,6 +258,7 @@
 	if p.random.IntN(2) == 0 {
 		c.Key = "key-" + c.Job
 		c.Twin = p.random.IntN(5) == 0
+		c.Ticket = p.random.IntN(3) == 0
 	}
 	p.add(Request{Account: p.mix.Accounts[p.account()], Call: c})
 }
--- a/loomload/run.go
+++ b/loomload/run.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	maxTries        = 6
+	defaultTries    = 6
 	retryPause      = 300 * time.Millisecond
 	requestPatience = 30 * time.Second
 	readyInterval   = 150 * time.Millisecond
@@ -168,12 +168,19 @@
 
 // AccountResult is what a run measured for one account.
 type AccountResult struct {
-	Account    string
-	Answered   int
-	Tokens     int64
+	Account  string
+	Answered int
+	// Spending lists what each answer cost, in order of its end.
+	Spending   []Spending
 	FirstToken *hdrhistogram.Histogram
 }
 
+// Spending is the cost of one answer, in tokens recomputed and generated.
+type Spending struct {
+	At     time.Duration
+	Tokens int
+}
+
 // Runner plays a plan.
 type Runner struct {
 	Mix      Mix
@@ -183,8 +190,9 @@
 	// Progress is called now and then with the number of ended requests.
 	Progress func(done, total int)
 
-	client *client
-	done   atomic.Int64
+	client  *client
+	done    atomic.Int64
+	started time.Time
 
 	mu       sync.Mutex
 	result   Result
@@ -210,6 +218,7 @@
 		}
 	}
 	started := time.Now()
+	r.started = started
 	var wait sync.WaitGroup
 	for _, request := range plan {
 		if !sleepUntil(ctx, started.Add(request.At)) {
@@ -253,6 +262,16 @@
 	r.mu.Lock()
 	r.jobs = append(r.jobs, q.Call.Job)
 	r.mu.Unlock()
+	if q.Call.Ticket {
+		ticket, ok := r.fetchTicket(ctx, q.Account.Key)
+		if !ok {
+			r.ended(q, reply{}, nil)
+			return
+		}
+		call := *q.Call
+		call.Key = ticket
+		q.Call = &call
+	}
 	if !q.Call.Twin {
 		r.playCall(ctx, q)
 		return
@@ -263,11 +282,33 @@
 	wait.Wait()
 }
 
+func (r *Runner) tries() int {
+	if r.Mix.Tries > 0 {
+		return r.Mix.Tries
+	}
+	return defaultTries
+}
+
+// fetchTicket asks instances in turn for a ticket.
+func (r *Runner) fetchTicket(ctx context.Context, key string) (string, bool) {
+	for range r.tries() {
+		if address, ok := r.Balancer.Pick(); ok {
+			if ticket, err := r.client.ticket(ctx, address, key); err == nil {
+				return ticket, true
+			}
+		}
+		if !sleepUntil(ctx, time.Now().Add(retryPause)) {
+			break
+		}
+	}
+	return "", false
+}
+
 // playPrompt sends a prompt, and again when it failed: a prompt may run twice.
 func (r *Runner) playPrompt(ctx context.Context, q Request) {
 	var last reply
 	var err error
-	for range maxTries {
+	for range r.tries() {
 		address, ok := r.Balancer.Pick()
 		if ok {
 			last, err = r.client.prompt(ctx, address, q.Account.Key, r.Mix.Model, q.Prompt)
@@ -303,7 +344,7 @@
 		r.accounts[q.Account.Name] = account
 	}
 	account.Answered++
-	account.Tokens += int64(q.Prompt.Tokens + a.tokens)
+	account.Spending = append(account.Spending, Spending{At: time.Since(r.started), Tokens: q.Prompt.Tokens - a.cached + a.tokens})
 	_ = account.FirstToken.RecordValue(a.firstToken.Microseconds())
 }
 
@@ -335,7 +376,7 @@
 func (r *Runner) playCall(ctx context.Context, q Request) {
 	var last reply
 	var err error
-	for range maxTries {
+	for range r.tries() {
 		address, ok := r.Balancer.Pick()
 		if ok {
 			last, err = r.client.call(ctx, address, q.Account.Key, r.Mix.Service, q.Call)
--- a/loommember/member.go
+++ b/loommember/member.go
@@ -2,6 +2,8 @@
 // platform's lagging list, direct evidence and leaving marks.
 package loommember
 
+import "time"
+
 // Member is one instance or upstream in one incarnation.
 type Member struct {
 	ID            string `json:"id"`
@@ -52,7 +54,7 @@
 }
 
 // Event is something that an instance has learnt about members. It is one of
-// Listed, Heard, Unanswered and Marked.
+// Listed, Changed, Heard, Unanswered, Rumour and Marked.
 type Event interface {
 	event()
 }
@@ -62,6 +64,12 @@
 	Members []Listing
 }
 
+// Changed is what is new in the platform's list.
+type Changed struct {
+	Members []Listing
+	Gone    []string
+}
+
 // Listing is one line of the platform's list.
 type Listing struct {
 	Member  Member
@@ -79,6 +87,15 @@
 	ID string
 }
 
+// Rumour is second-hand evidence: at some time a member was heard, or had left
+// calls unanswered since then.
+type Rumour struct {
+	ID          string
+	Incarnation uint64
+	Unanswered  bool
+	At          time.Time
+}
+
 // Marked says that a member leaves in some incarnation; a report, a refusal or
 // a peer told so.
 type Marked struct {
@@ -87,6 +104,8 @@
 }
 
 func (Listed) event()     {}
+func (Changed) event()    {}
+func (Rumour) event()     {}
 func (Heard) event()      {}
 func (Unanswered) event() {}
 func (Marked) event()     {}
--- a/loommember/tracker.go
+++ b/loommember/tracker.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -38,6 +37,10 @@
 
 	mu      sync.Mutex
 	records map[string]*record
+	// ids holds the keys of records in order.
+	ids []string
+	// news holds the rumours that are still to be passed on.
+	news map[string]*newsItem
 }
 
 type record struct {
@@ -53,9 +56,15 @@
 	failedSince time.Time
 }
 
+type newsItem struct {
+	rumour Rumour
+	// left counts the messages that are still to carry the rumour.
+	left int
+}
+
 // NewTracker returns a tracker that knows no members.
 func NewTracker(o Options) *Tracker {
-	return &Tracker{options: o, records: make(map[string]*record)}
+	return &Tracker{options: o, records: make(map[string]*record), news: make(map[string]*newsItem)}
 }
 
 // Apply takes in an event.
@@ -65,12 +74,14 @@
 	switch e := e.(type) {
 	case Listed:
 		t.listed(now, e)
+	case Changed:
+		t.changed(now, e)
 	case Heard:
 		t.heard(now, e)
 	case Unanswered:
-		if r, ok := t.records[e.ID]; ok && r.failedSince.IsZero() {
-			r.failedSince = now
-		}
+		t.unanswered(now, e)
+	case Rumour:
+		t.rumoured(now, e)
 	case Marked:
 		t.marked(now, e.ID, e.Incarnation)
 	}
@@ -80,30 +91,65 @@
 	named := make(map[string]bool, len(e.Members))
 	for _, l := range e.Members {
 		named[l.Member.ID] = true
-		r, ok := t.records[l.Member.ID]
-		if !ok {
-			r = &record{}
-			t.records[l.Member.ID] = r
-		}
-		r.take(now, l.Member)
-		r.listed = true
-		r.unlistedSince = time.Time{}
-		if l.Leaving {
-			t.marked(now, l.Member.ID, l.Member.Incarnation)
-		}
+		t.list(now, l)
 	}
-	for id, r := range t.records {
-		if named[id] {
-			continue
-		}
-		if r.listed {
-			r.listed = false
-			r.unlistedSince = now
+	for _, id := range t.ids {
+		if !named[id] {
+			t.unlist(now, id)
 		}
-		if now.Sub(r.unlistedSince) > t.options.ForgetAfter {
+	}
+	t.forget(now)
+}
+
+func (t *Tracker) changed(now time.Time, e Changed) {
+	for _, l := range e.Members {
+		t.list(now, l)
+	}
+	for _, id := range e.Gone {
+		t.unlist(now, id)
+	}
+	t.forget(now)
+}
+
+func (t *Tracker) list(now time.Time, l Listing) {
+	r := t.record(now, l.Member.ID)
+	r.take(now, l.Member)
+	r.listed = true
+	r.unlistedSince = time.Time{}
+	if l.Leaving {
+		t.marked(now, l.Member.ID, l.Member.Incarnation)
+	}
+}
+
+func (t *Tracker) unlist(now time.Time, id string) {
+	if r, ok := t.records[id]; ok && r.listed {
+		r.listed = false
+		r.unlistedSince = now
+	}
+}
+
+func (t *Tracker) forget(now time.Time) {
+	t.ids = slices.DeleteFunc(t.ids, func(id string) bool {
+		r := t.records[id]
+		old := !r.listed && now.Sub(r.unlistedSince) > t.options.ForgetAfter
+		if old {
 			delete(t.records, id)
+			delete(t.news, id)
 		}
+		return old
+	})
+}
+
+// record returns the record of a member, which is made when there is none.
+func (t *Tracker) record(now time.Time, id string) *record {
+	r, ok := t.records[id]
+	if !ok {
+		r = &record{member: Member{ID: id}, unlistedSince: now}
+		t.records[id] = r
+		at, _ := slices.BinarySearch(t.ids, id)
+		t.ids = slices.Insert(t.ids, at, id)
 	}
+	return r
 }
 
 // take replaces the member by a later incarnation; an earlier one is ignored.
@@ -123,17 +169,97 @@
 	if !ok || e.Incarnation < r.member.Incarnation {
 		return
 	}
+	if !r.failedSince.IsZero() {
+		t.spread(Rumour{ID: e.ID, Incarnation: e.Incarnation, At: now})
+	}
 	r.member.Incarnation = e.Incarnation
 	r.heardAt = now
 	r.failedSince = time.Time{}
 }
 
-func (t *Tracker) marked(now time.Time, id string, incarnation uint64) {
-	r, ok := t.records[id]
-	if !ok {
-		r = &record{member: Member{ID: id}, unlistedSince: now}
-		t.records[id] = r
+func (t *Tracker) unanswered(now time.Time, e Unanswered) {
+	r, ok := t.records[e.ID]
+	if ok && r.failedSince.IsZero() {
+		r.failedSince = now
 	}
+}
+
+// rumoured takes in second-hand evidence when it is newer than what is known,
+// and passes it on.
+func (t *Tracker) rumoured(now time.Time, e Rumour) {
+	r, ok := t.records[e.ID]
+	if !ok || e.Incarnation < r.member.Incarnation || e.At.After(now) {
+		return
+	}
+	if e.Unanswered {
+		if e.At.After(r.heardAt) && r.failedSince.IsZero() {
+			r.failedSince = e.At
+			t.spread(e)
+		}
+		return
+	}
+	if r.failedSince.IsZero() || !e.At.After(r.failedSince) {
+		return
+	}
+	r.failedSince = time.Time{}
+	r.heardAt = e.At
+	t.spread(e)
+}
+
+const (
+	// newsRepeats is how many messages carry a rumour: enough to reach all of
+	// some hundreds of members that each tell two others.
+	newsRepeats = 16
+	// maxNews bounds the rumours of one message.
+	maxNews = 16
+)
+
+func (t *Tracker) spread(r Rumour) {
+	t.news[r.ID] = &newsItem{rumour: r, left: newsRepeats}
+}
+
+// News returns the rumours for the next message, the freshest first. Members
+// that have become suspect here become a rumour by themselves.
+func (t *Tracker) News(now time.Time) []Rumour {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.spreadSuspicions(now)
+	var items []*newsItem
+	for _, item := range t.news {
+		items = append(items, item)
+	}
+	slices.SortFunc(items, func(a, b *newsItem) int {
+		return cmp.Or(cmp.Compare(b.left, a.left), cmp.Compare(a.rumour.ID, b.rumour.ID))
+	})
+	var news []Rumour
+	for _, item := range items[:min(len(items), maxNews)] {
+		news = append(news, item.rumour)
+		if item.left--; item.left <= 0 {
+			delete(t.news, item.rumour.ID)
+		}
+	}
+	return news
+}
+
+func (t *Tracker) spreadSuspicions(now time.Time) {
+	for _, id := range t.ids {
+		r := t.records[id]
+		if r.member.Kind != KindInstance || r.failedSince.IsZero() {
+			continue
+		}
+		age := now.Sub(r.failedSince)
+		if age < t.options.SuspectAfter || age > t.options.DeadAfter {
+			continue
+		}
+		if item, ok := t.news[id]; ok && item.rumour.Unanswered {
+			continue
+		}
+		t.spread(Rumour{ID: id, Incarnation: r.member.Incarnation, Unanswered: true, At: r.failedSince})
+	}
+}
+
+func (t *Tracker) marked(now time.Time, id string, incarnation uint64) {
+	r := t.record(now, id)
 	r.leavingIncarnation = max(r.leavingIncarnation, incarnation)
 }
 
@@ -176,12 +302,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var marks []Marked
-	for id, r := range t.records {
-		if t.status(now, r) == Leaving {
+	for _, id := range t.ids {
+		if r := t.records[id]; r.leavingIncarnation > 0 && t.status(now, r) == Leaving {
 			marks = append(marks, Marked{ID: id, Incarnation: r.leavingIncarnation})
 		}
 	}
-	slices.SortFunc(marks, func(a, b Marked) int { return cmp.Compare(a.ID, b.ID) })
 	return marks
 }
 
@@ -201,27 +326,26 @@
 func (t *Tracker) View(now time.Time) View {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	v := View{at: now}
-	for _, id := range slices.Sorted(maps.Keys(t.records)) {
+	v := View{at: now, entries: make([]Believed, 0, len(t.ids))}
+	for _, id := range t.ids {
 		r := t.records[id]
 		s := t.status(now, r)
 		if s == Dead {
 			continue
 		}
-		v.entries = append(v.entries, Believed{Member: r.member, Status: s, Reason: t.reason(now, r, s)})
+		v.entries = append(v.entries, Believed{Member: r.member, Status: s, reason: reason{
+			unanswered: since(now, r.failedSince),
+			unheard:    since(now, r.heardAt),
+			listed:     r.listed,
+		}})
 	}
 	return v
 }
 
-func (t *Tracker) reason(now time.Time, r *record, s Status) string {
-	switch {
-	case s == Leaving:
-		return "leaving mark for this incarnation"
-	case s == Suspect:
-		return "no answer for " + now.Sub(r.failedSince).Round(time.Millisecond).String()
-	case !r.listed:
-		return "not listed, but heard " + now.Sub(r.heardAt).Round(time.Millisecond).String() + " ago"
-	default:
-		return "listed"
+// since returns the time since t, or zero when t is not set.
+func since(now, t time.Time) time.Duration {
+	if t.IsZero() {
+		return 0
 	}
+	return now.Sub(t)
 }
--- a/loommember/view.go
+++ b/loommember/view.go
@@ -1,12 +1,37 @@
 package loommember
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // Believed is a member with its state and the reason for it.
 type Believed struct {
 	Member
-	Status Status `json:"-"`
-	Reason string `json:"reason"`
+	Status Status
+	reason reason
+}
+
+// reason holds what a state was decided from.
+type reason struct {
+	unanswered time.Duration
+	unheard    time.Duration
+	listed     bool
+}
+
+// Reason tells a person why the member has its state.
+func (b Believed) Reason() string {
+	switch {
+	case b.Status == Leaving:
+		return "leaving mark for this incarnation"
+	case b.Status == Suspect:
+		return "no answer for " + b.reason.unanswered.Round(time.Millisecond).String()
+	case !b.reason.listed:
+		return "not listed, but heard " + b.reason.unheard.Round(time.Millisecond).String() + " ago"
+	default:
+		return "listed"
+	}
 }
 
 // View is what an instance believes of all members at one moment. It is
@@ -52,10 +77,9 @@
 
 // Find returns the entry of a member.
 func (v View) Find(id string) (Believed, bool) {
-	for _, b := range v.entries {
-		if b.ID == id {
-			return b, true
-		}
+	i, ok := slices.BinarySearchFunc(v.entries, id, func(b Believed, id string) int { return cmp.Compare(b.ID, id) })
+	if !ok {
+		return Believed{}, false
 	}
-	return Believed{}, false
+	return v.entries[i], true
 }
--- a/loomroute/fleet.go
+++ b/loomroute/fleet.go
@@ -1,6 +1,7 @@
 package loomroute
 
 import (
+	"cmp"
 	"hash/maphash"
 	"slices"
 	"sync"
@@ -51,8 +52,10 @@
 	// sent holds what this instance has sent and not seen answered.
 	sent map[uint64]sentWork
 	next uint64
-	// failures counts calls without an answer since the last good one.
+	// failures counts attempts that broke since the last good one.
 	failures int
+	// ejectedUntil is when an outlier gets work again.
+	ejectedUntil time.Time
 }
 
 type sentWork struct {
@@ -96,7 +99,6 @@
 	l := s.load(id)
 	l.report = r
 	l.reportedAt = now
-	l.failures = 0
 }
 
 // Latest returns the latest report of an upstream.
@@ -143,6 +145,63 @@
 	delete(s.load(t.upstream).sent, t.number)
 }
 
+const (
+	// ejectAfter is the number of attempts in a row that break before an
+	// upstream is ejected, and ejectTime for how long.
+	ejectAfter = 5
+	ejectTime  = 3 * time.Second
+	// ejectPart bounds the ejected upstreams to one in so many.
+	ejectPart = 3
+)
+
+// Broke notes that an attempt at an upstream broke.
+func (f *Fleet) Broke(now time.Time, id string) {
+	s := f.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.load(id)
+	l.failures++
+	if l.failures >= ejectAfter {
+		l.failures = 0
+		l.ejectedUntil = now.Add(ejectTime)
+	}
+}
+
+// Worked notes that an attempt at an upstream ended well.
+func (f *Fleet) Worked(id string) {
+	s := f.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.load(id).failures = 0
+}
+
+// Ejected returns which of the upstreams of a group are outliers, at most a
+// third of them: those that were ejected last stay in.
+func (f *Fleet) Ejected(now time.Time, ids []string) []string {
+	var out []ejected
+	for _, id := range ids {
+		s := f.shard(id)
+		s.mu.Lock()
+		if l, ok := s.loads[id]; ok && now.Before(l.ejectedUntil) {
+			out = append(out, ejected{id: id, until: l.ejectedUntil})
+		}
+		s.mu.Unlock()
+	}
+	slices.SortFunc(out, func(a, b ejected) int {
+		return cmp.Or(a.until.Compare(b.until), cmp.Compare(a.id, b.id))
+	})
+	var names []string
+	for _, e := range out[:min(len(out), len(ids)/ejectPart)] {
+		names = append(names, e.id)
+	}
+	return names
+}
+
+type ejected struct {
+	id    string
+	until time.Time
+}
+
 // Forget drops upstreams that are no longer wanted.
 func (f *Fleet) Forget(keep []string) {
 	for i := range f.shards {
--- a/loomroute/policy_test.go
+++ b/loomroute/policy_test.go
@@ -162,6 +162,26 @@
 	assert.Equal(t, f.Estimate(start, "e", tokenTime).Outstanding, 1)
 }
 
+func TestEjectionIsBounded(t *testing.T) {
+	f := loomroute.NewFleet()
+	ids := []string{"a", "b", "c", "d", "e", "f"}
+	assert.Equal(t, len(f.Ejected(start, ids)), 0)
+	for i, id := range ids {
+		for range 5 {
+			f.Broke(start.Add(time.Duration(i)*time.Millisecond), id)
+		}
+	}
+	now := start.Add(time.Second)
+	assert.DeepEqual(t, f.Ejected(now, ids), []string{"a", "b"})
+	assert.Equal(t, len(f.Ejected(now.Add(time.Hour), ids)), 0)
+	f.Broke(now.Add(time.Hour), "a")
+	f.Worked("a")
+	for range 4 {
+		f.Broke(now.Add(time.Hour), "a")
+	}
+	assert.Equal(t, len(f.Ejected(now.Add(time.Hour), ids)), 0, "five in a row are needed")
+}
+
 // BenchmarkRoute measures one decision of an instance: the estimate of each
 // engine that it talks to and the choice. An instance talks to at most 24
 // engines, whatever the size of the fleet; the others only add to its table.
--- a/loomstandin/directory.go
+++ b/loomstandin/directory.go
@@ -45,16 +45,28 @@
 	return a.GetIncarnation() == b.GetIncarnation() && a.GetLiveness() == b.GetLiveness() && a.GetAddress() == b.GetAddress()
 }
 
-func (d *directory) list(now time.Time) *loompb.MembersReply {
+// list returns what changed in the list after a revision, which is a time in
+// milliseconds; zero asks for the whole list.
+func (d *directory) list(now time.Time, after uint64) *loompb.MembersReply {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	then := now.Add(-d.lag)
+	before := time.UnixMilli(int64(after))
 	var reply loompb.MembersReply
-	for _, spans := range d.sightings {
-		if m := seenAt(spans, then); m != nil {
+	for id, spans := range d.sightings {
+		m := seenAt(spans, then)
+		var old *loompb.Member
+		if after > 0 {
+			old = seenAt(spans, before)
+		}
+		switch {
+		case m == nil && old != nil:
+			reply.Gone = append(reply.Gone, id)
+		case m != nil && (old == nil || !sameMember(m, old)):
 			reply.Members = append(reply.Members, m)
 		}
 	}
+	slices.Sort(reply.GetGone())
 	slices.SortFunc(reply.GetMembers(), func(a, b *loompb.Member) int { return cmp.Compare(a.GetId(), b.GetId()) })
 	reply.Revision = uint64(then.UnixMilli())
 	return &reply
--- a/loomstandin/platform.go
+++ b/loomstandin/platform.go
@@ -231,11 +231,11 @@
 }
 
 // Members implements the platform's list of members.
-func (p *Platform) Members(ctx context.Context, _ *loompb.MembersRequest) (*loompb.MembersReply, error) {
+func (p *Platform) Members(ctx context.Context, r *loompb.MembersRequest) (*loompb.MembersReply, error) {
 	if err := p.admit(ctx, p.reads); err != nil {
 		return nil, err
 	}
-	return p.members.list(time.Now()), nil
+	return p.members.list(time.Now(), r.GetAfter()), nil
 }
 
 // FetchWeights implements the weight store. It answers when the weights have
--- a/loomtrial/faults.go
+++ b/loomtrial/faults.go
@@ -74,6 +74,7 @@
 	registerFault("version_swap", swapVersion)
 	registerFault("operator_race", raceOperators)
 	registerFault("domain_cut", cutDomain)
+	registerFault("platform_link_cut", cutPlatformLink)
 }
 
 // inject starts each fault at a time drawn from the seed. The returned
@@ -186,6 +187,11 @@
 	}
 }
 
+// setOutage begins an outage of the platform, or with -1 ends one.
+func (t *Trial) setOutage(sign int) {
+	t.platform.AddFaults(loomstandin.PlatformFaults{Outage: true}, sign)
+}
+
 func restartStore(ctx context.Context, t *Trial, random *rand.Rand) {
 	s := t.stores[random.IntN(len(t.stores))]
 	s.Kill()
@@ -266,6 +272,13 @@
 	}
 }
 
+func cutPlatformLink(ctx context.Context, t *Trial, random *rand.Rand) {
+	domain := t.domain(random.IntN(len(t.site.FailureDomains)))
+	t.network.setUnlinked(domain, true)
+	pause(ctx, faultTime)
+	t.network.setUnlinked(domain, false)
+}
+
 func cutDomain(ctx context.Context, t *Trial, random *rand.Rand) {
 	domain := t.domain(random.IntN(len(t.site.FailureDomains)))
 	t.network.setCut(domain, true)
--- a/loomtrial/report.go
+++ b/loomtrial/report.go
@@ -34,13 +34,15 @@
 	PlatformReads    uint64   `json:"platform_reads"`
 	PlatformWrites   uint64   `json:"platform_writes"`
 
-	CatalogueSecondsP99 float64      `json:"catalogue_seconds_p99"`
-	CatalogueReverts    int          `json:"catalogue_reverts"`
-	StaleOrders         int          `json:"stale_orders"`
-	MostLoading         int          `json:"most_loading"`
-	ErrorKinds          []KindReport `json:"error_kinds,omitempty"`
-	Notes               []string     `json:"notes,omitempty"`
-	Fairness            *FairReport  `json:"fairness,omitempty"`
+	CatalogueSecondsP99 float64         `json:"catalogue_seconds_p99"`
+	CatalogueReverts    int             `json:"catalogue_reverts"`
+	StaleOrders         int             `json:"stale_orders"`
+	MostLoading         int             `json:"most_loading"`
+	ErrorKinds          []KindReport    `json:"error_kinds,omitempty"`
+	Notes               []string        `json:"notes,omitempty"`
+	Fairness            *FairReport     `json:"fairness,omitempty"`
+	Idle                *IdleReport     `json:"idle,omitempty"`
+	Overhead            *OverheadReport `json:"overhead,omitempty"`
 }
 
 // KindReport counts the final errors of one kind.
@@ -128,6 +130,11 @@
 
 // Play plays the load of the site at a running trial, with faults.
 func (t *Trial) Play(ctx context.Context, o PlayOptions) Report {
+	r, _ := t.play(ctx, o)
+	return r
+}
+
+func (t *Trial) play(ctx context.Context, o PlayOptions) (Report, loomload.Result) {
 	mix := t.site.Mix
 	mix.Seed = t.seed
 	if o.Requests > 0 {
@@ -139,11 +146,14 @@
 	stopFaults := t.inject(ctx, o.Faults, expectedTime(mix))
 	result := runner.Run(ctx)
 	stopFaults()
+	if o.Before != nil {
+		o.Before()
+	}
 	r := Report{Site: t.site.Name, Policy: t.policy, Seed: t.seed, Faults: o.Faults, Scenario: o.Scenario}
 	r.take(result)
 	m.fill(&r)
 	w.stop(&r)
-	return r
+	return r, result
 }
 
 // PlayOptions says how to play a load.
@@ -153,19 +163,27 @@
 	Faults   []string
 	Scenario string
 	Progress func(done, total int)
+	// Before is called after the load and before the report, if it is set.
+	Before func()
 }
 
 func expectedTime(m loomload.Mix) time.Duration {
 	return time.Duration(float64(m.Requests) / m.RequestsPerSecond * float64(time.Second))
 }
 
-// FairReport is what the scenario of a greedy account measured.
+// FairReport is what the scenario of a greedy account measured. Rates are in
+// tokens a second, recomputed and generated.
 type FairReport struct {
-	GreedyAccount       string  `json:"greedy_account"`
-	LimitTokens         float64 `json:"limit_tokens_per_second"`
-	GreedyTokens        float64 `json:"greedy_tokens_per_second"`
-	WorstTenSeconds     float64 `json:"worst_ten_seconds_share_of_limit"`
-	OthersP95Alone      float64 `json:"others_ttft_ms_p95_without_greedy"`
-	OthersP95WithGreedy float64 `json:"others_ttft_ms_p95_with_greedy"`
-	OthersP95Ratio      float64 `json:"others_ttft_p95_ratio"`
+	GreedyAccount   string  `json:"greedy_account"`
+	LimitTokens     float64 `json:"limit_tokens_per_second"`
+	AskedTokens     float64 `json:"asked_tokens_per_second"`
+	GreedyTokens    float64 `json:"greedy_tokens_per_second"`
+	WorstTenSeconds float64 `json:"worst_ten_seconds_share_of_limit"`
+
+	OthersP95Alone              float64 `json:"others_ttft_ms_p95_without_greedy"`
+	OthersP95WithGreedy         float64 `json:"others_ttft_ms_p95_with_greedy"`
+	OthersP95Ratio              float64 `json:"others_ttft_p95_ratio"`
+	OthersP95WithoutLimits      float64 `json:"others_ttft_ms_p95_without_limits"`
+	OthersP95RatioWithoutLimits float64 `json:"others_ttft_p95_ratio_without_limits"`
+	UnlimitedGreedyTokens       float64 `json:"greedy_tokens_per_second_without_limits"`
 }
--- a/loomtrial/run.go
+++ b/loomtrial/run.go
@@ -15,19 +15,47 @@
 	Policy   string
 	Seed     uint64
 	Requests int
-	Faults   []string
-	Scenario string
-	Log      *slog.Logger
-	Progress func(done, total int)
+	// Instances replaces the number of instances of the site when it is above
+	// zero.
+	Instances int
+	Faults    []string
+	Scenario  string
+	Log       *slog.Logger
+	Progress  func(done, total int)
 }
 
 // Scenarios returns the names of the scenarios in order.
 func Scenarios() []string {
-	return []string{"greedy_account", "partition"}
+	return []string{scenarioGreedy, scenarioIdle, scenarioOverhead, scenarioPartition}
 }
 
-// Run starts a site, plays its load and stops it.
+const (
+	scenarioGreedy    = "greedy_account"
+	scenarioIdle      = "idle"
+	scenarioOverhead  = "overhead"
+	scenarioPartition = "partition"
+)
+
+// Run starts a site, plays its load or a scenario and stops it.
 func Run(ctx context.Context, o Options) (Report, error) {
+	switch o.Scenario {
+	case scenarioGreedy:
+		return runGreedy(ctx, o)
+	case scenarioPartition:
+		return runPartition(ctx, o)
+	case scenarioIdle:
+		return runIdle(ctx, o)
+	case scenarioOverhead:
+		return runOverhead(ctx, o)
+	default:
+		return runPlain(ctx, o)
+	}
+}
+
+func runPlain(ctx context.Context, o Options) (Report, error) {
+	if o.Instances > 0 {
+		o.Site.Instances = o.Instances
+	}
 	t, err := Start(ctx, o.Site, o.Policy, o.Seed, o.Log)
 	if err != nil {
 		return Report{}, err
--- a/loomtrial/site.go
+++ b/loomtrial/site.go
@@ -42,6 +42,10 @@
 	StoreDisk       int64
 	LinkRate        int64
 	Mix             loomload.Mix
+	// AccountLimit is the limit of each account in tokens a second, and
+	// EqualShares gives all accounts the same weight in the fair queue.
+	AccountLimit int
+	EqualShares  bool
 }
 
 const (
@@ -144,6 +148,7 @@
 	if !ok {
 		return Site{}, errors.NotFoundf("site %q (have %v)", name, Sites())
 	}
+	s.AccountLimit = maxRateTokens
 	s.Mix.Accounts = s.accounts()
 	s.Mix.Model = s.Model
 	s.Mix.Service = s.ServiceGroup
@@ -203,12 +208,16 @@
 		s.modelEntry(s.OtherGroup, header(s.OtherModel, "silver")),
 	}
 	for _, a := range s.accounts() {
+		share := int(a.Weight)
+		if s.EqualShares {
+			share = 1
+		}
 		entries = append(entries, loomcatalogue.ClientAccount{
 			Header:          header(a.Name, "silver"),
 			KeySHA256:       []string{keyDigest(a.Key)},
-			Share:           int(a.Weight),
-			TokensPerSecond: maxRateTokens,
-			BurstTokens:     maxRateTokens,
+			Share:           share,
+			TokensPerSecond: s.AccountLimit,
+			BurstTokens:     s.AccountLimit,
 			MaxQueued:       500,
 		})
 	}
--- a/loomtrial/trial.go
+++ b/loomtrial/trial.go
@@ -15,6 +15,7 @@
 	"swiftloom/loomcatalogue"
 	"swiftloom/loominstance"
 	"swiftloom/loomload"
+	"swiftloom/loommember"
 	"swiftloom/loompb"
 	"swiftloom/loomplatform"
 	"swiftloom/loomsettings"
@@ -89,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	t.network.place(t.platform.Address(), platformDomain)
+	t.network.place(t.platform.Address(), platformDomain, platformDomain)
 	if err := t.applyCatalogue(ctx); err != nil {
 		return err
 	}
@@ -219,7 +220,7 @@
 		return err
 	}
 	t.stores = append(t.stores, store)
-	t.network.place(store.Member().GetAddress(), domain)
+	t.network.place(store.Member().GetAddress(), domain, loommember.KindStore)
 	t.background.Go(func() { store.Announce(ctx, platform) })
 	return nil
 }
@@ -245,7 +246,7 @@
 		return err
 	}
 	t.engines = append(t.engines, engine)
-	t.network.place(engine.Member().GetAddress(), domain)
+	t.network.place(engine.Member().GetAddress(), domain, loommember.KindEngine)
 	t.background.Go(func() { engine.Announce(ctx, platform) })
 	return nil
 }
@@ -261,7 +262,7 @@
 		return err
 	}
 	t.services = append(t.services, service)
-	t.network.place(service.Member().GetAddress(), domain)
+	t.network.place(service.Member().GetAddress(), domain, loommember.KindService)
 	t.background.Go(func() { service.Announce(ctx, platform) })
 	return nil
 }
@@ -281,7 +282,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	t.network.place(peerListener.Addr().String(), domain)
+	t.network.place(peerListener.Addr().String(), domain, loommember.KindInstance)
 	p := t.network.node(domain)
 	instance, err := loominstance.New(t.settings(number, domain), loominstance.Options{
 		Log:          t.log,
--- a/loomtrial/watch.go
+++ b/loomtrial/watch.go
@@ -54,8 +54,9 @@
 }
 
 // look compares each instance with what it had before. The time to take a
-// revision in counts from when the platform accepted it. What a newborn
-// instance takes in first is not counted.
+// revision in counts from when the platform accepted it, or from the end of a
+// cut of the whole failure domain. What a newborn instance takes in first is
+// not counted.
 func (w *watcher) look(now time.Time) {
 	for _, r := range w.trial.running() {
 		id := r.instance.ID()
@@ -70,7 +71,11 @@
 			continue
 		}
 		for v := before + 1; v <= revision; v++ {
-			_ = w.spread.RecordValue(now.Sub(w.trial.acceptedAt(v, now)).Milliseconds())
+			from := w.trial.acceptedAt(v, now)
+			if healed := w.trial.network.lastHealed(r.node.domain); healed.After(from) {
+				from = healed
+			}
+			_ = w.spread.RecordValue(now.Sub(from).Milliseconds())
 		}
 	}
 }
