--- a/cmd/swiftloom/try.go
+++ b/cmd/swiftloom/try.go
@@ -37,41 +37,14 @@
 }
 
 func try(ctx context.Context, c *cli.Command) error {
-	if len(c.StringSlice("fault")) == 1 && c.StringSlice("fault")[0] == "list" {
+	if slices.Equal(c.StringSlice("fault"), []string{"list"}) {
 		fmt.Println(strings.Join(loomtrial.Faults(), "\n"))
 		return nil
 	}
-	site, err := loomtrial.SiteByName(c.String("site"))
-	if err != nil {
-		return usagef("--site: %s", err)
-	}
-	faults, err := loomtrial.ExpandFaults(c.StringSlice("fault"))
-	if err != nil {
-		return usagef("--fault: %s", err)
-	}
-	if _, err := loomroute.PolicyByName(c.String("policy")); err != nil {
-		return usagef("--policy: %s", err)
-	}
-	if name := c.String("scenario"); name != "" && !slices.Contains(loomtrial.Scenarios(), name) {
-		return usagef("--scenario: unknown scenario %q (have %v)", name, loomtrial.Scenarios())
-	}
-	if c.Int("requests") < 0 || c.Int("instances") < 0 {
-		return usagef("--requests and --instances must not be negative")
-	}
-	log, err := newLog(c.String("log-level"))
+	o, err := tryOptions(c)
 	if err != nil {
 		return err
 	}
-	o := loomtrial.Options{
-		Site:      site,
-		Policy:    c.String("policy"),
-		Seed:      c.Uint64("seed"),
-		Requests:  c.Int("requests"),
-		Instances: c.Int("instances"),
-		Faults:    faults,
-		Scenario:  c.String("scenario"),
-		Log:       log,
-	}
 	switch {
 	case c.Bool("hold"):
 		return hold(ctx, o)
@@ -94,6 +67,35 @@
 	return broken(report)
 }
 
+// tryOptions checks the flags.
+func tryOptions(c *cli.Command) (loomtrial.Options, error) {
+	o := loomtrial.Options{
+		Policy:    c.String("policy"),
+		Seed:      c.Uint64("seed"),
+		Requests:  c.Int("requests"),
+		Instances: c.Int("instances"),
+		Scenario:  c.String("scenario"),
+	}
+	var err error
+	if o.Site, err = loomtrial.SiteByName(c.String("site")); err != nil {
+		return o, usagef("--site: %s", err)
+	}
+	if o.Faults, err = loomtrial.ExpandFaults(c.StringSlice("fault")); err != nil {
+		return o, usagef("--fault: %s", err)
+	}
+	if _, err := loomroute.PolicyByName(o.Policy); err != nil {
+		return o, usagef("--policy: %s", err)
+	}
+	if o.Scenario != "" && !slices.Contains(loomtrial.Scenarios(), o.Scenario) {
+		return o, usagef("--scenario: unknown scenario %q (have %v)", o.Scenario, loomtrial.Scenarios())
+	}
+	if o.Requests < 0 || o.Instances < 0 {
+		return o, usagef("--requests and --instances must not be negative")
+	}
+	o.Log, err = newLog(c.String("log-level"))
+	return o, err
+}
+
 func broken(reports ...loomtrial.Report) error {
 	for _, r := range reports {
 		if r.Broken() {
--- a/loomcache/index_test.go
+++ b/loomcache/index_test.go
@@ -78,9 +78,9 @@
 	return x.Observe(now, loomcache.Observation{Salt: salt, Keys: keys, Engine: engine, Incarnation: 1})
 }
 
-func seal(x *loomcache.Index, now time.Time, salt loomcache.Salt, keys []loomcache.Key, store string, generation uint64) {
+func seal(x *loomcache.Index, now time.Time, salt loomcache.Salt, keys []loomcache.Key, generation uint64) {
 	for _, k := range keys {
-		x.Sealed(now, keys[0], k, salt, loomcache.Stored{Store: store, Incarnation: 1, Generation: generation, Length: 100})
+		x.Sealed(now, keys[0], k, salt, loomcache.Stored{Store: "s1", Incarnation: 1, Generation: generation, Length: 100})
 	}
 }
 
@@ -92,7 +92,7 @@
 	assert.Equal(t, len(exports), 1)
 	assert.Equal(t, len(exports[0].Keys), 3)
 	assert.Equal(t, len(observe(x, start, salt, keys[:3], "e2")), 0, "an export under way is not asked for twice")
-	seal(x, start, salt, keys[:2], "s1", 1)
+	seal(x, start, salt, keys[:2], 1)
 	found := x.Lookup(start, "a", keys)
 	assert.Equal(t, len(found.Stored), 2)
 	assert.Equal(t, len(found.Holders), 2)
@@ -105,7 +105,7 @@
 	x := loomcache.NewIndex()
 	salt := saltFor("a", 1)
 	keys := loomcache.Chain(salt, tokens(1, 4))
-	seal(x, start, salt, keys, "s1", 1)
+	seal(x, start, salt, keys, 1)
 	x.Freed(keys[0], keys[1], "s1", 2)
 	assert.Equal(t, len(x.Lookup(start, "a", keys).Stored), 4, "a freed block of another generation changes nothing")
 	x.Freed(keys[0], keys[1], "s1", 1)
@@ -116,7 +116,7 @@
 	x := loomcache.NewIndex()
 	salt := saltFor("a", 1)
 	keys := loomcache.Chain(salt, tokens(1, 4))
-	seal(x, start, salt, keys, "s1", 1)
+	seal(x, start, salt, keys, 1)
 	x.StoreLost("s2", 0)
 	assert.Equal(t, x.Size().Stored, 4)
 	x.StoreLost("s1", 2)
@@ -128,7 +128,7 @@
 	x := loomcache.NewIndex()
 	salt := saltFor("a", 1)
 	keys := loomcache.Chain(salt, tokens(1, 2))
-	seal(x, start, salt, keys, "s1", 9)
+	seal(x, start, salt, keys, 9)
 	assert.Equal(t, len(x.Failed("b", keys)), 0)
 	drops := x.Failed("a", keys)
 	assert.Equal(t, len(drops), 1)
@@ -149,7 +149,7 @@
 		for _, account := range []string{"comes-back", "never"} {
 			keys := keysOf(account, i)
 			observe(x, now, saltFor(account, 1), keys, "e1")
-			seal(x, now, saltFor(account, 1), keys, "s1", 1)
+			seal(x, now, saltFor(account, 1), keys, 1)
 		}
 	}
 	now = now.Add(time.Hour)
@@ -171,8 +171,8 @@
 	salt := saltFor("a", 1)
 	pinned := loomcache.Chain(salt, tokens(1, 1))
 	other := loomcache.Chain(salt, tokens(999_999, 1))
-	seal(x, start, salt, pinned, "s1", 1)
-	seal(x, start.Add(time.Minute), salt, other, "s1", 1)
+	seal(x, start, salt, pinned, 1)
+	seal(x, start.Add(time.Minute), salt, other, 1)
 	x.Pin(pinned[0], start.Add(time.Hour))
 	drops := x.Trim(start.Add(2*time.Minute), "s1", 1, nil)
 	assert.DeepEqual(t, drops[0].Keys, other)
@@ -183,7 +183,7 @@
 	for i := range 10 {
 		for _, account := range []string{"greedy", "modest"} {
 			keys := loomcache.Chain(saltFor(account, 1), tokens(uint32(i*100_000), 1))
-			seal(x, start, saltFor(account, 1), keys, "s1", 1)
+			seal(x, start, saltFor(account, 1), keys, 1)
 		}
 	}
 	drops := x.OverBudget(start, "s1", []loomcache.Budget{{ClientAccount: "greedy", Bytes: 400}, {ClientAccount: "modest", Bytes: 2000}})
@@ -196,7 +196,7 @@
 	x := loomcache.NewIndex()
 	for version := uint64(1); version <= 3; version++ {
 		salt := saltFor("a", version)
-		seal(x, start, salt, loomcache.Chain(salt, tokens(1, 2)), "s1", version)
+		seal(x, start, salt, loomcache.Chain(salt, tokens(1, 2)), version)
 	}
 	drops := x.Retire("m", func(v uint64) bool { return v >= 3 })
 	assert.Equal(t, len(drops), 1)
@@ -257,7 +257,7 @@
 			chains := make([][]loomcache.Key, n)
 			for i := range chains {
 				chains[i] = loomcache.Chain(salt, tokens(uint32(i*blocks*loomcache.BlockTokens), blocks))
-				seal(x, start, salt, chains[i], "s1", 1)
+				seal(x, start, salt, chains[i], 1)
 			}
 			b.ReportAllocs()
 			b.ResetTimer()
@@ -292,7 +292,7 @@
 				for i := range prompts {
 					for _, segment := range loomcache.Segments(loomcache.Chain(salt, tokens(uint32(i*blocks*loomcache.BlockTokens), blocks))) {
 						observe(x, start, salt, segment, "e1")
-						seal(x, start, salt, segment, "s1", 1)
+						seal(x, start, salt, segment, 1)
 					}
 				}
 				runtime.GC()
--- a/loominstance/api_test.go
+++ b/loominstance/api_test.go
@@ -52,7 +52,7 @@
 	NotRun    any    `json:"not_run"`
 }
 
-func post(t *testing.T, url, key, body string, headers ...string) (*http.Response, []byte) {
+func post(t *testing.T, url, key, body string, headers ...string) (answer, []byte) {
 	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, strings.NewReader(body))
 	assert.NilError(t, err)
 	r.Header.Set("Content-Type", "application/json")
@@ -64,10 +64,16 @@
 	}
 	w, err := http.DefaultClient.Do(r)
 	assert.NilError(t, err)
-	defer w.Body.Close()
 	data, err := io.ReadAll(w.Body)
 	assert.NilError(t, err)
-	return w, data
+	assert.NilError(t, w.Body.Close())
+	return answer{StatusCode: w.StatusCode, Header: w.Header}, data
+}
+
+// answer is what the tests look at besides the body.
+type answer struct {
+	StatusCode int
+	Header     http.Header
 }
 
 func TestAPI(t *testing.T) {
@@ -166,9 +172,9 @@
 	t.Run("metrics", func(t *testing.T) {
 		w, err := http.Get(base + "/metrics")
 		assert.NilError(t, err)
-		defer w.Body.Close()
 		data, err := io.ReadAll(w.Body)
 		assert.NilError(t, err)
+		assert.NilError(t, w.Body.Close())
 		assert.Assert(t, strings.Contains(string(data), "swiftloom_requests_total"))
 	})
 
--- a/loommember/spread_test.go
+++ b/loommember/spread_test.go
@@ -33,8 +33,8 @@
 	bytes  int
 }
 
-func newDomain(n int, seed uint64) *domain {
-	d := &domain{dead: make(map[int]bool), deaf: make(map[[2]int]bool), random: rand.New(rand.NewPCG(seed, 3))}
+func newDomain(n int) *domain {
+	d := &domain{dead: make(map[int]bool), deaf: make(map[[2]int]bool), random: rand.New(rand.NewPCG(1, 3))}
 	var list loommember.Listed
 	for i := range n {
 		id := fmt.Sprintf("entry-%04d", i)
@@ -112,7 +112,7 @@
 	tests := []struct{ members int }{{2}, {9}, {60}, {200}}
 	for _, tt := range tests {
 		t.Run(fmt.Sprint(tt.members), func(t *testing.T) {
-			d := newDomain(tt.members, 1)
+			d := newDomain(tt.members)
 			now := start
 			for range 8 {
 				now = now.Add(gossipPeriod)
@@ -135,7 +135,7 @@
 // that can.
 func TestPartialCutDoesNotRemove(t *testing.T) {
 	const members = 20
-	d := newDomain(members, 1)
+	d := newDomain(members)
 	for i := 1; i < 6; i++ {
 		d.deaf[[2]int{0, i}] = true
 	}
@@ -156,7 +156,7 @@
 			var slowest time.Duration
 			var bytes, seconds float64
 			for b.Loop() {
-				d := newDomain(members, 1)
+				d := newDomain(members)
 				now := start
 				for range 8 {
 					now = now.Add(gossipPeriod)
@@ -183,7 +183,7 @@
 func BenchmarkView(b *testing.B) {
 	for _, members := range []int{40, 1400, 13_400} {
 		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
-			d := newDomain(1, 1)
+			d := newDomain(1)
 			var list loommember.Listed
 			for i := range members {
 				m := loommember.Member{ID: fmt.Sprintf("member-%05d", i), Kind: loommember.KindEngine, Group: "g", Address: "127.0.0.1:1", Incarnation: 1}
