Ask stores for their load alone, and less often in large fleets

Cause: each instance sent every store the list of its shards four times a second. Blocks are listed when homes move, when a store restarts, and every 30 s.

Ruled out: the collector (GOGC=400 changes nothing) and queue and quota (40 us).

--- a/loominstance/kept.go
+++ b/loominstance/kept.go
@@ -18,9 +18,13 @@
 )
 
 const (
-	storeInterval = 250 * time.Millisecond
-	storeTimeout  = 2 * time.Second
-	trimInterval  = time.Second
+	storeInterval = 500 * time.Millisecond
+	// readPerStore lengthens the interval as there are more stores, and
+	// listInterval is the time between two listings of blocks.
+	readPerStore = 60 * time.Millisecond
+	listInterval = 30 * time.Second
+	storeTimeout = 2 * time.Second
+	trimInterval = time.Second
 	// highWater and lowWater are the parts of a store's capacity at which
 	// homes start and stop to drop prompts.
 	highWater = 0.90
@@ -42,6 +46,7 @@
 	// incarnation and after are those of the latest listing.
 	incarnation uint64
 	after       uint64
+	listedAt    time.Time
 	used        uint64
 	capacity    uint64
 }
@@ -142,32 +147,44 @@
 	return defaultLinkRate
 }
 
-// refresh returns the periodic task that lists the stores.
+// interval returns how often each store is asked for its load: less often when
+// there are many.
+func (s *stores) interval() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(storeInterval, time.Duration(len(s.byID))*readPerStore)
+}
+
+// refresh returns the periodic task that asks the stores for their load, and
+// now and then for their blocks.
 func (s *stores) refresh(n *Instance) func(ctx context.Context) {
 	return func(ctx context.Context) {
 		for _, id := range s.update(*n.view.Load(), n.keeper.Snapshot()) {
 			n.index.StoreLost(id, 0)
 		}
-		shards := n.homes.Load().Shards(n.ID())
 		var wait sync.WaitGroup
 		for _, st := range s.all() {
-			wait.Go(func() { n.listStore(ctx, st, shards) })
+			wait.Go(func() { n.askStore(ctx, st) })
 		}
 		wait.Wait()
 	}
 }
 
-func (n *Instance) listStore(ctx context.Context, st *store, shards []loomhome.Shard) {
+// askStore asks one store for its load, and for blocks when a listing is due:
+// when this instance has become the home of other shards, when the store has
+// restarted, and from time to time, since an export's answer may be lost.
+func (n *Instance) askStore(ctx context.Context, st *store) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	st.mu.Lock()
-	request := &loompb.ListRequest{After: st.after, ShardCount: loomhome.ShardCount}
-	st.mu.Unlock()
-	for _, shard := range shards {
-		request.Shards = append(request.Shards, uint32(shard))
+	now := time.Now()
+	request := st.request(now)
+	if !request.GetLoadOnly() {
+		for _, shard := range n.homes.Load().Shards(n.ID()) {
+			request.Shards = append(request.Shards, uint32(shard))
+		}
 	}
 	reply, err := st.client.List(ctx, request)
-	now := time.Now()
+	now = time.Now()
 	if err != nil {
 		if ctx.Err() == nil || ctx.Err() == context.DeadlineExceeded {
 			n.tracker.Apply(now, loommember.Unanswered{ID: st.member.ID})
@@ -176,10 +193,19 @@
 	}
 	n.tracker.Apply(now, loommember.Heard{ID: st.member.ID, Incarnation: reply.GetIncarnation()})
 	st.budget.Report(now, int64(reply.GetLinkBacklogBytes()), int64(reply.GetLinkBytesPerSecond()))
-	n.takeListing(now, st, request.GetAfter(), reply)
+	n.takeListing(now, st, request, reply)
+}
+
+// request returns the next call to the store.
+func (st *store) request(now time.Time) *loompb.ListRequest {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	due := st.after == 0 || now.Sub(st.listedAt) > listInterval
+	return &loompb.ListRequest{After: st.after, ShardCount: loomhome.ShardCount, LoadOnly: !due}
 }
 
-func (n *Instance) takeListing(now time.Time, st *store, after uint64, reply *loompb.ListReply) {
+func (n *Instance) takeListing(now time.Time, st *store, request *loompb.ListRequest, reply *loompb.ListReply) {
+	after := request.GetAfter()
 	st.mu.Lock()
 	restarted := st.incarnation != reply.GetIncarnation()
 	st.incarnation = reply.GetIncarnation()
@@ -188,8 +214,9 @@
 	switch {
 	case restarted && after > 0:
 		st.after = 0
-	case st.after == after:
-		st.after = reply.GetLast()
+	case st.after == after && !request.GetLoadOnly():
+		st.after = max(reply.GetLast(), 1)
+		st.listedAt = now
 	}
 	st.mu.Unlock()
 	if restarted {
