Let homes grant tokens from one bucket in place of leased rates

Cause: a rate leased to each of eight instances left each with a small burst, so that accounts far below their limit waited for their own instance's debt.

The home of an account in each failure domain now holds the bucket and grants requests and some credit ahead; only the pool beside the floors is still leased as a rate, between homes and lenders.

--- a/cmd/swiftloom/status.go
+++ b/cmd/swiftloom/status.go
@@ -68,9 +68,9 @@
 	t.flush()
 	fmt.Println()
 	t = newTable(os.Stdout)
-	t.row("CLIENT ACCOUNT", "LEASED_TOKENS_PER_S", "HOME")
+	t.row("CLIENT ACCOUNT (HOME HERE)", "DEMAND_PER_S", "FLOOR_PER_S", "BORROWED_PER_S", "LENDER")
 	for _, q := range s.Quotas {
-		t.row(q.ClientAccount, fmt.Sprintf("%.0f", q.Rate), q.Home)
+		t.row(q.ClientAccount, fmt.Sprintf("%.0f", q.Demand), fmt.Sprintf("%.0f", q.Floor), fmt.Sprintf("%.0f", q.Borrowed), q.Lender)
 	}
 	t.flush()
 }
--- a/loominstance/peer_server.go
+++ b/loominstance/peer_server.go
@@ -99,9 +99,14 @@
 	return &loompb.SettleReply{}, nil
 }
 
-// Quota implements the protocol between instances.
-func (s *peerServer) Quota(_ context.Context, r *loompb.QuotaRequest) (*loompb.QuotaReply, error) {
-	return s.instance.quotas.lend(time.Now(), r), nil
+// Spend implements the protocol between instances.
+func (s *peerServer) Spend(_ context.Context, r *loompb.SpendRequest) (*loompb.SpendReply, error) {
+	return s.instance.quotas.grant(time.Now(), r), nil
+}
+
+// Borrow implements the protocol between instances.
+func (s *peerServer) Borrow(_ context.Context, r *loompb.BorrowRequest) (*loompb.BorrowReply, error) {
+	return s.instance.quotas.pools.lend(time.Now(), r), nil
 }
 
 // Gossip implements the protocol between instances.
--- a/loominstance/quotas.go
+++ b/loominstance/quotas.go
@@ -6,63 +6,59 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"swiftloom/loomcatalogue"
 	"swiftloom/loomerror"
 	"swiftloom/loomhome"
-	"swiftloom/loomlease"
 	"swiftloom/loomlimit"
 	"swiftloom/loommember"
 	"swiftloom/loompb"
 )
 
 const (
-	quotaInterval = 150 * time.Millisecond
-	quotaTimeout  = 100 * time.Millisecond
-	// quotaLease is how long a leased rate may be spent, and quotaQuiet how
-	// long a new home lends nothing new.
-	quotaLease   = time.Second
-	quotaQuiet   = 1500 * time.Millisecond
-	poolInterval = 400 * time.Millisecond
-	// maxQuotaWait bounds how long a request waits for its account's rate.
-	maxQuotaWait = 2 * time.Second
-	quotaPoll    = 10 * time.Millisecond
-	// poolShards is the number of leases among which the lenders of pools
-	// divide the accounts.
-	poolShards   = 16
-	poolDuration = 3 * time.Second
-	allPercent   = 100
+	quotaTimeout = 100 * time.Millisecond
+	// maxQuotaWait bounds how long a request waits for its account's rate, and
+	// maxQuotaWaiters how many of an account may wait here.
+	maxQuotaWait    = 2 * time.Second
+	maxQuotaWaiters = 16
+	quotaPoll       = 20 * time.Millisecond
+	// homePoll is how long to wait before a home that did not answer is asked
+	// again.
+	homePoll = 50 * time.Millisecond
+	// aheadTime is how much of its demand an instance asks for ahead, and
+	// creditTime how long it may use that.
+	aheadTime  = 200 * time.Millisecond
+	creditTime = time.Second
+	allPercent = 100
 )
 
-// quotas holds the three roles in the limits of accounts: the spender of
-// leased rates, the home of accounts in the own failure domain, and the lender
-// of the pool that is left beside the floors of the domains.
+// quotas holds two roles in the limits of accounts: the spender, and the home
+// of accounts in the own failure domain.
 type quotas struct {
 	instance *Instance
+	pools    *pools
+
+	mu       sync.Mutex
+	spenders map[string]*spender
+	// buckets are those of the accounts whose home in the domain this is.
+	buckets map[string]*loomlimit.Bucket
+}
 
-	mu         sync.Mutex
-	allowances map[string]*loomlimit.Allowance
-	// ledgers are those of the accounts whose home in the domain this is.
-	ledgers map[string]*loomlimit.Ledger
-	// borrowed is what this home has from the pool of each account.
-	borrowed map[string]*loomlimit.Allowance
-	// pools are the ledgers that this instance lends from while it holds the
-	// lease of their shard.
-	pools  map[string]*loomlimit.Ledger
-	leases map[int]*loomlease.Lease
-	// renewing tells that a round is under way.
-	renewing bool
+// spender is what an instance knows of an account that it spends for.
+type spender struct {
+	credit loomlimit.Credit
+	demand loomlimit.Demand
+	// fresh is what was asked for since the home was last told.
+	fresh   float64
+	waiting int
+	usedAt  time.Time
 }
 
 func newQuotas(n *Instance) *quotas {
 	return &quotas{
-		instance:   n,
-		allowances: make(map[string]*loomlimit.Allowance),
-		ledgers:    make(map[string]*loomlimit.Ledger),
-		borrowed:   make(map[string]*loomlimit.Allowance),
-		pools:      make(map[string]*loomlimit.Ledger),
-		leases:     make(map[int]*loomlease.Lease),
+		instance: n,
+		pools:    newPools(n),
+		spenders: make(map[string]*spender),
+		buckets:  make(map[string]*loomlimit.Bucket),
 	}
 }
 
@@ -70,274 +66,198 @@
 // takes too long.
 func (q *quotas) spend(ctx context.Context, account string, cost float64, deadline time.Time) error {
 	started := time.Now()
-	q.note(started, account, cost)
-	defer q.unnote(account, cost)
-	renewed := false
+	done, err := q.begin(started, account, cost)
+	if err != nil || done {
+		return err
+	}
+	defer q.end(account)
+	until := started.Add(maxQuotaWait)
+	if !deadline.IsZero() && deadline.Before(until) {
+		until = deadline
+	}
 	for {
-		now := time.Now()
-		wait, ok := q.try(now, account, cost)
-		if ok {
+		granted, wait := q.ask(ctx, account, cost)
+		if granted {
 			return nil
 		}
-		until := started.Add(maxQuotaWait)
-		if !deadline.IsZero() && deadline.Before(until) {
-			until = deadline
-		}
-		if now.Add(wait).After(until) {
-			return loomerror.New(loomerror.QuotaExceeded, "the account has used up its rate").WithRetryAfter(max(wait, time.Second))
-		}
-		if !renewed {
-			renewed = true
-			q.renew(ctx)
-			continue
+		if time.Now().Add(wait).After(until) {
+			return quotaExceeded(wait)
 		}
-		timer := time.NewTimer(min(wait, quotaPoll))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return loomerror.From(ctx.Err()).WithNotRun(loomerror.NotRunTrue)
-		case <-timer.C:
+		if err := pause(ctx, min(wait, quotaPoll)); err != nil {
+			return loomerror.From(err).WithNotRun(loomerror.NotRunTrue)
 		}
 	}
 }
 
-func (q *quotas) allowance(now time.Time, account string) *loomlimit.Allowance {
-	a, ok := q.allowances[account]
-	if !ok {
-		a = loomlimit.NewAllowance(now)
-		q.allowances[account] = a
-	}
-	return a
-}
-
-func (q *quotas) note(now time.Time, account string, cost float64) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	a := q.allowance(now, account)
-	a.Ask(now, cost)
-	a.Wait(cost)
+func quotaExceeded(wait time.Duration) error {
+	return loomerror.New(loomerror.QuotaExceeded, "the account has used up its rate").WithRetryAfter(max(wait, time.Second))
 }
 
-func (q *quotas) unnote(account string, cost float64) {
+// begin notes a request and serves it from credit when there is enough.
+func (q *quotas) begin(now time.Time, account string, cost float64) (bool, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if a, ok := q.allowances[account]; ok {
-		a.Wait(-cost)
+	s, ok := q.spenders[account]
+	if !ok {
+		s = &spender{}
+		q.spenders[account] = s
 	}
-}
-
-func (q *quotas) try(now time.Time, account string, cost float64) (time.Duration, bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.allowance(now, account).Spend(now, cost)
-}
-
-// settle corrects what was spent by the actual cost.
-func (q *quotas) settle(account string, reserved, actual float64) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	now := time.Now()
-	q.allowance(now, account).Settle(now, reserved, actual)
-}
-
-// renew asks the homes of the active accounts for leases and, as a home, the
-// lender of the pool for a part of it.
-func (q *quotas) renew(ctx context.Context) {
-	q.mu.Lock()
-	if q.renewing {
-		q.mu.Unlock()
-		return
+	s.usedAt = now
+	s.fresh += cost
+	s.demand.Ask(now, cost)
+	if s.credit.Take(now, cost) {
+		return true, nil
 	}
-	q.renewing = true
-	q.mu.Unlock()
-	defer func() {
-		q.mu.Lock()
-		q.renewing = false
-		q.mu.Unlock()
-	}()
-	now := time.Now()
-	q.askAll(ctx, q.poolWishes(now), q.poolHome, true)
-	q.askAll(ctx, q.wishes(now), q.domainHome, false)
+	if s.waiting >= maxQuotaWaiters {
+		return false, quotaExceeded(maxQuotaWait)
+	}
+	s.waiting++
+	return false, nil
 }
 
-// wishes returns what this instance would spend, and forgets idle accounts.
-func (q *quotas) wishes(now time.Time) []*loompb.QuotaAsk {
+func (q *quotas) end(account string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	var asks []*loompb.QuotaAsk
-	for account, a := range q.allowances {
-		if a.Idle(now) {
-			if !a.Valid(now) {
-				delete(q.allowances, account)
-			}
-			continue
-		}
-		asks = append(asks, askOf(account, a.Wish(now, "")))
+	if s, ok := q.spenders[account]; ok {
+		s.waiting--
 	}
-	return asks
 }
 
-// poolWishes returns what the accounts of this home want beyond its floor.
-func (q *quotas) poolWishes(now time.Time) []*loompb.QuotaAsk {
+// settle corrects what was spent by the actual cost.
+func (q *quotas) settle(account string, reserved, actual float64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	var asks []*loompb.QuotaAsk
-	for account, l := range q.ledgers {
-		floor, pool := q.division(account)
-		demand := l.Demand(now) - floor
-		if demand <= 0 || pool <= 0 {
-			continue
-		}
-		b, ok := q.borrowed[account]
-		if !ok {
-			b = loomlimit.NewAllowance(now)
-			q.borrowed[account] = b
-		}
-		w := b.Wish(now, "")
-		w.Demand = demand
-		asks = append(asks, askOf(account, w))
-	}
-	return asks
-}
-
-func askOf(account string, w loomlimit.Wish) *loompb.QuotaAsk {
-	return &loompb.QuotaAsk{
-		ClientAccount: account,
-		Demand:        uint64(w.Demand),
-		Held:          uint64(w.Held),
-		Lease:         w.Lease,
-	}
-}
-
-// askAll sends the wishes to the homes of their accounts, one message a home.
-func (q *quotas) askAll(ctx context.Context, asks []*loompb.QuotaAsk, home func(account string) string, pool bool) {
-	byHome := make(map[string][]*loompb.QuotaAsk)
-	for _, a := range asks {
-		h := home(a.GetClientAccount())
-		byHome[h] = append(byHome[h], a)
-	}
-	var wait sync.WaitGroup
-	for h, part := range byHome {
-		wait.Go(func() { q.ask(ctx, h, part, pool) })
+	if s, ok := q.spenders[account]; ok {
+		s.credit.Settle(time.Now(), reserved, actual)
 	}
-	wait.Wait()
 }
 
-func (q *quotas) ask(ctx context.Context, home string, asks []*loompb.QuotaAsk, pool bool) {
+// ask asks the home of an account for the cost of one request, and for some
+// credit ahead.
+func (q *quotas) ask(ctx context.Context, account string, cost float64) (bool, time.Duration) {
 	n := q.instance
-	request := &loompb.QuotaRequest{Holder: n.ID(), Pool: pool, Asks: asks}
-	if pool {
-		request.Holder = n.FailureDomain() + "/" + n.ID()
-	}
 	askedAt := time.Now()
+	request := q.request(askedAt, account, cost)
+	home := q.domainHome(account)
 	if home == n.ID() {
-		q.take(askedAt, q.lend(askedAt, request), pool)
-		return
+		return q.take(askedAt, request, q.grant(askedAt, request))
 	}
 	client, err := n.peerByID(home)
 	if err != nil {
-		return
+		q.takeBack(request)
+		return false, homePoll
 	}
 	call, cancel := context.WithTimeout(ctx, quotaTimeout)
 	defer cancel()
-	if reply, err := client.Quota(call, request); err == nil {
-		q.take(askedAt, reply, pool)
+	reply, err := client.Spend(call, request)
+	if err != nil || !reply.GetHome() {
+		q.takeBack(request)
+		return false, homePoll
 	}
+	return q.take(askedAt, request, reply)
 }
 
-func (q *quotas) take(askedAt time.Time, reply *loompb.QuotaReply, pool bool) {
-	now := time.Now()
-	s := q.instance.keeper.Snapshot()
+func (q *quotas) request(now time.Time, account string, cost float64) *loompb.SpendRequest {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, g := range reply.GetGrants() {
-		account, _ := s.ClientAccount(g.GetClientAccount())
-		holders := q.allowances
-		if pool {
-			holders = q.borrowed
-		}
-		if a, ok := holders[g.GetClientAccount()]; ok {
-			a.Lease(now, askedAt, loomlimit.Grant{
-				Rate:  float64(g.GetRate()),
-				Lease: g.GetLease(),
-				For:   time.Duration(g.GetLeaseMs()) * time.Millisecond,
-			}, float64(account.BurstTokens))
-		}
+	s := q.spenders[account]
+	r := &loompb.SpendRequest{
+		ClientAccount: account,
+		Need:          uint64(cost + s.credit.Debt(now)),
+		Ahead:         uint64(s.demand.Rate(now) * aheadTime.Seconds()),
+		Fresh:         uint64(s.fresh),
 	}
+	s.fresh = 0
+	return r
 }
 
-// lend answers the wishes of other instances, as their accounts' home in this
-// failure domain or as the lender of the pool.
-func (q *quotas) lend(now time.Time, r *loompb.QuotaRequest) *loompb.QuotaReply {
+// takeBack notes that the home was not told.
+func (q *quotas) takeBack(r *loompb.SpendRequest) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	reply := &loompb.QuotaReply{}
-	for _, a := range r.GetAsks() {
-		w := loomlimit.Wish{
-			Holder: r.GetHolder(),
-			Demand: float64(a.GetDemand()),
-			Held:   float64(a.GetHeld()),
-			Lease:  a.GetLease(),
-		}
-		g, ok := q.lendOne(now, a.GetClientAccount(), r.GetPool(), w)
-		if !ok {
-			continue
-		}
-		reply.Grants = append(reply.Grants, &loompb.QuotaGrant{
-			ClientAccount: a.GetClientAccount(),
-			Rate:          uint64(g.Rate),
-			Lease:         g.Lease,
-			LeaseMs:       uint64(g.For.Milliseconds()),
-		})
-	}
-	return reply
+	q.spenders[r.GetClientAccount()].fresh += float64(r.GetFresh())
 }
 
-func (q *quotas) lendOne(now time.Time, account string, pool bool, w loomlimit.Wish) (loomlimit.Grant, bool) {
-	floor, left := q.division(account)
-	if pool {
-		l, ok := q.poolLedger(now, account)
-		if !ok {
-			return loomlimit.Grant{}, false
-		}
-		return l.Lend(now, left, w), true
+func (q *quotas) take(askedAt time.Time, r *loompb.SpendRequest, reply *loompb.SpendReply) (bool, time.Duration) {
+	if !reply.GetGranted() {
+		return false, time.Duration(reply.GetWaitMs()) * time.Millisecond
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if reply.GetAhead() > 0 {
+		until := askedAt.Add(time.Duration(reply.GetValidMs()) * time.Millisecond)
+		q.spenders[r.GetClientAccount()].credit.Add(time.Now(), float64(reply.GetAhead()), until)
 	}
+	return true, 0
+}
+
+// grant answers a spender as the home of the account in this failure domain.
+// What is granted ahead counts as spent, whether or not it is used.
+func (q *quotas) grant(now time.Time, r *loompb.SpendRequest) *loompb.SpendReply {
+	account := r.GetClientAccount()
 	if q.domainHome(account) != q.instance.ID() {
-		return loomlimit.Grant{}, false
+		return &loompb.SpendReply{}
 	}
-	l, ok := q.ledgers[account]
+	d := q.instance.division(account)
+	rate := d.floor + q.pools.borrowed(now, account, float64(r.GetFresh()))
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	b, ok := q.buckets[account]
 	if !ok {
-		l = loomlimit.NewLedger(now, quotaLease, q.quiet(now))
-		q.ledgers[account] = l
+		b = q.newBucket(now, rate, d.burst)
+		q.buckets[account] = b
+	}
+	b.SetRate(now, rate, d.burst)
+	wait, granted := b.Reserve(now, float64(r.GetNeed()))
+	reply := &loompb.SpendReply{Home: true, Granted: granted, WaitMs: uint64(wait.Milliseconds()) + 1}
+	ahead := min(float64(r.GetAhead()), b.Balance(now)-d.burst/2)
+	if granted && ahead > 0 {
+		if _, ok := b.Reserve(now, ahead); ok {
+			reply.Ahead = uint64(ahead)
+			reply.ValidMs = uint64(creditTime.Milliseconds())
+		}
 	}
-	budget := floor
-	if b, ok := q.borrowed[account]; ok {
-		budget += b.Rate(now)
+	return reply
+}
+
+// newBucket returns the bucket of an account that is new here. It is full when
+// this instance has been the home for long, so that no other one can have
+// granted anything of it; else it starts empty.
+func (q *quotas) newBucket(now time.Time, rate, burst float64) *loomlimit.Bucket {
+	if now.Sub(q.instance.homesSince()) < homesQuiet {
+		burst = 0
 	}
-	return l.Lend(now, budget, w), true
+	b := loomlimit.NewBucket(now, rate, burst)
+	return &b
 }
 
-// quiet returns how long a new ledger lends nothing new: until every lease of
-// an earlier home has lapsed.
-func (q *quotas) quiet(now time.Time) time.Duration {
-	return max(quotaQuiet-now.Sub(q.instance.homesSince()), 0)
+// homesQuiet is how long homes must not have moved before an instance takes
+// itself for the only home of its accounts.
+const homesQuiet = 1500 * time.Millisecond
+
+// division is how the limit of an account is divided among failure domains.
+type division struct {
+	// floor is the rate that each domain keeps, and pool the rate that is left.
+	floor float64
+	pool  float64
+	// burst is what each domain may save up.
+	burst float64
 }
 
-// division returns the floor of an account in each failure domain and the pool
-// that is left.
-func (q *quotas) division(account string) (floor, pool float64) {
-	s := q.instance.keeper.Snapshot()
+func (n *Instance) division(account string) division {
+	s := n.keeper.Snapshot()
 	a, ok := s.ClientAccount(account)
 	if !ok {
-		return 0, 0
+		return division{}
 	}
 	limit := float64(a.TokensPerSecond)
-	d, ok := s.Deployment(q.instance.settings.Deployment.Name)
+	d, ok := s.Deployment(n.settings.Deployment.Name)
 	if !ok || len(d.FailureDomains) == 0 {
-		return limit, 0
+		return division{floor: limit, burst: float64(a.BurstTokens)}
 	}
-	floor = limit * float64(d.MinDomainShare) / allPercent
-	return floor, limit - floor*float64(len(d.FailureDomains))
+	domains := float64(len(d.FailureDomains))
+	floor := limit * float64(d.MinDomainShare) / allPercent
+	return division{floor: floor, pool: limit - floor*domains, burst: float64(a.BurstTokens) / domains}
 }
 
 // domainHome returns the home of an account in the own failure domain.
@@ -346,10 +266,21 @@
 	return firstRanked("quota/"+account, n.view.Load().LiveIDs(loommember.KindInstance, n.FailureDomain()), n.ID())
 }
 
-// poolHome returns the instance that should lend the pool of an account.
-func (q *quotas) poolHome(account string) string {
-	n := q.instance
-	return firstRanked(poolKey(poolShard(account)), n.view.Load().LiveIDs(loommember.KindInstance, ""), n.ID())
+// tidy forgets accounts that are not used any more.
+func (q *quotas) tidy(context.Context) {
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for account, s := range q.spenders {
+		if s.waiting == 0 && now.Sub(s.usedAt) > forgetIdle {
+			delete(q.spenders, account)
+		}
+	}
+	for account := range q.buckets {
+		if q.domainHome(account) != q.instance.ID() {
+			delete(q.buckets, account)
+		}
+	}
 }
 
 func firstRanked(key string, ids []string, otherwise string) string {
@@ -360,70 +291,7 @@
 	return first[0]
 }
 
-func poolShard(account string) int {
-	return int(xxhash.Sum64String(account) % poolShards)
-}
-
-func poolKey(shard int) string {
-	return "quota_pool/" + string(rune('a'+shard))
-}
-
-// poolLedger returns the ledger of an account's pool while this instance holds
-// the lease of its shard.
-func (q *quotas) poolLedger(now time.Time, account string) (*loomlimit.Ledger, bool) {
-	lease, ok := q.leases[poolShard(account)]
-	if !ok {
-		return nil, false
-	}
-	if _, held := lease.Held(now); !held {
-		return nil, false
-	}
-	l, ok := q.pools[account]
-	if !ok {
-		l = loomlimit.NewLedger(now, quotaLease, quotaLease+quotaLease/10)
-		q.pools[account] = l
-	}
-	return l, true
-}
-
-// holdPools takes and renews the leases of the pools whose lender this
-// instance should be, and drops the ledgers of those that it has lost.
-func (q *quotas) holdPools(ctx context.Context) {
-	n := q.instance
-	ids := n.view.Load().LiveIDs(loommember.KindInstance, "")
-	for shard := range poolShards {
-		if firstRanked(poolKey(shard), ids, "") != n.ID() {
-			continue
-		}
-		q.mu.Lock()
-		lease, ok := q.leases[shard]
-		if !ok {
-			l := loomlease.New(poolKey(shard), n.holderName(), poolDuration)
-			lease = &l
-			q.leases[shard] = lease
-		}
-		q.mu.Unlock()
-		n.holdLease(ctx, lease, &q.mu)
-	}
-	q.dropLostPools(time.Now())
-}
-
-func (q *quotas) dropLostPools(now time.Time) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	for account := range q.pools {
-		lease, ok := q.leases[poolShard(account)]
-		held := false
-		if ok {
-			_, held = lease.Held(now)
-		}
-		if !held {
-			delete(q.pools, account)
-		}
-	}
-}
-
-// reserveCost returns the expected cost of a request in units.
+// reserveCost returns the expected cost of a request in tokens.
 func reserveCost(recompute, maxTokens int) float64 {
 	return float64(recompute + maxTokens)
 }
--- a/loominstance/status.go
+++ b/loominstance/status.go
@@ -30,7 +30,7 @@
 		return "", loomerror.New(loomerror.ShuttingDown, "the instance drains")
 	case n.keeper.Snapshot().Revision() == 0:
 		return "", loomerror.New(loomerror.PlatformUnavailable, "the catalogue is not known yet").WithRetryAfter(time.Second)
-	case !n.settled.Load() && time.Since(n.homesSince()) < quotaQuiet:
+	case !n.settled.Load() && time.Since(n.homesSince()) < homesQuiet:
 		return "", loomerror.New(loomerror.PlatformUnavailable, "the members are not settled yet").WithRetryAfter(time.Second)
 	}
 	n.settled.Store(true)
@@ -77,11 +77,13 @@
 	Capacity uint64  `json:"capacity_bytes"`
 }
 
-// QuotaStatus is the leased rate of an account at this instance.
+// QuotaStatus is the rate of an account in this failure domain, at its home.
 type QuotaStatus struct {
 	ClientAccount string  `json:"client_account"`
-	Rate          float64 `json:"leased_tokens_per_second"`
-	Home          string  `json:"home"`
+	Demand        float64 `json:"demand_tokens_per_second"`
+	Floor         float64 `json:"floor_tokens_per_second"`
+	Borrowed      float64 `json:"borrowed_tokens_per_second"`
+	Lender        string  `json:"lender"`
 }
 
 // ReconcilerStatus tells who reconciles the failure domain.
@@ -111,7 +113,7 @@
 		InFlight:          n.active.Load(),
 		Queued:            n.queues.length(),
 		Links:             n.linkStatus(now),
-		Quotas:            n.quotas.status(now),
+		Quotas:            n.quotas.pools.status(now),
 		Reconciler:        n.reconciler.status(now),
 		Kept:              n.index.Size(),
 		Claims:            n.desk.Stats(),
@@ -156,16 +158,6 @@
 	return links
 }
 
-func (q *quotas) status(now time.Time) []QuotaStatus {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	var all []QuotaStatus
-	for account, a := range q.allowances {
-		all = append(all, QuotaStatus{ClientAccount: account, Rate: a.Rate(now), Home: q.domainHome(account)})
-	}
-	return all
-}
-
 func (r *reconciler) status(now time.Time) ReconcilerStatus {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/loomlimit/allowance.go
+++ b/loomlimit/allowance.go
@@ -5,105 +5,118 @@
 	"time"
 )
 
-const (
-	// burstTime is how long an unused rate is saved up.
-	burstTime = 250 * time.Millisecond
-	// demandTime is the time over which demand is averaged.
-	demandTime = time.Second
-)
+// demandTime is the time over which demand is averaged.
+const demandTime = time.Second
+
+// Demand averages what is asked for in a second. Its owner must guard it; the
+// zero value has seen nothing.
+type Demand struct {
+	sum float64
+	at  time.Time
+}
 
-// Allowance is what one instance may spend for one account under its lease.
-// Its owner must guard it.
-type Allowance struct {
-	bucket Bucket
-	rate   float64
-	lease  uint64
-	// until is when the lease lapses on this process's monotonic clock.
-	until time.Time
+// Ask notes that n was asked for.
+func (d *Demand) Ask(now time.Time, n float64) {
+	d.decay(now)
+	d.sum += n
+}
 
-	asked   float64
-	askedAt time.Time
-	// backlog is the cost of the requests that wait for allowance.
-	backlog float64
+// Rate returns what was lately asked for in a second.
+func (d *Demand) Rate(now time.Time) float64 {
+	d.decay(now)
+	return d.sum / demandTime.Seconds()
 }
 
-// NewAllowance returns an allowance without a lease.
-func NewAllowance(now time.Time) *Allowance {
-	return &Allowance{bucket: NewBucket(now, 0, 0), askedAt: now}
+func (d *Demand) decay(now time.Time) {
+	passed := now.Sub(d.at)
+	if passed <= 0 {
+		return
+	}
+	d.sum *= math.Exp(-passed.Seconds() / demandTime.Seconds())
+	d.at = now
+}
+
+// Allowance is a rate that a holder has on lease. Its owner must guard it; the
+// zero value has no lease.
+type Allowance struct {
+	rate  float64
+	lease uint64
+	// until is when the lease lapses on this process's monotonic clock.
+	until time.Time
 }
 
-// Lease takes in a grant that was asked for at askedAt. At most burst is saved
-// up.
-func (a *Allowance) Lease(now, askedAt time.Time, g Grant, burst float64) {
+// Lease takes in a grant that was asked for at askedAt.
+func (a *Allowance) Lease(askedAt time.Time, g Grant) {
 	a.rate = g.Rate
 	a.lease = g.Lease
 	a.until = askedAt.Add(g.For)
-	a.bucket.SetRate(now, g.Rate, math.Min(g.Rate*burstTime.Seconds(), burst))
 }
 
-// Valid reports whether the lease may be used at now.
-func (a *Allowance) Valid(now time.Time) bool {
-	return now.Before(a.until) && a.rate > 0
-}
-
-// Spend reserves n under the lease, which is checked at this moment. When it
-// can't, it returns how long to wait before asking again.
-func (a *Allowance) Spend(now time.Time, n float64) (time.Duration, bool) {
-	if !a.Valid(now) {
-		a.bucket.SetRate(now, 0, 0)
-		return leaseWait, false
+// Rate returns the leased rate, or zero after the lease has lapsed. The caller
+// must ask at the moment of use.
+func (a *Allowance) Rate(now time.Time) float64 {
+	if !now.Before(a.until) {
+		return 0
 	}
-	return a.bucket.Reserve(now, n)
+	return a.rate
 }
 
-// Ask notes that n was asked for, whether or not it could be spent.
-func (a *Allowance) Ask(now time.Time, n float64) {
-	a.decay(now)
-	a.asked += n
+// Wish returns what to ask the lender for.
+func (a *Allowance) Wish(now time.Time, holder string, demand float64) Wish {
+	return Wish{Holder: holder, Demand: demand, Held: a.Rate(now), Lease: a.lease}
 }
 
-// Wait notes that n starts, or with a negative value ends, to wait.
-func (a *Allowance) Wait(n float64) {
-	a.backlog = math.Max(a.backlog+n, 0)
+// Credit is what an instance may still spend for an account without asking the
+// account's home. Its owner must guard it; the zero value is empty.
+type Credit struct {
+	// amount is above zero only until it lapses; below zero it is debt, which
+	// never lapses.
+	amount float64
+	until  time.Time
 }
 
-func (a *Allowance) decay(now time.Time) {
-	d := now.Sub(a.askedAt)
-	if d <= 0 {
-		return
-	}
-	a.asked *= math.Exp(-d.Seconds() / demandTime.Seconds())
-	a.askedAt = now
+// Add puts in n that lapses at until.
+func (c *Credit) Add(now time.Time, n float64, until time.Time) {
+	c.lapse(now)
+	c.amount += n
+	c.until = until
 }
 
-// Settle corrects a reservation by the actual cost.
-func (a *Allowance) Settle(now time.Time, reserved, actual float64) {
-	a.bucket.Settle(now, reserved, actual)
+// Take takes n if there is as much.
+func (c *Credit) Take(now time.Time, n float64) bool {
+	c.lapse(now)
+	if c.amount < n {
+		return false
+	}
+	c.amount -= n
+	return true
 }
 
-// Wish returns what to ask the home for.
-func (a *Allowance) Wish(now time.Time, holder string) Wish {
-	a.decay(now)
-	w := Wish{Holder: holder, Demand: a.asked/demandTime.Seconds() + a.backlog, Lease: a.lease}
-	if a.Valid(now) {
-		w.Held = a.rate
+// Settle corrects what was taken by what was used.
+func (c *Credit) Settle(now time.Time, taken, used float64) {
+	c.lapse(now)
+	c.amount += taken - used
+	if c.amount > 0 && !now.Before(c.until) {
+		c.until = now.Add(creditLife)
 	}
-	return w
 }
 
-// Idle reports whether the account is not asked for any more.
-func (a *Allowance) Idle(now time.Time) bool {
-	a.decay(now)
-	return a.asked < 1 && a.backlog == 0
+// Debt returns and clears what was used beyond what was taken.
+func (c *Credit) Debt(now time.Time) float64 {
+	c.lapse(now)
+	if c.amount >= 0 {
+		return 0
+	}
+	debt := -c.amount
+	c.amount = 0
+	return debt
 }
 
-// Rate returns the leased rate, or zero after the lease has lapsed.
-func (a *Allowance) Rate(now time.Time) float64 {
-	if !a.Valid(now) {
-		return 0
+func (c *Credit) lapse(now time.Time) {
+	if c.amount > 0 && !now.Before(c.until) {
+		c.amount = 0
 	}
-	return a.rate
 }
 
-// leaseWait is how long to wait for a lease before asking again.
-const leaseWait = 5 * time.Millisecond
+// creditLife is how long what a request did not use may be used by the next.
+const creditLife = time.Second
--- a/loomlimit/bucket.go
+++ b/loomlimit/bucket.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// Bucket is a token bucket that may go into debt, since the cost of a request
-// is known only when it ends. Its owner must guard it. The zero value is empty
+// Bucket is a token bucket that may go into debt, so that a request larger than
+// the burst is served at all. Its owner must guard it. The zero value is empty
 // and has no rate.
 type Bucket struct {
 	rate  float64
@@ -51,12 +51,6 @@
 	return min(max(wait, time.Millisecond), maxWait), false
 }
 
-// Settle corrects a reservation by the actual cost.
-func (b *Bucket) Settle(now time.Time, reserved, actual float64) {
-	b.fill(now)
-	b.balance = min(b.balance+reserved-actual, b.burst)
-}
-
 // Balance returns what could be spent now.
 func (b *Bucket) Balance(now time.Time) float64 {
 	b.fill(now)
--- a/loomtrial/site.go
+++ b/loomtrial/site.go
@@ -217,7 +217,7 @@
 			KeySHA256:       []string{keyDigest(a.Key)},
 			Share:           share,
 			TokensPerSecond: s.AccountLimit,
-			BurstTokens:     s.AccountLimit,
+			BurstTokens:     s.AccountLimit / 2,
 			MaxQueued:       500,
 		})
 	}
