Let a newborn instance learn from seed peers while the platform is out

Cause: an instance that starts during an outage knew neither members nor catalogue. It asks its seed peers now (setting seed_peers); the partition scenario kills and replaces an instance during an outage.

--- a/loominstance/catalogue.go
+++ b/loominstance/catalogue.go
@@ -36,13 +36,24 @@
 	}
 }
 
-// gossip exchanges catalogue revisions and leaving marks with some peers.
+// gossip exchanges catalogue revisions and leaving marks with some peers. As
+// long as the platform was not reached, the seed peers are asked for members.
 func (n *Instance) gossip(ctx context.Context) {
+	if n.newborn() {
+		for _, address := range n.settings.Instance.SeedPeers {
+			n.gossipWith(ctx, loommember.Member{ID: address.String(), Address: address.String()})
+		}
+	}
 	for _, m := range n.gossipPeers() {
 		n.gossipWith(ctx, m)
 	}
 }
 
+// newborn reports whether the instance has never read the platform's list.
+func (n *Instance) newborn() bool {
+	return n.listRevision.Load() == 0
+}
+
 // gossipPeers draws peers: of the own failure domain first, else any.
 func (n *Instance) gossipPeers() []loommember.Member {
 	var near, far []loommember.Member
@@ -82,6 +93,7 @@
 		CatalogueRevision: n.keeper.Snapshot().Revision(),
 		Leaving:           n.leavingMarks(),
 		Rumours:           n.rumours(),
+		Newborn:           n.newborn(),
 	})
 	now := time.Now()
 	if ctx.Err() != nil {
@@ -95,6 +107,10 @@
 	if reply.GetStopping() {
 		n.tracker.Apply(now, loommember.Marked{ID: m.ID, Incarnation: reply.GetIncarnation()})
 	}
+	if n.newborn() && len(reply.GetMembers()) > 0 {
+		n.tracker.Apply(now, loommember.Changed{Members: listings(reply.GetMembers())})
+		n.updateView(now)
+	}
 	n.takeMarks(now, reply.GetLeaving())
 	n.takeRumours(now, reply.GetRumours())
 	n.takeChanges(now, reply)
@@ -108,6 +124,29 @@
 	return marks
 }
 
+// knownMembers returns the members of the view for a newborn peer.
+func (n *Instance) knownMembers() []*loompb.Member {
+	all := n.view.Load().All()
+	members := make([]*loompb.Member, 0, len(all))
+	for _, b := range all {
+		m := &loompb.Member{
+			Id:            b.ID,
+			Kind:          b.Kind,
+			Group:         b.Group,
+			FailureDomain: b.FailureDomain,
+			Region:        b.Region,
+			Address:       b.Address,
+			Incarnation:   b.Incarnation,
+			Liveness:      loompb.Liveness_LIVENESS_LIVE,
+		}
+		if b.Status == loommember.Leaving {
+			m.Liveness = loompb.Liveness_LIVENESS_LEAVING
+		}
+		members = append(members, m)
+	}
+	return members
+}
+
 func (n *Instance) rumours() []*loompb.Rumour {
 	now := time.Now()
 	var rumours []*loompb.Rumour
@@ -195,6 +234,9 @@
 		Leaving:           n.leavingMarks(),
 		Rumours:           n.rumours(),
 	}
+	if r.GetNewborn() {
+		reply.Members = n.knownMembers()
+	}
 	records, ok := n.keeper.Since(r.GetCatalogueRevision())
 	if !ok {
 		data, err := json.Marshal(s.Document())
--- a/loominstance/instance.go
+++ b/loominstance/instance.go
@@ -180,6 +180,11 @@
 	return n.httpListener.Addr().String()
 }
 
+// PeerAddress returns the address for other instances.
+func (n *Instance) PeerAddress() string {
+	return n.peerListener.Addr().String()
+}
+
 // Run serves until ctx ends, and then drains: it takes no new request and ends
 // when every request in flight has been answered.
 func (n *Instance) Run(ctx context.Context) error {
--- a/loominstance/members.go
+++ b/loominstance/members.go
@@ -42,10 +42,10 @@
 	case err != nil:
 		n.log.Debug("list of members not read", "error", err)
 	case after == 0:
-		n.tracker.Apply(now, loommember.Listed{Members: listings(reply)})
+		n.tracker.Apply(now, loommember.Listed{Members: listings(reply.GetMembers())})
 		n.listRevision.Store(reply.GetRevision())
 	default:
-		n.tracker.Apply(now, loommember.Changed{Members: listings(reply), Gone: reply.GetGone()})
+		n.tracker.Apply(now, loommember.Changed{Members: listings(reply.GetMembers()), Gone: reply.GetGone()})
 		n.listRevision.Store(reply.GetRevision())
 	}
 	n.updateView(now)
@@ -68,9 +68,9 @@
 	}
 }
 
-func listings(reply *loompb.MembersReply) []loommember.Listing {
-	all := make([]loommember.Listing, 0, len(reply.GetMembers()))
-	for _, m := range reply.GetMembers() {
+func listings(members []*loompb.Member) []loommember.Listing {
+	all := make([]loommember.Listing, 0, len(members))
+	for _, m := range members {
 		all = append(all, loommember.Listing{
 			Member: loommember.Member{
 				ID:            m.GetId(),
--- a/loomsettings/read.go
+++ b/loomsettings/read.go
@@ -99,6 +99,7 @@
 	r.text("instance", "region", &s.Instance.Region, false)
 	r.address("instance", "http_address", &s.Instance.HTTPAddress)
 	r.address("instance", "peer_address", &s.Instance.PeerAddress)
+	r.optionalAddresses("instance", "seed_peers", &s.Instance.SeedPeers)
 	r.count("instance", "max_body_bytes", &s.Instance.MaxBodyBytes)
 	r.level("instance", "log_level", &s.Instance.LogLevel)
 	r.text("platform", "driver", &s.Platform.Driver, false)
@@ -158,9 +159,16 @@
 }
 
 func (r *reader) addresses(section, key string, value *[]netip.AddrPort) {
+	if v, ok := r.key(section, key); !ok || v == "" {
+		r.fault(section, key, "at least one address is required")
+		return
+	}
+	r.optionalAddresses(section, key, value)
+}
+
+func (r *reader) optionalAddresses(section, key string, value *[]netip.AddrPort) {
 	v, ok := r.key(section, key)
 	if !ok || v == "" {
-		r.fault(section, key, "at least one address is required")
 		return
 	}
 	for _, part := range strings.Split(v, ",") {
--- a/loomsettings/settings.go
+++ b/loomsettings/settings.go
@@ -27,6 +27,9 @@
 	// HTTPAddress and PeerAddress are IP numbers with a port.
 	HTTPAddress netip.AddrPort
 	PeerAddress netip.AddrPort
+	// SeedPeers are peers that a newborn instance asks for members and
+	// catalogue while it does not reach the platform; there may be none.
+	SeedPeers []netip.AddrPort
 	// MaxBodyBytes bounds the body of a request.
 	MaxBodyBytes int64
 	LogLevel     slog.Level
--- a/loomtrial/partition.go
+++ b/loomtrial/partition.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"swiftloom/loomcatalogue"
 )
 
+// partitionStream is the stream of random numbers of the scenario.
+const partitionStream = 11
+
 const (
 	editInterval = 400 * time.Millisecond
 	phaseTime    = 3 * time.Second
@@ -18,7 +22,8 @@
 
 // runPartition plays the load of a site while operators edit the catalogue all
 // the time, failure domains and the platform are cut off, one after the other
-// and both at once, and new weights are rolled out.
+// and both at once, new weights are rolled out, and an instance is killed and
+// replaced during an outage of the platform.
 func runPartition(ctx context.Context, o Options) (Report, error) {
 	t, err := Start(ctx, o.Site, o.Policy, o.Seed, o.Log)
 	if err != nil {
@@ -61,6 +66,7 @@
 
 // partitions cuts and heals until ctx ends.
 func (t *Trial) partitions(ctx context.Context) {
+	random := rand.New(rand.NewPCG(t.seed, partitionStream))
 	for i := 0; ctx.Err() == nil; i++ {
 		domain := t.domain(i + int(t.seed))
 		switch i % 4 {
@@ -78,6 +84,7 @@
 			t.network.setUnlinked(domain, false)
 		case 2:
 			t.setOutage(1)
+			killInstance(ctx, t, random)
 			pause(ctx, phaseTime)
 			t.setOutage(-1)
 		default:
--- a/loomtrial/trial.go
+++ b/loomtrial/trial.go
@@ -308,6 +308,14 @@
 	return nil
 }
 
+func (t *Trial) peerAddresses() []netip.AddrPort {
+	var all []netip.AddrPort
+	for _, r := range t.running() {
+		all = append(all, netip.MustParseAddrPort(r.instance.PeerAddress()))
+	}
+	return all
+}
+
 func (t *Trial) settings(number int, domain string) loomsettings.Settings {
 	s := loomsettings.Default()
 	s.Instance.ID = fmt.Sprintf("entry-%02d", number)
@@ -316,6 +324,7 @@
 	s.Deployment = loomsettings.Deployment{Name: t.site.Name, PeerKey: peerKey, OperatorKey: operatorKey}
 	s.Routing.Policy = t.policy
 	s.Timing.DrainTimeout = trialDrain
+	s.Instance.SeedPeers = t.peerAddresses()
 	return s
 }
 
