--- a/cmd/swiftloom/try.go
+++ b/cmd/swiftloom/try.go
@@ -129,6 +129,8 @@
 	switch {
 	case r.Fairness != nil:
 		printFields(r.Fairness)
+	case r.Claims != nil:
+		printFields(r.Claims)
 	case r.Overhead != nil:
 		printFields(r.Overhead)
 	case r.Idle != nil:
--- a/loomclaim/desk.go
+++ b/loomclaim/desk.go
@@ -13,8 +13,12 @@
 
 const (
 	rowPrefix = "claim/"
-	// maxBatch bounds the claims of one write.
-	maxBatch = 400
+	// maxBatch bounds the claims of one write, and maxFlying the writes that
+	// are under way.
+	maxBatch  = 400
+	maxFlying = 16
+	// Window is the least time between the beginnings of two writes.
+	Window = 5 * time.Millisecond
 	// RunLimit is how long a run may take before its silence means that its
 	// outcome is unknown.
 	RunLimit = 30 * time.Second
@@ -78,16 +82,20 @@
 	Answer  []byte
 }
 
-// Desk collects claims and their settlements into writes, one at a time. Its
-// methods may be called concurrently; it does no input or output.
+// Desk collects claims and their settlements into writes. A write is due at
+// once when the latest one began longer than a window ago, and else at the end
+// of the window, so that a claim waits for a window at most and a busy desk
+// makes a bounded number of writes. Its methods may be called concurrently; it
+// does no input or output.
 type Desk struct {
 	mu sync.Mutex
 	// asks and settles wait for the next write.
 	asks    []waitingAsk
 	settles []settle
-	// writing tells that a write is under way.
-	writing bool
-	stats   Stats
+	// begun is when the latest write began, and flying how many are under way.
+	begun  time.Time
+	flying int
+	stats  Stats
 }
 
 type waitingAsk struct {
@@ -105,7 +113,9 @@
 // Stats counts the work of a desk.
 type Stats struct {
 	Claims uint64 `json:"claims"`
-	Writes uint64 `json:"writes"`
+	// Writes counts all writes, and ClaimWrites those that carried a claim.
+	Writes      uint64 `json:"writes"`
+	ClaimWrites uint64 `json:"claim_writes"`
 }
 
 // NewDesk returns an idle desk.
@@ -147,12 +157,12 @@
 	asks    []waitingAsk
 }
 
-// Next returns the next write, or false when there is none or one is under
-// way. The caller must end it with Done.
+// Next returns the next write, or false when none is due. The caller must end
+// it with Done.
 func (d *Desk) Next(now time.Time) (*Batch, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.writing || len(d.asks)+len(d.settles) == 0 {
+	if len(d.asks)+len(d.settles) == 0 || d.flying >= maxFlying || now.Sub(d.begun) < Window {
 		return nil, false
 	}
 	b := &Batch{Request: &loompb.TransactRequest{}}
@@ -172,9 +182,13 @@
 			IfAbsent: true,
 		})
 	}
-	d.writing = true
+	d.begun = now
+	d.flying++
 	d.stats.Writes++
 	d.stats.Claims += uint64(len(b.asks))
+	if len(b.asks) > 0 {
+		d.stats.ClaimWrites++
+	}
 	return b, true
 }
 
@@ -182,7 +196,7 @@
 // every claim of it is Unavailable, and its attempts must never run.
 func (d *Desk) Done(now time.Time, b *Batch, reply *loompb.TransactReply) {
 	d.mu.Lock()
-	d.writing = false
+	d.flying--
 	d.mu.Unlock()
 	existing := make(map[string]Row)
 	for _, row := range reply.GetRows() {
--- a/loominstance/catalogue.go
+++ b/loominstance/catalogue.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"swiftloom/loomcatalogue"
@@ -11,10 +12,15 @@
 )
 
 const (
-	// gossipFanout is the number of peers of the own failure domain that an
-	// instance exchanges state with in each round.
-	gossipFanout  = 2
-	gossipTimeout = 400 * time.Millisecond
+	// gossipFanout is the number of peers that an instance exchanges state with
+	// in each round. In a fleet of up to smallFleet instances a peer of another
+	// failure domain comes on top; in a larger one it takes the place of one of
+	// them in one round of farRounds, and rounds are longer.
+	gossipFanout    = 2
+	smallFleet      = 16
+	farRounds       = 4
+	largeFleetRound = 450 * time.Millisecond
+	gossipTimeout   = 400 * time.Millisecond
 )
 
 // refreshCatalogue reads newer changes from the platform.
@@ -72,13 +78,25 @@
 	}
 	shuffle(near)
 	shuffle(far)
-	chosen := near[:min(len(near), gossipFanout)]
-	if len(far) > 0 {
+	chosen := slices.Clone(near[:min(len(near), gossipFanout)])
+	switch {
+	case len(far) == 0:
+	case len(near)+len(far) < smallFleet || len(chosen) < gossipFanout:
 		chosen = append(chosen, far[0])
+	case random.IntN(farRounds) == 0:
+		chosen[0] = far[0]
 	}
 	return chosen
 }
 
+// gossipInterval returns the time between two rounds.
+func (n *Instance) gossipInterval() time.Duration {
+	if len(n.homes.Load().Members()) <= smallFleet {
+		return n.settings.Timing.GossipInterval
+	}
+	return max(n.settings.Timing.GossipInterval, largeFleetRound)
+}
+
 func (n *Instance) gossipWith(ctx context.Context, m loommember.Member) {
 	client, err := n.peers.client(m.Address)
 	if err != nil {
--- a/loominstance/claims.go
+++ b/loominstance/claims.go
@@ -10,6 +10,7 @@
 
 	"swiftloom/loomclaim"
 	"swiftloom/loomerror"
+	"swiftloom/loomhome"
 	"swiftloom/loompb"
 )
 
@@ -51,33 +52,55 @@
 
 // run writes batches until ctx ends, and then what is left.
 func (c *claims) run(ctx context.Context) error {
-	ticker := time.NewTicker(claimPause)
+	var writes sync.WaitGroup
+	ticker := time.NewTicker(loomclaim.Window)
 	defer ticker.Stop()
+	releases := time.NewTicker(claimPause)
+	defer releases.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			rest, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout)
 			defer cancel()
-			c.writeAll(rest)
+			writes.Wait()
+			time.Sleep(loomclaim.Window)
+			c.writeDue(rest, &writes)
+			writes.Wait()
 			return nil
+		case <-releases.C:
+			c.releaseSome(ctx)
 		case <-c.signal:
 		case <-ticker.C:
 		}
-		c.writeAll(ctx)
-		c.releaseSome(ctx)
+		c.writeDue(ctx, &writes)
 	}
 }
 
-func (c *claims) writeAll(ctx context.Context) {
-	for ctx.Err() == nil {
-		b, ok := c.instance.desk.Next(time.Now())
-		if !ok {
-			return
-		}
+// writeDue starts the write that is due, if there is one.
+func (c *claims) writeDue(ctx context.Context, writes *sync.WaitGroup) {
+	b, ok := c.instance.desk.Next(time.Now())
+	if !ok {
+		return
+	}
+	writes.Go(func() {
 		reply := c.write(ctx, b.Request)
 		c.instance.desk.Done(time.Now(), b, reply)
 		c.instance.metrics.claimWrites.Inc(1)
+	})
+}
+
+// claimHomes is the number of instances that write claims. One home collects
+// the most claims into a write, since the table takes only some hundred writes a
+// second. Any instance writes a claim by itself when the home does not answer.
+const claimHomes = 1
+
+// claimHome returns the instance that writes the claims of a key.
+func (n *Instance) claimHome(key loomclaim.Key) string {
+	writers := *n.claimWriters.Load()
+	if len(writers) == 0 {
+		return n.ID()
 	}
+	return writers[int(loomhome.ShardOf([]byte(key.RowKey())))%len(writers)]
 }
 
 // write sends a batch until it is answered or the time is up. Sending it again
@@ -110,7 +133,7 @@
 		return c.claimTicket(ctx, r)
 	}
 	key := loomclaim.Key{ClientAccount: r.GetClientAccount(), Key: r.GetKey()}
-	home := n.homes.Load().Home([]byte(key.RowKey()))
+	home := n.claimHome(key)
 	if home != n.ID() {
 		if client, err := n.peerByID(home); err == nil {
 			call, cancel := context.WithTimeout(ctx, claimTimeout)
@@ -172,7 +195,7 @@
 		return
 	}
 	key := loomclaim.Key{ClientAccount: r.GetClientAccount(), Key: r.GetKey()}
-	home := n.homes.Load().Home([]byte(key.RowKey()))
+	home := n.claimHome(key)
 	if home != n.ID() {
 		if client, err := n.peerByID(home); err == nil {
 			call, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
--- a/loominstance/instance.go
+++ b/loominstance/instance.go
@@ -71,6 +71,8 @@
 	homesAt atomic.Int64
 	// parts is derived from view; it is never nil.
 	parts atomic.Pointer[engineParts]
+	// claimWriters is derived from homes; it is never nil.
+	claimWriters atomic.Pointer[[]string]
 	// listRevision is that of the platform's list when it was last read.
 	listRevision atomic.Uint64
 	// stopping is set once and never unset.
@@ -133,6 +135,7 @@
 	n.view.Store(&loommember.View{})
 	n.homes.Store(&loomhome.Table{})
 	n.parts.Store(&engineParts{})
+	n.claimWriters.Store(&[]string{})
 	return n, n.listen()
 }
 
@@ -200,7 +203,7 @@
 	kernel.Add("peer_server", loomkernel.Func(n.servePeers))
 	kernel.Add("catalogue", n.everyScaled(t.CatalogueInterval, n.refreshCatalogue))
 	kernel.Add("members", n.everyScaled(t.MembersInterval, n.refreshMembers))
-	kernel.Add("gossip", n.every(t.GossipInterval, n.gossip))
+	kernel.Add("gossip", n.repeat(n.gossipInterval, n.gossip))
 	kernel.Add("reports", n.everyScaled(t.ReportInterval, n.collectReports))
 	kernel.Add("stores", n.repeat(n.stores.interval, n.stores.refresh(n)))
 	kernel.Add("trim", n.every(trimInterval, n.trim))
--- a/loominstance/members.go
+++ b/loominstance/members.go
@@ -103,6 +103,8 @@
 		return
 	}
 	table := loomhome.NewTable(members)
+	writers := loomhome.Rank([]byte("claims"), members, claimHomes)
+	n.claimWriters.Store(&writers)
 	n.homes.Store(&table)
 	n.homesAt.Store(now.UnixNano())
 	n.index.Keep(func(root loomcache.Key) bool { return table.Home(root[:]) == n.ID() })
--- a/loomload/single.go
+++ b/loomload/single.go
@@ -36,3 +36,16 @@
 	}
 	return r.firstToken, nil
 }
+
+// Call makes a service call and returns the time until its answer.
+func (s *Single) Call(ctx context.Context, address, key, service string, c *Call) (time.Duration, error) {
+	started := time.Now()
+	r, err := s.client.call(ctx, address, key, service, c)
+	if err != nil {
+		return 0, err
+	}
+	if r.status != http.StatusOK {
+		return 0, errors.Errorf("status %d, %s: %s", r.status, r.fault.Kind, r.fault.Message)
+	}
+	return time.Since(started), nil
+}
--- a/loommember/tracker.go
+++ b/loommember/tracker.go
@@ -23,8 +23,8 @@
 // DefaultOptions returns the times that instances use.
 func DefaultOptions() Options {
 	return Options{
-		SuspectAfter:  time.Second,
-		DeadAfter:     3 * time.Second,
+		SuspectAfter:  700 * time.Millisecond,
+		DeadAfter:     2500 * time.Millisecond,
 		UnlistedAfter: 3 * time.Second,
 		ForgetAfter:   10 * time.Minute,
 	}
--- a/loomtrial/report.go
+++ b/loomtrial/report.go
@@ -42,6 +42,7 @@
 	Notes               []string        `json:"notes,omitempty"`
 	Fairness            *FairReport     `json:"fairness,omitempty"`
 	Idle                *IdleReport     `json:"idle,omitempty"`
+	Claims              *ClaimsReport   `json:"claims,omitempty"`
 	Overhead            *OverheadReport `json:"overhead,omitempty"`
 }
 
--- a/loomtrial/run.go
+++ b/loomtrial/run.go
@@ -26,10 +26,11 @@
 
 // Scenarios returns the names of the scenarios in order.
 func Scenarios() []string {
-	return []string{scenarioGreedy, scenarioIdle, scenarioOverhead, scenarioPartition}
+	return []string{scenarioClaims, scenarioGreedy, scenarioIdle, scenarioOverhead, scenarioPartition}
 }
 
 const (
+	scenarioClaims    = "claims"
 	scenarioGreedy    = "greedy_account"
 	scenarioIdle      = "idle"
 	scenarioOverhead  = "overhead"
@@ -43,6 +44,8 @@
 		return runGreedy(ctx, o)
 	case scenarioPartition:
 		return runPartition(ctx, o)
+	case scenarioClaims:
+		return runClaims(ctx, o)
 	case scenarioIdle:
 		return runIdle(ctx, o)
 	case scenarioOverhead:
