--- a/loomclaim/desk.go
+++ b/loomclaim/desk.go
@@ -142,6 +142,13 @@
 	d.settles = append(d.settles, settle{key: k, row: row})
 }
 
+// Pending reports whether something waits for a write.
+func (d *Desk) Pending() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.asks)+len(d.settles) > 0
+}
+
 // Stats returns the counters.
 func (d *Desk) Stats() Stats {
 	d.mu.Lock()
--- a/loominstance/claims.go
+++ b/loominstance/claims.go
@@ -19,7 +19,9 @@
 	claimPause    = 50 * time.Millisecond
 	writeTimeout  = 700 * time.Millisecond
 	settleTimeout = 500 * time.Millisecond
-	maxReleases   = 4096
+	// releaseInterval is the time between two claims that are taken back.
+	releaseInterval = 200 * time.Millisecond
+	maxReleases     = 4096
 )
 
 // claims carries the writes of the desk to the platform's table.
@@ -53,11 +55,13 @@
 // run writes batches until ctx ends, and then what is left.
 func (c *claims) run(ctx context.Context) error {
 	var writes sync.WaitGroup
-	ticker := time.NewTicker(loomclaim.Window)
-	defer ticker.Stop()
-	releases := time.NewTicker(claimPause)
+	releases := time.NewTicker(releaseInterval)
 	defer releases.Stop()
 	for {
+		var due <-chan time.Time
+		if c.instance.desk.Pending() {
+			due = time.After(loomclaim.Window)
+		}
 		select {
 		case <-ctx.Done():
 			rest, cancel := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout)
@@ -70,7 +74,7 @@
 		case <-releases.C:
 			c.releaseSome(ctx)
 		case <-c.signal:
-		case <-ticker.C:
+		case <-due:
 		}
 		c.writeDue(ctx, &writes)
 	}
--- a/loominstance/pools.go
+++ b/loominstance/pools.go
@@ -15,7 +15,7 @@
 
 const (
 	borrowInterval = 150 * time.Millisecond
-	poolInterval   = 400 * time.Millisecond
+	poolInterval   = 600 * time.Millisecond
 	// borrowLease is how long a borrowed rate may be used.
 	borrowLease = time.Second
 	// poolShards is the number of leases among which the lenders of pools
--- a/loominstance/queues.go
+++ b/loominstance/queues.go
@@ -51,14 +51,16 @@
 
 // run grants queued items until ctx ends.
 func (q *queues) run(ctx context.Context) error {
-	ticker := time.NewTicker(pumpInterval)
-	defer ticker.Stop()
 	for {
+		var again <-chan time.Time
+		if q.length() > 0 {
+			again = time.After(pumpInterval)
+		}
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-q.signal:
-		case <-ticker.C:
+		case <-again:
 		}
 		q.pump(time.Now())
 	}
--- a/loominstance/reconcile.go
+++ b/loominstance/reconcile.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	reconcileInterval = 300 * time.Millisecond
+	reconcileInterval = 500 * time.Millisecond
 	reconcileLease    = 3 * time.Second
 	orderTimeout      = 500 * time.Millisecond
 	defaultMaxOrder   = 10 * time.Second
