Change the table of homes in place of making it anew

WithMembers keeps the shards of the members that stay; a property test compares it with a new table. The interval of the stores' load grows by 200 ms for each store beyond 8.

--- a/loomhome/table.go
+++ b/loomhome/table.go
@@ -41,16 +41,77 @@
 	}
 	t.owners = make([]int32, ShardCount)
 	t.weights = make([]uint64, ShardCount)
-	for i, m := range t.members {
-		seed := xxhash.Sum64String(m)
-		for s := range t.owners {
-			if w := weight(seed, Shard(s)); i == 0 || w > t.weights[s] {
-				t.owners[s] = int32(i)
-				t.weights[s] = w
+	seeds := seedsOf(t.members)
+	for s := range t.owners {
+		t.choose(Shard(s), seeds)
+	}
+	return t
+}
+
+// WithMembers returns the table over the given members. It is equal to a new one,
+// and costs less when few members differ from those of t.
+func (t Table) WithMembers(members []string) Table {
+	next := Table{members: slices.Compact(slices.Sorted(slices.Values(members)))}
+	if len(t.members) == 0 || len(next.members) == 0 {
+		return NewTable(members)
+	}
+	next.owners = make([]int32, ShardCount)
+	next.weights = make([]uint64, ShardCount)
+	moved := t.positionsIn(next.members)
+	var added []int
+	for i, m := range next.members {
+		if _, ok := slices.BinarySearch(t.members, m); !ok {
+			added = append(added, i)
+		}
+	}
+	seeds := seedsOf(next.members)
+	for s := range next.owners {
+		candidates := added
+		if i := moved[t.owners[s]]; i >= 0 {
+			next.owners[s] = i
+			next.weights[s] = t.weights[s]
+		} else {
+			candidates = nil
+			next.choose(Shard(s), seeds)
+		}
+		for _, i := range candidates {
+			if w := weight(seeds[i], Shard(s)); w > next.weights[s] {
+				next.owners[s] = int32(i)
+				next.weights[s] = w
 			}
 		}
 	}
-	return t
+	return next
+}
+
+// positionsIn returns where each member of t stands in members, or -1.
+func (t Table) positionsIn(members []string) []int32 {
+	moved := make([]int32, len(t.members))
+	for i, m := range t.members {
+		moved[i] = -1
+		if at, ok := slices.BinarySearch(members, m); ok {
+			moved[i] = int32(at)
+		}
+	}
+	return moved
+}
+
+func seedsOf(members []string) []uint64 {
+	seeds := make([]uint64, len(members))
+	for i, m := range members {
+		seeds[i] = xxhash.Sum64String(m)
+	}
+	return seeds
+}
+
+// choose sets the owner of a shard among all members.
+func (t Table) choose(s Shard, seeds []uint64) {
+	for i, seed := range seeds {
+		if w := weight(seed, s); i == 0 || w > t.weights[s] {
+			t.owners[s] = int32(i)
+			t.weights[s] = w
+		}
+	}
 }
 
 // Members returns the members in order; the caller must not change the slice.
--- a/loomhome/table_test.go
+++ b/loomhome/table_test.go
@@ -27,13 +27,43 @@
 		rest := append(append([]string(nil), members[:lost]...), members[lost+1:]...)
 		after := loomhome.NewTable(rest)
 		for s := range loomhome.Shard(loomhome.ShardCount) {
-			if before.Owner(s) != members[lost] {
-				assert.Equal(t, before.Owner(s), after.Owner(s))
+			if before.Owner(s) != members[lost] && before.Owner(s) != after.Owner(s) {
+				t.Fatalf("shard %d moved from %s to %s", s, before.Owner(s), after.Owner(s))
 			}
 		}
 	})
 }
 
+// A table that followed its members through any changes is equal to a new one.
+func TestWithMembersEqualsNew(t *testing.T) {
+	all := names(12)
+	rapid.Check(t, func(t *rapid.T) {
+		table := loomhome.NewTable(nil)
+		for range rapid.IntRange(1, 6).Draw(t, "changes") {
+			members := rapid.SliceOfDistinct(rapid.SampledFrom(all), rapid.ID[string]).Draw(t, "members")
+			table = table.WithMembers(members)
+			fresh := loomhome.NewTable(members)
+			for s := range loomhome.Shard(loomhome.ShardCount) {
+				if table.Owner(s) != fresh.Owner(s) {
+					t.Fatalf("shard %d has owner %s, not %s", s, table.Owner(s), fresh.Owner(s))
+				}
+			}
+		}
+	})
+}
+
+func BenchmarkReplaceMember(b *testing.B) {
+	for _, n := range []int{8, 200, 1400} {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			table := loomhome.NewTable(names(n))
+			replaced := append(names(n)[1:], "entry-new")
+			for b.Loop() {
+				table.WithMembers(replaced)
+			}
+		})
+	}
+}
+
 func TestShardsAreSpread(t *testing.T) {
 	tests := []struct{ members int }{{1}, {8}, {200}}
 	for _, tt := range tests {
--- a/loominstance/kept.go
+++ b/loominstance/kept.go
@@ -19,9 +19,10 @@
 
 const (
 	storeInterval = 500 * time.Millisecond
-	// readPerStore lengthens the interval as there are more stores, and
+	// readPerStore lengthens the interval for each store beyond fewStores, and
 	// listInterval is the time between two listings of blocks.
-	readPerStore = 60 * time.Millisecond
+	fewStores    = 8
+	readPerStore = 200 * time.Millisecond
 	listInterval = 30 * time.Second
 	storeTimeout = 2 * time.Second
 	trimInterval = time.Second
@@ -152,7 +153,7 @@
 func (s *stores) interval() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(storeInterval, time.Duration(len(s.byID))*readPerStore)
+	return max(storeInterval, time.Duration(len(s.byID)-fewStores)*readPerStore)
 }
 
 // refresh returns the periodic task that asks the stores for their load, and
--- a/loominstance/members.go
+++ b/loominstance/members.go
@@ -102,7 +102,7 @@
 	if slices.Equal(members, n.homes.Load().Members()) {
 		return
 	}
-	table := loomhome.NewTable(members)
+	table := n.homes.Load().WithMembers(members)
 	writers := loomhome.Rank([]byte("claims"), members, claimHomes)
 	n.claimWriters.Store(&writers)
 	n.homes.Store(&table)
