--- a/loominstance/dispatch.go
+++ b/loominstance/dispatch.go
@@ -16,7 +16,11 @@
 	"swiftloom/loomupstream"
 )
 
-const cancelTimeout = 500 * time.Millisecond
+const (
+	cancelTimeout = 500 * time.Millisecond
+	// flightPatience bounds the wait for another request's import.
+	flightPatience = 200 * time.Millisecond
+)
 
 // usage is what a complete answer cost.
 type usage struct {
@@ -45,7 +49,10 @@
 	tried    []string
 	observed bool
 	linked   []linkUse
-	usage    usage
+	// endFlight ends the import that other requests wait for, if it is this
+	// one's.
+	endFlight func()
+	usage     usage
 	// reserved is what was taken from the account's allowance.
 	reserved float64
 }
@@ -130,8 +137,10 @@
 	d.tried = append(d.tried, engine.member.ID)
 	d.sentAt = now
 	d.ticket = n.fleet.Sent(now, engine.member.ID, choice.Recompute)
-	d.useLink(now)
-	d.life.Apply(now, loomstream.Dispatched{Attempt: d.attempt, Version: d.plan.version})
+	if d.joinFlight(ctx) {
+		d.useLink(now)
+	}
+	d.life.Apply(time.Now(), loomstream.Dispatched{Attempt: d.attempt, Version: d.plan.version})
 	d.open(ctx, client, false)
 	return nil
 }
@@ -189,6 +198,28 @@
 	return r
 }
 
+// joinFlight reports whether this request makes the import itself. Otherwise
+// another request has made it meanwhile, and the engine has the blocks.
+func (d *dispatch) joinFlight(ctx context.Context) bool {
+	if d.choice.Import == 0 {
+		return true
+	}
+	last := d.plan.keys[d.choice.Import-1]
+	end, ended := d.instance.flights.Begin(d.engine.member.ID, last)
+	if end != nil {
+		d.endFlight = end
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, flightPatience)
+	defer cancel()
+	select {
+	case <-ended:
+		return false
+	case <-ctx.Done():
+		return true
+	}
+}
+
 // useLink charges the expected import to the budgets of the links. When one
 // has no room, nothing is imported.
 func (d *dispatch) useLink(now time.Time) {
@@ -217,6 +248,10 @@
 }
 
 func (d *dispatch) endLink() {
+	if d.endFlight != nil {
+		d.endFlight()
+		d.endFlight = nil
+	}
 	for _, l := range d.linked {
 		l.budget.End(loomlink.Import, l.bytes)
 	}
--- a/loominstance/instance.go
+++ b/loominstance/instance.go
@@ -51,6 +51,7 @@
 	fleet      *loomroute.Fleet
 	policy     loomroute.Policy
 	index      *loomcache.Index
+	flights    *loomcache.Flights
 	desk       *loomclaim.Desk
 	book       *loomclaim.Book
 	retries    *loomstream.RetryBudget
@@ -117,6 +118,7 @@
 		fleet:       loomroute.NewFleet(),
 		policy:      policy,
 		index:       loomcache.NewIndex(),
+		flights:     &loomcache.Flights{},
 		desk:        loomclaim.NewDesk(),
 		book:        loomclaim.NewBook(),
 		retries:     loomstream.NewRetryBudget(),
--- a/loominstance/leases.go
+++ b/loominstance/leases.go
@@ -68,3 +68,17 @@
 	defer mu.Unlock()
 	_ = l.Seen(time.Now(), again.GetRows()[0])
 }
+
+// giveUpLease frees a lease if it is held. When the platform does not answer,
+// the lease lapses by itself.
+func (n *Instance) giveUpLease(ctx context.Context, l *loomlease.Lease, mu *sync.Mutex) {
+	mu.Lock()
+	request, err := l.GiveUp(time.Now())
+	mu.Unlock()
+	if err != nil || request == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	_, _ = n.platform.Transact(ctx, request)
+}
--- a/loominstance/reconcile.go
+++ b/loominstance/reconcile.go
@@ -56,7 +56,7 @@
 	ids := n.view.Load().LiveIDs(loommember.KindInstance, n.FailureDomain())
 	_, held := r.held(time.Now())
 	if n.stopping.Load() {
-		r.giveUp(ctx)
+		n.giveUpLease(ctx, &r.lease, &r.mu)
 		return
 	}
 	if !held && firstRanked("reconciler", ids, n.ID()) != n.ID() {
@@ -112,18 +112,6 @@
 	return time.Duration(g.MaxOrderSeconds) * time.Second
 }
 
-func (r *reconciler) giveUp(ctx context.Context) {
-	r.mu.Lock()
-	request, err := r.lease.GiveUp(time.Now())
-	r.mu.Unlock()
-	if err != nil || request == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
-	defer cancel()
-	_, _ = r.instance.platform.Transact(ctx, request)
-}
-
 func (r *reconciler) reconcile(ctx context.Context, m loomcatalogue.Model) {
 	n := r.instance
 	d, ok := n.keeper.Snapshot().Deployment(n.settings.Deployment.Name)
@@ -221,15 +209,7 @@
 
 func (r *reconciler) freePermit(ctx context.Context, p *permit) {
 	p.engine = ""
-	r.mu.Lock()
-	request, err := p.lease.GiveUp(time.Now())
-	r.mu.Unlock()
-	if err != nil || request == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
-	defer cancel()
-	_, _ = r.instance.platform.Transact(ctx, request)
+	r.instance.giveUpLease(ctx, &p.lease, &r.mu)
 }
 
 // endPermits gives back the permits of engines that have loaded, or that have
