Serve the users' platform through the gate, in thin form

Cause: no program spoke the platform's protocol. The gate carries opaque requests through the product's deciders (life, retry budget, fleet, cost policy, lease, rollout plan); platform/ translates.

--- /dev/null
+++ b/loomgate/events.go
@@ -0,0 +1,58 @@
+package loomgate
+
+import (
+	"time"
+
+	"swiftloom/loomerror"
+)
+
+// logDispatch writes the line of a decision for an upstream.
+func (g *Gate) logDispatch(d *dispatch, now time.Time) {
+	r := d.req
+	g.log.Info("dispatch",
+		"request_id", r.RequestID,
+		"attempt", d.attempts,
+		"route", r.route.Name,
+		"upstream", d.upstream.ID,
+		"incarnation", d.upstream.Incarnation,
+		"expected_ms", d.choice.Expected.Milliseconds(),
+		"recompute", d.choice.Recompute,
+		"import", d.choice.Import,
+		"weights", d.version,
+		"revision", r.revision,
+		"upstreams_age_ms", g.beliefs.age(now).Milliseconds(),
+		"left_ms", r.until.Sub(now).Milliseconds())
+}
+
+// logDone writes the line of a request's end.
+func (g *Gate) logDone(d *dispatch, failure *loomerror.Error) {
+	r := d.req
+	now := time.Now()
+	outcome := "answered"
+	notRun := ""
+	if failure != nil {
+		outcome = failure.Kind().String()
+		notRun = failure.NotRun().String()
+		g.metrics.refused(failure.Kind())
+	} else {
+		g.metrics.answered.Inc(1)
+		g.metrics.totalOf[r.route.Kind].RecordDuration(now.Sub(r.Received))
+	}
+	first := int64(-1)
+	if !d.firstAt.IsZero() {
+		first = d.firstAt.Sub(r.Received).Milliseconds()
+	}
+	g.log.Info("request_done",
+		"request_id", r.RequestID,
+		"route", r.route.Name,
+		"account", r.account.Name,
+		"outcome", outcome,
+		"status", d.status,
+		"not_run", notRun,
+		"attempts", d.attempts,
+		"upstream", d.upstream.ID,
+		"first_ms", first,
+		"total_ms", now.Sub(r.Received).Milliseconds(),
+		"events", d.life.Relayed(),
+		"cause", d.cause)
+}
--- /dev/null
+++ b/loomgate/place.go
@@ -0,0 +1,227 @@
+package loomgate
+
+import (
+	"sync"
+	"time"
+
+	"swiftloom/loomcatalogue"
+	"swiftloom/loomerror"
+	"swiftloom/loommember"
+	"swiftloom/loomroute"
+)
+
+const (
+	// serviceTime is the time of one request at a plain service, spread over its
+	// places; it only has to order upstreams.
+	serviceTime = 3 * time.Millisecond
+	// defaultTokenTime is how long an engine reads one token of a prompt until
+	// it was measured: 112 to 125 tokens a millisecond at full speed.
+	defaultTokenTime = 9 * time.Microsecond
+	// recomputeWeight adds to the time of computing what it takes from others at
+	// the same engine.
+	recomputeWeight = 0.5
+	// cacheShare is the part of an engine's memory that is believed to keep parts
+	// of prompts; running requests use the rest.
+	cacheShare = 0.8
+	// defaultMemoryTokens is used for an engine whose memory is not told.
+	defaultMemoryTokens = 100_000
+)
+
+// choose picks the upstream of the next attempt.
+func (d *dispatch) choose(now time.Time) *loomerror.Error {
+	g, r := d.gate, d.req
+	candidates := d.candidates(now)
+	if len(candidates) == 0 {
+		return loomerror.New(loomerror.NoUpstream, "no upstream of %q lives now", r.group.Name).WithRetryAfter(refusedRetryAfter)
+	}
+	d.choice = g.policy.Choose(d.question(now, candidates), candidates, g.newRandom())
+	for _, u := range g.usable(now, r.group.Name) {
+		if u.ID == d.choice.ID {
+			d.upstream = u
+		}
+	}
+	d.version = d.upstream.Version(r.Prompt.Model)
+	return nil
+}
+
+// candidates returns the upstreams that may take the next attempt. Those that
+// were tried are left out while there are others.
+func (d *dispatch) candidates(now time.Time) []loomroute.Candidate {
+	upstreams := d.gate.usable(now, d.req.group.Name)
+	ids := make([]string, 0, len(upstreams))
+	for _, u := range upstreams {
+		ids = append(ids, u.ID)
+	}
+	ejected := make(map[string]bool)
+	for _, id := range d.gate.fleet.Ejected(now, ids) {
+		ejected[id] = true
+	}
+	var fresh, tried []loomroute.Candidate
+	for _, u := range upstreams {
+		c := d.candidate(now, u)
+		c.Suspect = ejected[u.ID]
+		if d.wasTried(u.ID) {
+			tried = append(tried, c)
+			continue
+		}
+		fresh = append(fresh, c)
+	}
+	if len(fresh) > 0 {
+		return fresh
+	}
+	return tried
+}
+
+func (d *dispatch) candidate(now time.Time, u loommember.Upstream) loomroute.Candidate {
+	c := loomroute.Candidate{ID: u.ID, FailureDomain: u.FailureDomain}
+	estimate := d.gate.fleet.Estimate(now, u.ID, d.unitTime())
+	c.Wait = estimate.Wait
+	c.Outstanding = estimate.Outstanding
+	if d.req.HasPrompt {
+		version := u.Version(d.req.Prompt.Model)
+		c.Held = d.gate.residency.Held(u.ID, saltOf(d.req, version), d.req.Prompt.Parts)
+		if wanted := d.gate.beliefs.wanted(d.req.Prompt.Model); version < wanted {
+			c.Wait += oldWeightsPenalty
+		}
+		if d.gate.rollout.loading(now, u.ID) {
+			c.Wait += loadingPenalty
+		}
+	}
+	return c
+}
+
+const (
+	// oldWeightsPenalty prefers engines with the named weights when they are not
+	// much slower.
+	oldWeightsPenalty = 60 * time.Millisecond
+	// loadingPenalty keeps work from an engine that loads weights.
+	loadingPenalty = 2 * time.Second
+)
+
+// unitTime is how long one unit of work takes.
+func (d *dispatch) unitTime() time.Duration {
+	if !d.req.HasPrompt {
+		return serviceTime
+	}
+	return d.gate.pace.tokenTime(d.req.group.Name)
+}
+
+// question is what the policy is asked about the request.
+func (d *dispatch) question(_ time.Time, candidates []loomroute.Candidate) loomroute.Request {
+	q := loomroute.Request{
+		BlockTokens:     1,
+		FailureDomain:   d.gate.settings.FailureDomain,
+		TokenTime:       d.unitTime(),
+		RecomputeWeight: recomputeWeight,
+	}
+	if !d.req.HasPrompt {
+		return q
+	}
+	q.Tokens = d.req.Prompt.Tokens
+	for _, c := range candidates {
+		q.Stored = max(q.Stored, c.Held)
+	}
+	q.BlockTime = moveTime(d.req.group.Engine)
+	return q
+}
+
+// moveTime is how long the kept state of one token takes on an engine's link.
+func moveTime(e *loomcatalogue.EngineClass) time.Duration {
+	if e == nil || e.LinkBitsPerSecond <= 0 {
+		return time.Second
+	}
+	const bitsPerByte = 8
+	return time.Duration(float64(e.BytesPerToken) * bitsPerByte / e.LinkBitsPerSecond * float64(time.Second))
+}
+
+// sources returns for each part of the prompt where its kept state may be
+// fetched from.
+func (d *dispatch) sources() []string {
+	if d.choice.Import == 0 {
+		return nil
+	}
+	held := d.gate.residency.Held(d.upstream.ID, saltOf(d.req, d.version), d.req.Prompt.Parts)
+	source := ""
+	best := held
+	for _, u := range d.gate.usable(time.Now(), d.req.group.Name) {
+		if u.ID == d.upstream.ID || u.Version(d.req.Prompt.Model) != d.version {
+			continue
+		}
+		n := d.gate.residency.Held(u.ID, saltOf(d.req, d.version), d.req.Prompt.Parts)
+		near := u.FailureDomain == d.upstream.FailureDomain
+		if n > best || (n == best && n > held && near) {
+			best, source = n, u.Address
+		}
+	}
+	if source == "" {
+		return nil
+	}
+	sources := make([]string, len(d.req.Prompt.Parts))
+	at := 0
+	for i, part := range d.req.Prompt.Parts {
+		if at >= held && at < best {
+			sources[i] = source
+		}
+		at += part.Tokens
+	}
+	return sources
+}
+
+// noteParts notes that the chosen engine is about to read the prompt.
+func (d *dispatch) noteParts() {
+	if !d.req.HasPrompt || len(d.req.Prompt.Parts) == 0 {
+		return
+	}
+	salt := saltOf(d.req, d.version)
+	d.gate.residency.Note(d.upstream.ID, salt, d.req.Prompt.Parts, cacheTokens(d.req.group.Engine))
+	d.gate.peers.placed(d.upstream.ID, salt, d.req.Prompt.Parts)
+}
+
+func cacheTokens(e *loomcatalogue.EngineClass) int {
+	if e == nil || e.MemoryTokens == 0 {
+		return defaultMemoryTokens
+	}
+	return int(float64(e.MemoryTokens) * cacheShare)
+}
+
+// pace keeps how long an engine of each group reads one token.
+type pace struct {
+	mu     sync.Mutex
+	groups map[string]time.Duration
+}
+
+func (p *pace) tokenTime(group string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t, ok := p.groups[group]; ok {
+		return t
+	}
+	return defaultTokenTime
+}
+
+const (
+	// paceTokens is the least prompt from which the pace is learnt; in shorter
+	// ones the fixed part of the time prevails.
+	paceTokens = 4000
+	// paceFixed is the time to a first token besides reading the prompt.
+	paceFixed = 50 * time.Millisecond
+	// paceWeight is the weight of one observation.
+	paceWeight = 0.02
+)
+
+// learnPace takes in the time to the first token of a long prompt.
+func (g *Gate) learnPace(d *dispatch, now time.Time) {
+	if !d.req.HasPrompt || d.choice.Recompute < paceTokens {
+		return
+	}
+	wait := d.choice.Expected - time.Duration(d.choice.Recompute)*d.unitTime()
+	took := now.Sub(d.sentAt) - paceFixed - max(wait, 0)
+	seen := min(max(took/time.Duration(d.choice.Recompute), defaultTokenTime/2), defaultTokenTime*2)
+	g.pace.mu.Lock()
+	defer g.pace.mu.Unlock()
+	old, ok := g.pace.groups[d.req.group.Name]
+	if !ok {
+		old = defaultTokenTime
+	}
+	g.pace.groups[d.req.group.Name] = old + time.Duration(float64(seen-old)*paceWeight)
+}
--- /dev/null
+++ b/loomgate/rollout.go
@@ -0,0 +1,435 @@
+package loomgate
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"swiftloom/loomfleet"
+	"swiftloom/loomlease"
+	"swiftloom/loommember"
+	"swiftloom/loompb"
+	"swiftloom/loomupstream"
+)
+
+const (
+	// rolloutInterval is the time between two looks at the engines while some
+	// lack the named weights, and rolloutIdle otherwise.
+	rolloutInterval = 200 * time.Millisecond
+	rolloutIdle     = time.Second
+	// leaseTimeout bounds a call for the lease; orderCallTimeout a call to an
+	// engine.
+	leaseTimeout     = 900 * time.Millisecond
+	orderCallTimeout = 500 * time.Millisecond
+	// orderWindow is how long after the sending of a renewal orders may be given;
+	// the rest of the lease keeps two holders' orders apart.
+	orderWindow = 1200 * time.Millisecond
+	// takeoverQuiet is how long a new holder waits after taking the lease from
+	// another, so that their orders are a whole lease apart.
+	takeoverQuiet = 1800 * time.Millisecond
+	// candidacyStep is the time by which instances wait for each other before
+	// they try to take the lease.
+	candidacyStep = 700 * time.Millisecond
+	// reorderAfter is when an order that shows no effect is given again.
+	reorderAfter = 4 * time.Second
+	// loadShare is the part of a group's engines that load at once. A site's
+	// weights come at full speed to about a sixth; the rest of the time of an
+	// order goes to runs that end first.
+	loadShare = 0.2
+	// toldMemory is how long what peers told of loading engines counts.
+	toldMemory = 1500 * time.Millisecond
+	leaseKey   = "leases/rollout"
+)
+
+// rollout brings engines to the versions that operators named, while this
+// instance holds the lease for it.
+type rollout struct {
+	gate *Gate
+	woke chan struct{}
+
+	// The fields up to mu belong to the goroutine of run.
+	lease      loomlease.Lease
+	lastHolder string
+	readAt     time.Time
+	// renewedAt is when the write that last renewed the lease was sent.
+	renewedAt  time.Time
+	quietUntil time.Time
+	wantSince  time.Time
+	orders     map[string]*engineOrder
+
+	mu sync.Mutex
+	// loadingNow holds the engines that load weights, by own and peers' word.
+	loadingNow map[string]loadingWord
+}
+
+// engineOrder is an order that this instance gave.
+type engineOrder struct {
+	upstream loommember.Upstream
+	model    string
+	version  uint64
+	sentAt   time.Time
+	lookedAt time.Time
+}
+
+type loadingWord struct {
+	at          time.Time
+	incarnation uint64
+	version     uint64
+	own         bool
+}
+
+func newRollout(g *Gate) *rollout {
+	holder := fmt.Sprintf("%s/%d", g.settings.ID, g.incarnation)
+	return &rollout{
+		gate:       g,
+		woke:       make(chan struct{}, 1),
+		lease:      loomlease.New(leaseKey, holder, g.settings.LeaseTime),
+		orders:     make(map[string]*engineOrder),
+		loadingNow: make(map[string]loadingWord),
+	}
+}
+
+// bootNow returns the time since the machine started, which goes on while the
+// machine is suspended; the steady clock of the runtime does not.
+func bootNow() time.Time {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return time.Now()
+	}
+	return time.Unix(ts.Unix())
+}
+
+func (r *rollout) wake() {
+	select {
+	case r.woke <- struct{}{}:
+	default:
+	}
+}
+
+func (r *rollout) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		wait := rolloutIdle
+		if r.step(ctx) {
+			wait = rolloutInterval
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+		case <-r.woke:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+	return nil
+}
+
+// wish is one model that some engines of a group lack in the named version.
+type wish struct {
+	model   string
+	version uint64
+	engines []loommember.Upstream
+	stale   int
+}
+
+// step does what is due and reports whether work is left.
+func (r *rollout) step(ctx context.Context) bool {
+	now := bootNow()
+	wishes := r.wishes(time.Now())
+	r.forgetDone()
+	if len(wishes) == 0 {
+		r.wantSince = time.Time{}
+		return false
+	}
+	if r.wantSince.IsZero() {
+		r.wantSince = now
+	}
+	if r.gate.Stopping() || !r.hold(ctx, now) {
+		return true
+	}
+	for _, w := range wishes {
+		r.order(ctx, w)
+	}
+	return true
+}
+
+// wishes returns what is left to do.
+func (r *rollout) wishes(now time.Time) []wish {
+	var left []wish
+	for model, version := range r.gate.beliefs.wishes() {
+		for _, group := range r.gate.beliefs.routing().Groups() {
+			if group.Engine == nil || !slices.Contains(group.Engine.Models, model) {
+				continue
+			}
+			w := wish{model: model, version: version, engines: r.gate.usable(now, group.Name)}
+			for _, u := range w.engines {
+				if u.Version(model) < version {
+					w.stale++
+				}
+			}
+			if w.stale > 0 {
+				left = append(left, w)
+			}
+		}
+	}
+	slices.SortFunc(left, func(a, b wish) int { return cmp.Compare(a.model, b.model) })
+	return left
+}
+
+// hold takes or renews the lease and reports whether orders may be given now.
+func (r *rollout) hold(ctx context.Context, now time.Time) bool {
+	_, held := r.lease.Held(now)
+	if !held && now.Sub(r.wantSince) < r.candidacy() {
+		return false
+	}
+	if !held && !r.read(ctx, now) {
+		return false
+	}
+	if !held || now.Sub(r.renewedAt) > orderWindow/2 {
+		r.write(ctx)
+	}
+	return r.mayOrder(bootNow())
+}
+
+// mayOrder reports whether an order may be sent at now.
+func (r *rollout) mayOrder(now time.Time) bool {
+	_, held := r.lease.Held(now)
+	return held && now.Sub(r.renewedAt) < orderWindow && !now.Before(r.quietUntil)
+}
+
+// candidacy is how long this instance leaves the lease to others: the instance
+// that ranks first tries at once.
+func (r *rollout) candidacy() time.Duration {
+	ids := r.gate.peers.live()
+	rank := 0
+	own := hashOf(leaseKey + r.gate.settings.ID)
+	for _, id := range ids {
+		if id != r.gate.settings.ID && hashOf(leaseKey+id) < own {
+			rank++
+		}
+	}
+	if r.lastHolder == r.gate.settings.ID {
+		rank = 0
+	}
+	return time.Duration(rank) * candidacyStep
+}
+
+// read reads the lease and reports whether it may be taken.
+func (r *rollout) read(ctx context.Context, now time.Time) bool {
+	if !r.readAt.IsZero() && now.Sub(r.readAt) < candidacyStep {
+		return r.lease.Due(now)
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	reply, err := r.gate.source.ReadRows(ctx, r.lease.Read())
+	if err != nil || len(reply.GetRows()) == 0 {
+		r.gate.log.Warn("lease_unread", "lease", leaseKey, "cause", fmt.Sprint(err))
+		return false
+	}
+	now = bootNow()
+	r.readAt = now
+	if err := r.lease.Seen(now, reply.GetRows()[0]); err != nil {
+		r.gate.log.Warn("lease_unread", "lease", leaseKey, "cause", err.Error())
+		return false
+	}
+	return r.lease.Due(now)
+}
+
+// write renews or takes the lease.
+func (r *rollout) write(ctx context.Context) {
+	before, _ := r.lease.Holder()
+	sent := bootNow()
+	_, held := r.lease.Held(sent)
+	request, err := r.lease.Write(sent)
+	if err != nil {
+		r.gate.log.Error("lease_unwritten", "lease", leaseKey, "cause", err.Error())
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	reply, err := r.gate.source.Transact(ctx, request)
+	if err != nil {
+		r.gate.log.Warn("lease_unwritten", "lease", leaseKey, "cause", err.Error())
+		// The write may have taken effect, so the row must be read again.
+		r.readAt = time.Time{}
+		if !held {
+			return
+		}
+		r.read(ctx, bootNow())
+		return
+	}
+	now := bootNow()
+	if err := r.lease.Written(now, reply); err != nil {
+		r.gate.log.Warn("lease_unread", "lease", leaseKey, "cause", err.Error())
+	}
+	token, won := r.lease.Held(now)
+	if !won {
+		r.gate.log.Info("lease_lost", "lease", leaseKey, "token", token)
+		return
+	}
+	r.renewedAt = sent
+	if held {
+		return
+	}
+	own := fmt.Sprintf("%s/%d", r.gate.settings.ID, r.gate.incarnation)
+	if before != "" && before != own {
+		r.quietUntil = now.Add(takeoverQuiet)
+	}
+	r.gate.log.Info("lease_taken", "lease", leaseKey, "token", token, "before", before)
+}
+
+// order gives the orders that are due for one model.
+func (r *rollout) order(ctx context.Context, w wish) {
+	engines := make([]loomfleet.Engine, 0, len(w.engines))
+	byID := make(map[string]loommember.Upstream, len(w.engines))
+	for _, u := range w.engines {
+		byID[u.ID] = u
+		e := loomfleet.Engine{ID: u.ID, Address: u.Address, Model: w.model, Version: u.Version(w.model), Usable: true}
+		e.Outstanding = r.gate.fleet.Estimate(time.Now(), u.ID, defaultTokenTime).Outstanding
+		if o, ok := r.orders[u.ID]; ok && o.upstream.Incarnation == u.Incarnation && o.version == w.version && e.Version < w.version {
+			e.Loading = w.version
+			r.look(ctx, o)
+		}
+		engines = append(engines, e)
+	}
+	limit := max(int(float64(len(w.engines))*loadShare+0.99), 1)
+	loading := 0
+	for _, e := range engines {
+		if e.Loading > 0 {
+			loading++
+		}
+	}
+	want := loomfleet.Want{Model: w.model, Version: w.version, LoadLimit: limit}
+	for _, o := range loomfleet.Plan(engines, want, limit-loading) {
+		if !r.mayOrder(bootNow()) {
+			return
+		}
+		r.send(ctx, byID[o.Engine], o)
+	}
+}
+
+// send gives one order. Its effect is seen by look.
+func (r *rollout) send(ctx context.Context, u loommember.Upstream, o loomfleet.Order) {
+	call, cancel := context.WithTimeout(ctx, orderCallTimeout)
+	defer cancel()
+	state, err := r.gate.runner.Report(call, u.Address, u.ID)
+	if err != nil {
+		r.gate.log.Warn("engine_unreported", "upstream", u.ID, "cause", err.Error())
+		return
+	}
+	if v := state.Version(o.Model); v >= o.Version {
+		r.gate.beliefs.sawVersion(time.Now(), u.ID, u.Incarnation, o.Model, v)
+		return
+	}
+	now := bootNow()
+	token, held := r.lease.Held(now)
+	if !held || !r.mayOrder(now) || state.Busy {
+		return
+	}
+	holder := r.gate.settings.ID
+	outcome, err := r.gate.runner.Order(call, u.Address, loomupstream.Order{
+		Upstream: u.ID, Model: o.Model, Version: o.Version, Holder: holder, Fence: token, ExpectedOrders: state.Orders,
+	})
+	r.gate.log.Info("order_sent", "upstream", u.ID, "model", o.Model, "version", o.Version, "fence", token,
+		"expected_orders", state.Orders, "outcome", outcome.String(), "cause", fmt.Sprint(err))
+	switch outcome {
+	case loomupstream.OrderAccepted, loomupstream.OrderUnknown:
+		r.orders[u.ID] = &engineOrder{upstream: u, model: o.Model, version: o.Version, sentAt: now, lookedAt: now}
+		r.note(u.ID, u.Incarnation, o.Version, true)
+	case loomupstream.OrderHolds:
+		r.gate.beliefs.sawVersion(time.Now(), u.ID, u.Incarnation, o.Model, o.Version)
+	default:
+	}
+}
+
+// lookInterval is the time between two looks at an engine that loads.
+const lookInterval = 300 * time.Millisecond
+
+// look asks an engine whether it has loaded.
+func (r *rollout) look(ctx context.Context, o *engineOrder) {
+	now := bootNow()
+	if now.Sub(o.lookedAt) < lookInterval {
+		r.note(o.upstream.ID, o.upstream.Incarnation, o.version, true)
+		return
+	}
+	o.lookedAt = now
+	call, cancel := context.WithTimeout(ctx, orderCallTimeout)
+	defer cancel()
+	state, err := r.gate.runner.Report(call, o.upstream.Address, o.upstream.ID)
+	switch {
+	case err != nil:
+		r.gate.log.Warn("engine_unreported", "upstream", o.upstream.ID, "cause", err.Error())
+	case state.Version(o.model) >= o.version:
+		r.note(o.upstream.ID, o.upstream.Incarnation, o.version, false)
+		r.gate.beliefs.sawVersion(time.Now(), o.upstream.ID, o.upstream.Incarnation, o.model, o.version)
+		delete(r.orders, o.upstream.ID)
+		return
+	case state.Busy:
+		r.note(o.upstream.ID, o.upstream.Incarnation, o.version, true)
+		return
+	}
+	if now.Sub(o.sentAt) > reorderAfter {
+		delete(r.orders, o.upstream.ID)
+	}
+}
+
+// forgetDone drops orders for versions that are no longer wanted.
+func (r *rollout) forgetDone() {
+	for id, o := range r.orders {
+		if r.gate.beliefs.wanted(o.model) != o.version {
+			delete(r.orders, id)
+		}
+	}
+}
+
+// note remembers that an engine loads, or that it has loaded.
+func (r *rollout) note(id string, incarnation, version uint64, loading bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !loading {
+		delete(r.loadingNow, id)
+		return
+	}
+	r.loadingNow[id] = loadingWord{at: time.Now(), incarnation: incarnation, version: version, own: true}
+}
+
+// loading reports whether an engine is known to load weights.
+func (r *rollout) loading(now time.Time, id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w, ok := r.loadingNow[id]
+	return ok && now.Sub(w.at) < toldMemory
+}
+
+// told returns what peers should know of weights: what loads, and the versions
+// of engines that the platform's list may not show yet.
+func (r *rollout) told(now time.Time) []*loompb.WeightsSeen {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var words []*loompb.WeightsSeen
+	for id, w := range r.loadingNow {
+		if now.Sub(w.at) >= toldMemory {
+			delete(r.loadingNow, id)
+			continue
+		}
+		if w.own {
+			words = append(words, &loompb.WeightsSeen{UpstreamId: id, Incarnation: w.incarnation, Version: w.version, Loading: true})
+		}
+	}
+	return words
+}
+
+// heard takes in what a peer told of weights.
+func (r *rollout) heard(now time.Time, words []*loompb.WeightsSeen) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, w := range words {
+		if w.GetLoading() {
+			r.loadingNow[w.GetUpstreamId()] = loadingWord{at: now, incarnation: w.GetIncarnation(), version: w.GetVersion()}
+		}
+	}
+}
--- /dev/null
+++ b/loomgate/serve.go
@@ -0,0 +1,385 @@
+package loomgate
+
+import (
+	"context"
+	"io"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"swiftloom/loomcatalogue"
+	"swiftloom/loomerror"
+	"swiftloom/loommember"
+	"swiftloom/loomroute"
+	"swiftloom/loomstream"
+	"swiftloom/loomupstream"
+)
+
+const (
+	// maxWholeAnswer bounds an answer that is not a stream.
+	maxWholeAnswer = 8 << 20
+	// weightsField names the field of an event that tells a change of weights.
+	weightsField = "swiftloom-weight-versions"
+	// refusedRetryAfter is when a refused caller should come back while no
+	// better estimate is at hand: about one round of a full batch.
+	refusedRetryAfter = 400 * time.Millisecond
+)
+
+// dispatch is one request on its way through upstreams. One goroutine uses it.
+type dispatch struct {
+	gate *Gate
+	req  *request
+	life *loomstream.Life
+	w    Responder
+
+	attempts int
+	attempt  string
+	upstream loommember.Upstream
+	choice   loomroute.Choice
+	version  uint64
+	ticket   loomroute.Ticket
+	ticketed bool
+	sentAt   time.Time
+	tried    []string
+	cancel   context.CancelFunc
+
+	// lastEvent is the ID of the last event that was passed on.
+	lastEvent string
+	started   bool
+	firstAt   time.Time
+	status    int
+	cause     string
+}
+
+// Serve answers one request. It returns when the answer is complete or given up.
+func (g *Gate) Serve(ctx context.Context, in Incoming, w Responder) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	g.metrics.requests.Inc(1)
+	r, err := g.admit(in)
+	if err != nil {
+		g.refused(in, err)
+		w.Refuse(in.RequestID, err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.until)
+	defer cancel()
+	d := &dispatch{gate: g, req: r, w: w}
+	d.life = loomstream.NewLife(r.repeatable(), g.retries, loomstream.NewBackoff(g.newRandom())).WithMaxRuns(r.route.Attempts)
+	failure := d.run(ctx)
+	d.endAttempt()
+	if failure != nil {
+		d.fail(ctx, failure)
+	}
+	g.logDone(d, failure)
+}
+
+// refused logs a request that was refused before an upstream was chosen.
+func (g *Gate) refused(in Incoming, err *loomerror.Error) {
+	g.metrics.refused(err.Kind())
+	g.log.Info("request_refused", "request_id", in.RequestID, "host", in.Host, "path", in.Path,
+		"kind", err.Kind().String(), "revision", g.beliefs.routing().Revision())
+}
+
+// fail writes the error of a request.
+func (d *dispatch) fail(ctx context.Context, failure *loomerror.Error) {
+	if ctx.Err() == context.Canceled {
+		d.w.Abort()
+		return
+	}
+	d.w.Refuse(d.req.RequestID, failure)
+}
+
+// run makes attempts until the request is answered. It returns the error that
+// the caller gets, or nil.
+func (d *dispatch) run(ctx context.Context) *loomerror.Error {
+	for {
+		if err := d.choose(time.Now()); err != nil {
+			return err.WithNotRun(d.life.NotRun())
+		}
+		action := d.try(ctx)
+		switch a := action.(type) {
+		case loomstream.Retry:
+			d.endAttempt()
+			d.gate.metrics.retries.Inc(1)
+			if err := pause(ctx, a.After); err != nil {
+				return d.ended(ctx)
+			}
+		case loomstream.Fail:
+			return a.Err
+		case loomstream.Complete, loomstream.Cancel:
+			return nil
+		default:
+			return d.ended(ctx)
+		}
+	}
+}
+
+// ended returns the error of a request whose context has ended.
+func (d *dispatch) ended(ctx context.Context) *loomerror.Error {
+	cause := ctx.Err()
+	if cause == nil {
+		cause = errors.New("no action is left")
+	}
+	return loomerror.From(cause).WithNotRun(d.life.NotRun()).WithRetryAfter(refusedRetryAfter)
+}
+
+// try sends the request to the chosen upstream and relays what comes back.
+func (d *dispatch) try(ctx context.Context) loomstream.Action {
+	now := time.Now()
+	d.attempts++
+	d.attempt = strconv.Itoa(d.attempts)
+	d.sentAt = now
+	d.tried = append(d.tried, d.upstream.ID)
+	d.ticket = d.gate.fleet.Sent(now, d.upstream.ID, d.work())
+	d.ticketed = true
+	d.life.Apply(now, loomstream.Dispatched{Attempt: d.attempt, Version: d.version})
+	d.noteParts()
+	d.gate.logDispatch(d, now)
+	call, cancel := context.WithCancel(ctx)
+	d.cancel = cancel
+	reply, err := d.gate.runner.Send(call, d.upstream.Address, d.message(now))
+	if err != nil {
+		return d.broken(ctx, err)
+	}
+	defer func() { _ = reply.Body.Close() }()
+	d.status = reply.Status
+	return d.receive(ctx, reply)
+}
+
+// work returns the expected work of the attempt in units of the fleet: prompt
+// tokens to compute, or one for a request without a prompt.
+func (d *dispatch) work() int {
+	if !d.req.HasPrompt {
+		return 1
+	}
+	return d.choice.Recompute
+}
+
+func (d *dispatch) message(now time.Time) loomupstream.Send {
+	r := d.req
+	s := loomupstream.Send{
+		RequestID:   r.RequestID,
+		Host:        r.RawHost,
+		Method:      r.Method,
+		Target:      r.Target,
+		Header:      r.Header,
+		Body:        r.Body,
+		Left:        r.until.Sub(now),
+		Upstream:    d.upstream.ID,
+		Account:     r.account.Name,
+		ResumeAfter: d.lastEvent,
+	}
+	if d.lastEvent == "" {
+		s.ResumeAfter = r.ResumeAfter
+	}
+	if !r.HasPrompt {
+		return s
+	}
+	s.Version = d.version
+	s.Salt = saltOf(r, d.version)
+	s.Rank = r.rank()
+	s.Fetch = d.sources()
+	return s
+}
+
+// saltOf names the kept state that a request may use: of its model and version,
+// and of its account alone if that is isolated.
+func saltOf(r *request, version uint64) string {
+	salt := r.Prompt.Model + "/" + strconv.FormatUint(version, 10)
+	if r.account.Isolated {
+		salt += "/" + r.account.Name
+	}
+	return salt
+}
+
+// broken turns the error of an attempt into what to do next.
+func (d *dispatch) broken(ctx context.Context, err error) loomstream.Action {
+	now := time.Now()
+	d.cause = err.Error()
+	var sendErr *loomupstream.SendError
+	if errors.As(err, &sendErr) && sendErr.Delivered {
+		d.life.Apply(now, loomstream.Delivered{Attempt: d.attempt})
+	}
+	if ctx.Err() != nil {
+		return d.givenUp(ctx, now)
+	}
+	d.gate.fleet.Broke(now, d.upstream.ID)
+	return d.life.Apply(now, loomstream.Broken{Attempt: d.attempt})
+}
+
+// givenUp ends a request whose caller left or whose time has passed.
+func (d *dispatch) givenUp(ctx context.Context, now time.Time) loomstream.Action {
+	notRun := d.life.NotRun()
+	d.life.Apply(now, loomstream.CallerGone{})
+	err := loomerror.From(ctx.Err()).WithNotRun(notRun).WithRetryAfter(refusedRetryAfter)
+	return loomstream.Fail{Err: err}
+}
+
+// receive looks at the head of an answer and relays the rest.
+func (d *dispatch) receive(ctx context.Context, reply *loomupstream.Reply) loomstream.Action {
+	now := time.Now()
+	if reply.Leaving {
+		d.gate.log.Debug("upstream_closes", "upstream", d.upstream.ID, "request_id", d.req.RequestID)
+	}
+	if reply.NotRun {
+		return d.refusedBy(now, reply)
+	}
+	d.life.Apply(now, loomstream.Delivered{Attempt: d.attempt})
+	if reply.RequestID != d.req.RequestID || !reply.Stamped {
+		d.cause = "the answer is not the upstream's to this request"
+		d.gate.fleet.Broke(now, d.upstream.ID)
+		return d.life.Apply(now, loomstream.Broken{Attempt: d.attempt})
+	}
+	d.noteVersion(now, reply.Version)
+	if d.req.route.Kind == loomcatalogue.Streaming && succeeded(reply) {
+		return d.relayStream(ctx, reply)
+	}
+	return d.relayWhole(ctx, reply)
+}
+
+func succeeded(r *loomupstream.Reply) bool {
+	return r.Status >= 200 && r.Status < 300
+}
+
+// refusedBy takes in an upstream's word that it did not run the attempt.
+func (d *dispatch) refusedBy(now time.Time, reply *loomupstream.Reply) loomstream.Action {
+	d.cause = "refused with status " + strconv.Itoa(reply.Status)
+	if reply.Status == statusMisdirected {
+		d.misdirected(now, reply)
+	}
+	return d.life.Apply(now, loomstream.Refused{Attempt: d.attempt})
+}
+
+const statusMisdirected = 421
+
+// misdirected learns from an answer that says that another upstream has the
+// address, or that this one has other weights.
+func (d *dispatch) misdirected(now time.Time, reply *loomupstream.Reply) {
+	if reply.Answerer != d.upstream.ID {
+		d.gate.beliefs.markLeaving(now, d.upstream.ID, d.upstream.Incarnation, "another upstream has its address")
+		return
+	}
+	model := d.req.Prompt.Model
+	version := reply.Version
+	if version == 0 {
+		version = d.gate.beliefs.wanted(model)
+	}
+	d.gate.beliefs.sawVersion(now, d.upstream.ID, d.upstream.Incarnation, model, version)
+}
+
+func (d *dispatch) noteVersion(now time.Time, version uint64) {
+	if d.req.HasPrompt && version > d.version {
+		d.gate.beliefs.sawVersion(now, d.upstream.ID, d.upstream.Incarnation, d.req.Prompt.Model, version)
+	}
+}
+
+// relayWhole reads an answer to its end before the first byte is passed on.
+func (d *dispatch) relayWhole(ctx context.Context, reply *loomupstream.Reply) loomstream.Action {
+	body, err := io.ReadAll(io.LimitReader(reply.Body, maxWholeAnswer+1))
+	now := time.Now()
+	if err == nil && (len(body) > maxWholeAnswer || (reply.Length >= 0 && int64(len(body)) != reply.Length && d.req.Method != "HEAD")) {
+		err = errors.NotValidf("answer of %d bytes", len(body))
+	}
+	if err != nil {
+		return d.broken(ctx, &loomupstream.SendError{Delivered: true, Cause: err})
+	}
+	d.first(now)
+	if reply.Status >= 500 {
+		d.gate.fleet.Broke(now, d.upstream.ID)
+		if retry, ok := d.life.Apply(now, loomstream.Failed{Attempt: d.attempt}).(loomstream.Retry); ok {
+			d.cause = "failed with status " + strconv.Itoa(reply.Status)
+			return retry
+		}
+	} else {
+		d.gate.fleet.Worked(d.upstream.ID)
+	}
+	d.started = true
+	if err := d.w.Answer(reply, body); err != nil {
+		d.cause = "the caller's connection broke: " + err.Error()
+	}
+	return loomstream.Complete{}
+}
+
+// first notes the first answer of an attempt.
+func (d *dispatch) first(now time.Time) {
+	if !d.firstAt.IsZero() {
+		return
+	}
+	d.firstAt = now
+	d.gate.fleet.Started(d.ticket)
+	d.gate.metrics.first(d.req.route, now.Sub(d.req.Received))
+	d.gate.learnPace(d, now)
+}
+
+// relayStream passes on whole events as they come.
+func (d *dispatch) relayStream(ctx context.Context, reply *loomupstream.Reply) loomstream.Action {
+	events := loomstream.NewEventReader(reply.Body, weightsField)
+	for {
+		event, err := events.Next()
+		now := time.Now()
+		if err == io.EOF {
+			return d.streamEnded(now)
+		}
+		if err != nil {
+			return d.broken(ctx, &loomupstream.SendError{Delivered: true, Cause: err})
+		}
+		d.first(now)
+		offset := d.life.Relayed()
+		action := d.life.Apply(now, loomstream.Token{Attempt: d.attempt, Version: d.version, Offset: offset})
+		if _, ok := action.(loomstream.Relay); !ok {
+			return action
+		}
+		if !d.started {
+			d.started = true
+			d.w.Stream(reply)
+		}
+		if err := d.w.Event(event.Raw); err != nil {
+			d.cause = "the caller's connection broke: " + err.Error()
+			return d.givenUp(ctx, now)
+		}
+		if event.ID != "" {
+			d.lastEvent = event.ID
+		}
+	}
+}
+
+// streamEnded takes in the end of a stream between two events.
+func (d *dispatch) streamEnded(now time.Time) loomstream.Action {
+	if d.life.Relayed() == 0 {
+		d.cause = "the stream ended before its first event"
+		return d.life.Apply(now, loomstream.Broken{Attempt: d.attempt})
+	}
+	d.gate.fleet.Worked(d.upstream.ID)
+	return d.life.Apply(now, loomstream.Finished{Attempt: d.attempt, Tokens: d.life.Relayed()})
+}
+
+// endAttempt gives up what the attempt holds.
+func (d *dispatch) endAttempt() {
+	if d.ticketed {
+		d.gate.fleet.Done(d.ticket)
+		d.ticketed = false
+	}
+	if d.cancel != nil {
+		d.cancel()
+		d.cancel = nil
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// wasTried reports whether an upstream had an attempt of this request.
+func (d *dispatch) wasTried(id string) bool {
+	return slices.Contains(d.tried, id)
+}
--- a/loomlease/lease.go
+++ b/loomlease/lease.go
@@ -144,6 +144,9 @@
 	}
 	l.row = l.sent
 	l.version++
+	if v := reply.GetVersion(); v > 0 {
+		l.version = v
+	}
 	l.seenAt = now
 	l.validUntil = l.sentAt.Add(l.duration - l.duration/driftPart)
 	return nil
--- /dev/null
+++ b/loommember/upstream_test.go
@@ -0,0 +1,160 @@
+package loommember
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var listedAt = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func upstream(id string, incarnation uint64) Upstream {
+	return Upstream{ID: id, Group: "engines", Address: "10.0.0.1:80", Incarnation: incarnation}
+}
+
+func usableIDs(d *Directory, now time.Time) []string {
+	ids := []string{}
+	for _, u := range d.Usable(now) {
+		ids = append(ids, u.ID)
+	}
+	return ids
+}
+
+func TestDirectory(t *testing.T) {
+	tests := []struct {
+		name string
+		play func(d *Directory)
+		at   time.Duration
+		want []string
+	}{
+		{
+			name: "listed",
+			play: func(d *Directory) { d.List(listedAt, upstream("a", 1), false, 1) },
+			want: []string{"a"},
+		},
+		{
+			name: "leaving gets no work",
+			play: func(d *Directory) { d.List(listedAt, upstream("a", 1), true, 1) },
+			want: []string{},
+		},
+		{
+			name: "a leaving mark sticks to its incarnation",
+			play: func(d *Directory) {
+				d.List(listedAt, upstream("a", 1), true, 1)
+				d.List(listedAt, upstream("a", 1), false, 2)
+			},
+			want: []string{},
+		},
+		{
+			name: "a leaving mark outlives the entry",
+			play: func(d *Directory) {
+				d.List(listedAt, upstream("a", 1), true, 1)
+				d.Remove(listedAt, "a", 2)
+				d.Tidy(listedAt.Add(time.Second))
+				d.List(listedAt.Add(time.Second), upstream("a", 1), false, 3)
+			},
+			at:   time.Second,
+			want: []string{},
+		},
+		{
+			name: "the next incarnation gets work",
+			play: func(d *Directory) {
+				d.List(listedAt, upstream("a", 1), true, 1)
+				d.List(listedAt, upstream("a", 2), false, 2)
+			},
+			want: []string{"a"},
+		},
+		{
+			name: "an older incarnation changes nothing",
+			play: func(d *Directory) {
+				d.List(listedAt, upstream("a", 2), false, 1)
+				d.List(listedAt, upstream("a", 1), true, 2)
+			},
+			want: []string{"a"},
+		},
+		{
+			name: "an older row changes nothing",
+			play: func(d *Directory) {
+				d.List(listedAt, upstream("a", 1), false, 5)
+				d.Remove(listedAt, "a", 4)
+			},
+			want: []string{"a"},
+		},
+		{
+			name: "removed at once while the platform is well",
+			play: func(d *Directory) {
+				d.List(listedAt, upstream("a", 1), false, 1)
+				d.Remove(listedAt, "a", 2)
+			},
+			want: []string{},
+		},
+		{
+			name: "kept for a while when it may have lapsed",
+			play: func(d *Directory) {
+				d.List(listedAt, upstream("a", 1), false, 1)
+				d.Outage(listedAt)
+				d.Remove(listedAt.Add(time.Second), "a", 2)
+			},
+			at:   2 * time.Second,
+			want: []string{"a"},
+		},
+		{
+			name: "gone when it has not come back",
+			play: func(d *Directory) {
+				d.List(listedAt, upstream("a", 1), false, 1)
+				d.Outage(listedAt)
+				d.Remove(listedAt.Add(time.Second), "a", 2)
+			},
+			at:   3 * time.Second,
+			want: []string{},
+		},
+		{
+			name: "back after it had lapsed",
+			play: func(d *Directory) {
+				d.List(listedAt, upstream("a", 1), false, 1)
+				d.Outage(listedAt)
+				d.Remove(listedAt.Add(time.Second), "a", 2)
+				d.List(listedAt.Add(2*time.Second), upstream("a", 1), false, 3)
+			},
+			at:   time.Minute,
+			want: []string{"a"},
+		},
+		{
+			name: "a rumour of leaving for another incarnation",
+			play: func(d *Directory) {
+				d.List(listedAt, upstream("a", 2), false, 1)
+				d.Mark(listedAt, "a", 1)
+			},
+			want: []string{"a"},
+		},
+		{
+			name: "a rumour of leaving",
+			play: func(d *Directory) {
+				d.List(listedAt, upstream("a", 2), false, 1)
+				d.Mark(listedAt, "a", 2)
+			},
+			want: []string{},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var d Directory
+			tt.play(&d)
+			assert.DeepEqual(t, usableIDs(&d, listedAt.Add(tt.at)), tt.want)
+		})
+	}
+}
+
+func TestDirectoryVersions(t *testing.T) {
+	var d Directory
+	u := upstream("a", 1)
+	u.Weights = []Weights{{Model: "m", Version: 3}}
+	d.List(listedAt, u, false, 1)
+	assert.Assert(t, !d.SetVersion("a", 1, "m", 2), "versions only rise")
+	assert.Assert(t, !d.SetVersion("a", 7, "m", 4), "another incarnation")
+	assert.Assert(t, d.SetVersion("a", 1, "m", 4))
+	got, ok := d.Get(listedAt, "a")
+	assert.Assert(t, ok)
+	assert.Equal(t, got.Version("m"), uint64(4))
+}
--- a/loomplatform/platform.go
+++ b/loomplatform/platform.go
@@ -12,12 +12,18 @@
 	"swiftloom/loompb"
 )
 
+// Table is a transactional table. Its methods may be called concurrently. An
+// error leaves open whether a write took effect.
+type Table interface {
+	Transact(ctx context.Context, r *loompb.TransactRequest) (*loompb.TransactReply, error)
+	ReadRows(ctx context.Context, r *loompb.ReadRowsRequest) (*loompb.ReadRowsReply, error)
+}
+
 // Platform is the platform's service: a transactional table, an object store,
 // a list of members and a weight store. Its methods may be called
-// concurrently. An error leaves open whether a write took effect.
+// concurrently.
 type Platform interface {
-	Transact(ctx context.Context, r *loompb.TransactRequest) (*loompb.TransactReply, error)
-	ReadRows(ctx context.Context, r *loompb.ReadRowsRequest) (*loompb.ReadRowsReply, error)
+	Table
 	PutObject(ctx context.Context, r *loompb.PutObjectRequest) (*loompb.PutObjectReply, error)
 	GetObject(ctx context.Context, r *loompb.GetObjectRequest) (*loompb.GetObjectReply, error)
 	Announce(ctx context.Context, r *loompb.AnnounceRequest) (*loompb.AnnounceReply, error)
--- a/loomroute/fleet.go
+++ b/loomroute/fleet.go
@@ -56,6 +56,102 @@
 	failures int
 	// ejectedUntil is when an outlier gets work again.
 	ejectedUntil time.Time
+	// peers holds what other instances told that they have under way here.
+	peers map[string]peerLoad
+}
+
+type peerLoad struct {
+	at          time.Time
+	outstanding int
+	tokens      int
+}
+
+// PeerLoad is what an instance has under way at an upstream.
+type PeerLoad struct {
+	ID          string
+	Outstanding int
+	// Tokens counts prompt tokens that are not computed yet.
+	Tokens int
+}
+
+// peerLoadMemory is how long a peer's word counts without a new one.
+const peerLoadMemory = 1500 * time.Millisecond
+
+// PeerLoads takes in all that a peer has under way.
+func (f *Fleet) PeerLoads(now time.Time, peer string, loads []PeerLoad) {
+	told := make(map[string]peerLoad, len(loads))
+	for _, l := range loads {
+		told[l.ID] = peerLoad{at: now, outstanding: l.Outstanding, tokens: l.Tokens}
+	}
+	for i := range f.shards {
+		f.shards[i].takePeer(peer, told)
+	}
+	for id, l := range told {
+		s := f.shard(id)
+		s.mu.Lock()
+		s.load(id).setPeer(peer, l)
+		s.mu.Unlock()
+	}
+}
+
+// takePeer drops what a peer no longer tells.
+func (s *fleetShard) takePeer(peer string, told map[string]peerLoad) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, l := range s.loads {
+		if _, ok := told[id]; !ok {
+			delete(l.peers, peer)
+		}
+	}
+}
+
+func (l *load) setPeer(peer string, p peerLoad) {
+	if l.peers == nil {
+		l.peers = make(map[string]peerLoad)
+	}
+	l.peers[peer] = p
+}
+
+// ofPeers adds up what peers have under way. Work shrinks at the rate of
+// computing since it was told.
+func (l *load) ofPeers(now time.Time, tokenTime time.Duration) (wait time.Duration, outstanding int) {
+	var latest time.Time
+	for peer, p := range l.peers {
+		if now.Sub(p.at) > peerLoadMemory {
+			delete(l.peers, peer)
+			continue
+		}
+		wait += time.Duration(p.tokens) * tokenTime
+		outstanding += p.outstanding
+		if p.at.After(latest) {
+			latest = p.at
+		}
+	}
+	if wait > 0 {
+		wait = max(wait-now.Sub(latest), 0)
+	}
+	return wait, outstanding
+}
+
+// OwnLoads returns what this instance has under way at each upstream.
+func (f *Fleet) OwnLoads() []PeerLoad {
+	var loads []PeerLoad
+	for i := range f.shards {
+		s := &f.shards[i]
+		s.mu.Lock()
+		for id, l := range s.loads {
+			if len(l.sent) == 0 {
+				continue
+			}
+			own := PeerLoad{ID: id, Outstanding: len(l.sent)}
+			for _, w := range l.sent {
+				own.Tokens += w.tokens
+			}
+			loads = append(loads, own)
+		}
+		s.mu.Unlock()
+	}
+	return loads
 }
 
 type sentWork struct {
@@ -247,6 +343,9 @@
 	wait := max(reported, 0) + time.Duration(freshTokens)*tokenTime
 	wait = max(wait, time.Duration(tokens)*tokenTime)
 	outstanding := max(l.report.Queued+l.report.Running+fresh, len(l.sent))
+	peerWait, peerOutstanding := l.ofPeers(now, tokenTime)
+	wait += peerWait
+	outstanding += peerOutstanding
 	if over := outstanding - l.report.BatchLimit; l.report.BatchLimit > 0 && over > 0 {
 		wait += time.Duration(over) * batchSlotTime
 	}
--- a/loomstream/life.go
+++ b/loomstream/life.go
@@ -37,7 +37,7 @@
 }
 
 // Event is something that happened to a request. It is one of Dispatched,
-// Delivered, Refused, Token, Finished, Broken and CallerGone.
+// Delivered, Refused, Token, Finished, Failed, Broken and CallerGone.
 type Event interface {
 	event()
 }
@@ -72,6 +72,11 @@
 	Tokens  int
 }
 
+// Failed says that the upstream ran the attempt and answered with a failure.
+type Failed struct {
+	Attempt string
+}
+
 // Broken says that the connection of an attempt ended early.
 type Broken struct {
 	Attempt string
@@ -87,6 +92,7 @@
 func (Refused) event()    {}
 func (Token) event()      {}
 func (Finished) event()   {}
+func (Failed) event()     {}
 func (Broken) event()     {}
 func (CallerGone) event() {}
 
@@ -164,6 +170,11 @@
 	answer   []uint32
 	attempts int
 	resumes  int
+	// runs counts the attempts that may have run; it stays below maxRuns while
+	// the request goes on.
+	runs int
+	// maxRuns bounds runs; zero means MaxAttempts.
+	maxRuns int
 }
 
 // NewLife returns the life of a request that waits to be dispatched.
@@ -171,6 +182,13 @@
 	return &Life{repeatable: repeatable, budget: budget, backoff: backoff}
 }
 
+// WithMaxRuns bounds the upstreams that may run the request. It must be called
+// before the first event.
+func (l *Life) WithMaxRuns(n int) *Life {
+	l.maxRuns = n
+	return l
+}
+
 // State returns how far the request has come.
 func (l *Life) State() State {
 	return l.state
@@ -215,6 +233,8 @@
 		return l.token(now, e)
 	case Finished:
 		return l.finished(now, e)
+	case Failed:
+		return l.failed(now, e)
 	case Broken:
 		return l.broken(now, e)
 	case CallerGone:
@@ -297,14 +317,43 @@
 		l.resumes++
 		return Resume{Attempt: l.attempt, Offset: len(l.answer)}
 	}
-	l.mayHaveRun = true
-	if !l.repeatable {
-		l.state = Answered
-		return Fail{Err: loomerror.New(loomerror.OutcomeUnknown, "the upstream went away before it answered")}
+	if !l.mayRunAgain() {
+		return l.lost()
 	}
 	return l.retry(now, loomerror.New(loomerror.UpstreamFailed, "the upstream went away before it answered"))
 }
 
+// failed asks for another attempt where one is allowed, and otherwise completes
+// the request with the upstream's failure.
+func (l *Life) failed(now time.Time, e Failed) Action {
+	if e.Attempt != l.attempt || l.state == Answered || l.state == Queued {
+		return Wait{}
+	}
+	l.state = Sent
+	if len(l.answer) == 0 && l.mayRunAgain() && l.attempts < MaxAttempts && l.budget.Withdraw(now) {
+		return Retry{After: l.backoff.Pause(l.attempts)}
+	}
+	l.state = Answered
+	return Complete{Tokens: len(l.answer)}
+}
+
+// mayRunAgain notes that the attempt may have run and reports whether another
+// one may.
+func (l *Life) mayRunAgain() bool {
+	l.mayHaveRun = true
+	l.runs++
+	return l.repeatable && (l.maxRuns == 0 || l.runs < l.maxRuns)
+}
+
+// lost ends a request whose upstream went away.
+func (l *Life) lost() Action {
+	if len(l.answer) > 0 {
+		return l.cut("the upstream went away in the middle of the answer")
+	}
+	l.state = Answered
+	return Fail{Err: loomerror.New(loomerror.OutcomeUnknown, "the upstream went away before it answered")}
+}
+
 // retry asks for another attempt, or fails with err.
 func (l *Life) retry(now time.Time, err *loomerror.Error) Action {
 	if l.attempts < MaxAttempts && l.budget.Withdraw(now) {
--- a/loomstream/retry.go
+++ b/loomstream/retry.go
@@ -20,20 +20,37 @@
 // called concurrently.
 type RetryBudget struct {
 	mu sync.Mutex
-	// balance is between zero and retryReserve.
+	// balance is between zero and reserve.
 	balance float64
+	share   float64
+	reserve float64
 }
 
 // NewRetryBudget returns a full budget.
 func NewRetryBudget() *RetryBudget {
-	return &RetryBudget{balance: retryReserve}
+	return NewRetryBudgetOf(retryShare, retryReserve)
+}
+
+// NewRetryBudgetOf returns a full budget that grows by share with each request,
+// up to reserve.
+func NewRetryBudgetOf(share, reserve float64) *RetryBudget {
+	return &RetryBudget{balance: reserve, share: share, reserve: reserve}
+}
+
+// SetReserve changes the reserve, as when the number of instances that share a
+// budget has changed. The balance never grows by it.
+func (b *RetryBudget) SetReserve(reserve float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.reserve = reserve
+	b.balance = min(b.balance, reserve)
 }
 
 // Deposit adds the share of one request.
 func (b *RetryBudget) Deposit(time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.balance = min(b.balance+retryShare, retryReserve)
+	b.balance = min(b.balance+b.share, b.reserve)
 }
 
 // Withdraw takes one retry and reports whether there was one.
