Save and fetch parts of prompts at the stores for kept state

Cause: parts of prompts were read again on most returns: the estimate of what an engine holds was asked after the dispatch had been noted, so no source was ever named, and nothing was saved.

--- a/loomcatalogue/routing.go
+++ b/loomcatalogue/routing.go
@@ -115,7 +115,7 @@
 type EngineClass struct {
 	Slots int
 	// MemoryTokens is the memory for running and cached tokens.
-	MemoryTokens int
+	MemoryTokens  int
 	BytesPerToken int
 	// LinkBitsPerSecond is the rate of the link for kept state.
 	LinkBitsPerSecond float64
--- a/loomgate/gate.go
+++ b/loomgate/gate.go
@@ -44,6 +44,7 @@
 	Log    *slog.Logger
 	Source Source
 	Runner loomupstream.Runner
+	Kept   loomupstream.KeptStores
 	// Seed is the source of all random numbers.
 	Seed uint64
 }
@@ -55,6 +56,7 @@
 	log         *slog.Logger
 	source      Source
 	runner      loomupstream.Runner
+	kept        loomupstream.KeptStores
 	incarnation uint64
 	metrics     *Metrics
 
@@ -65,6 +67,7 @@
 	retries   *loomstream.RetryBudget
 	peers     *peers
 	rollout   *rollout
+	stores    *stores
 	pace      pace
 
 	// stopping is set once and never unset.
@@ -86,6 +89,7 @@
 		log:         o.Log,
 		source:      o.Source,
 		runner:      o.Runner,
+		kept:        o.Kept,
 		incarnation: uint64(time.Now().UnixMilli()),
 		metrics:     newMetrics(),
 		fleet:       loomroute.NewFleet(),
@@ -98,6 +102,7 @@
 	g.beliefs = newBeliefs(g)
 	g.peers = newPeers(g)
 	g.rollout = newRollout(g)
+	g.stores = newStores(g)
 	return g, nil
 }
 
@@ -120,6 +125,7 @@
 	kernel.Add("catalogue_feed", loomkernel.Func(g.beliefs.followCatalogue))
 	kernel.Add("upstreams_feed", loomkernel.Func(g.beliefs.followUpstreams))
 	kernel.Add("peers", loomkernel.Func(g.peers.run))
+	kernel.Add("stores", loomkernel.Func(g.stores.run))
 	kernel.Add("rollout", loomkernel.Func(g.rollout.run))
 	return kernel.Run(ctx)
 }
--- a/loomgate/place.go
+++ b/loomgate/place.go
@@ -18,8 +18,8 @@
 	// it was measured: 112 to 125 tokens a millisecond at full speed.
 	defaultTokenTime = 9 * time.Microsecond
 	// recomputeWeight adds to the time of computing what it takes from others at
-	// the same engine.
-	recomputeWeight = 0.5
+	// the same engine, and that parts are not to be read again.
+	recomputeWeight = 2
 	// cacheShare is the part of an engine's memory that is believed to keep parts
 	// of prompts; running requests use the rest.
 	cacheShare = 0.8
@@ -121,10 +121,25 @@
 	for _, c := range candidates {
 		q.Stored = max(q.Stored, c.Held)
 	}
+	q.Stored = max(q.Stored, d.storedTokens())
 	q.BlockTime = moveTime(d.req.group.Engine)
 	return q
 }
 
+// storedTokens returns how many leading tokens of the prompt stores keep, for
+// the weights that operators named.
+func (d *dispatch) storedTokens() int {
+	salt := saltOf(d.req, d.gate.beliefs.wanted(d.req.Prompt.Model))
+	tokens := 0
+	for _, part := range d.req.Prompt.Parts {
+		if address, _ := d.gate.stores.index.Source(salt, part); address == "" {
+			return tokens
+		}
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
 // moveTime is how long the kept state of one token takes on an engine's link.
 func moveTime(e *loomcatalogue.EngineClass) time.Duration {
 	if e == nil || e.LinkBitsPerSecond <= 0 {
@@ -134,37 +149,52 @@
 	return time.Duration(float64(e.BytesPerToken) * bitsPerByte / e.LinkBitsPerSecond * float64(time.Second))
 }
 
-// sources returns for each part of the prompt where its kept state may be
-// fetched from.
-func (d *dispatch) sources() []string {
-	if d.choice.Import == 0 {
-		return nil
-	}
-	held := d.gate.residency.Held(d.upstream.ID, saltOf(d.req, d.version), d.req.Prompt.Parts)
-	source := ""
-	best := held
-	for _, u := range d.gate.usable(time.Now(), d.req.group.Name) {
-		if u.ID == d.upstream.ID || u.Version(d.req.Prompt.Model) != d.version {
-			continue
-		}
-		n := d.gate.residency.Held(u.ID, saltOf(d.req, d.version), d.req.Prompt.Parts)
-		near := u.FailureDomain == d.upstream.FailureDomain
-		if n > best || (n == best && n > held && near) {
-			best, source = n, u.Address
-		}
+// keptPlan says for each part of a prompt where its kept state comes from and
+// goes to. Empty addresses mean nowhere.
+type keptPlan struct {
+	fetch []string
+	save  []string
+	// fetches tells that some part is fetched.
+	fetches bool
+}
+
+// planKept decides which parts the chosen engine fetches, and which are saved.
+// A part that the engine is believed to cache gets a source too, since a source
+// is used only for what is missing.
+func (d *dispatch) planKept(now time.Time) keptPlan {
+	parts := d.req.Prompt.Parts
+	if !d.req.HasPrompt || len(parts) == 0 || d.version == 0 {
+		return keptPlan{}
 	}
-	if source == "" {
-		return nil
+	salt := saltOf(d.req, d.version)
+	p := keptPlan{fetch: make([]string, len(parts)), save: make([]string, len(parts))}
+	stored := d.gate.stores.index
+	for i, part := range parts {
+		p.fetch[i], _ = stored.Source(salt, part)
+		if p.fetch[i] == "" {
+			p.fetch[i] = d.holder(now, salt, parts[:i+1])
+			p.save[i] = stored.Target(now, salt, part, d.unitTime())
+		}
+		p.fetches = p.fetches || p.fetch[i] != ""
 	}
-	sources := make([]string, len(d.req.Prompt.Parts))
-	at := 0
-	for i, part := range d.req.Prompt.Parts {
-		if at >= held && at < best {
-			sources[i] = source
+	return p
+}
+
+// holder returns the address of another engine that is believed to cache the
+// last of the parts, or nothing.
+func (d *dispatch) holder(now time.Time, salt string, parts []Part) string {
+	last := parts[len(parts)-1:]
+	address := ""
+	for _, u := range d.gate.usable(now, d.req.group.Name) {
+		if u.ID == d.upstream.ID || u.Version(d.req.Prompt.Model) != d.version || d.gate.residency.Held(u.ID, salt, last) == 0 {
+			continue
+		}
+		if u.FailureDomain == d.upstream.FailureDomain {
+			return u.Address
 		}
-		at += part.Tokens
+		address = u.Address
 	}
-	return sources
+	return address
 }
 
 // noteParts notes that the chosen engine is about to read the prompt.
--- a/loomgate/rollout.go
+++ b/loomgate/rollout.go
@@ -28,13 +28,13 @@
 	orderCallTimeout = 500 * time.Millisecond
 	// orderWindow is how long after the sending of a renewal orders may be given;
 	// the rest of the lease keeps two holders' orders apart.
-	orderWindow = 1200 * time.Millisecond
+	orderWindow = 600 * time.Millisecond
 	// takeoverQuiet is how long a new holder waits after taking the lease from
 	// another, so that their orders are a whole lease apart.
-	takeoverQuiet = 1800 * time.Millisecond
+	takeoverQuiet = 800 * time.Millisecond
 	// candidacyStep is the time by which instances wait for each other before
 	// they try to take the lease.
-	candidacyStep = 700 * time.Millisecond
+	candidacyStep = 300 * time.Millisecond
 	// reorderAfter is when an order that shows no effect is given again.
 	reorderAfter = 4 * time.Second
 	// loadShare is the part of a group's engines that load at once. A site's
@@ -43,7 +43,9 @@
 	loadShare = 0.2
 	// toldMemory is how long what peers told of loading engines counts.
 	toldMemory = 1500 * time.Millisecond
-	leaseKey   = "leases/rollout"
+	// readInterval is the time between two reads of another's lease.
+	readInterval = 600 * time.Millisecond
+	leaseKey     = "leases/rollout"
 )
 
 // rollout brings engines to the versions that operators named, while this
@@ -183,10 +185,7 @@
 // hold takes or renews the lease and reports whether orders may be given now.
 func (r *rollout) hold(ctx context.Context, now time.Time) bool {
 	_, held := r.lease.Held(now)
-	if !held && now.Sub(r.wantSince) < r.candidacy() {
-		return false
-	}
-	if !held && !r.read(ctx, now) {
+	if !held && (!r.read(ctx, now) || now.Sub(r.wantSince) < r.candidacy()) {
 		return false
 	}
 	if !held || now.Sub(r.renewedAt) > orderWindow/2 {
@@ -220,7 +219,7 @@
 
 // read reads the lease and reports whether it may be taken.
 func (r *rollout) read(ctx context.Context, now time.Time) bool {
-	if !r.readAt.IsZero() && now.Sub(r.readAt) < candidacyStep {
+	if !r.readAt.IsZero() && now.Sub(r.readAt) < readInterval {
 		return r.lease.Due(now)
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -39,6 +39,7 @@
 	upstream loommember.Upstream
 	choice   loomroute.Choice
 	version  uint64
+	kept     keptPlan
 	ticket   loomroute.Ticket
 	ticketed bool
 	sentAt   time.Time
@@ -136,6 +137,7 @@
 	d.ticket = d.gate.fleet.Sent(now, d.upstream.ID, d.work())
 	d.ticketed = true
 	d.life.Apply(now, loomstream.Dispatched{Attempt: d.attempt, Version: d.version})
+	d.kept = d.planKept(now)
 	d.noteParts()
 	d.gate.logDispatch(d, now)
 	call, cancel := context.WithCancel(ctx)
@@ -181,20 +183,29 @@
 	s.Version = d.version
 	s.Salt = saltOf(r, d.version)
 	s.Rank = r.rank()
-	s.Fetch = d.sources()
+	s.Fetch = d.kept.fetch
+	s.Save = d.kept.save
+	if d.kept.fetches {
+		s.FetchUntil = d.gate.stores.fetchUntil(now)
+	}
 	return s
 }
 
 // saltOf names the kept state that a request may use: of its model and version,
 // and of its account alone if that is isolated.
 func saltOf(r *request, version uint64) string {
-	salt := r.Prompt.Model + "/" + strconv.FormatUint(version, 10)
+	salt := modelSalt(r.Prompt.Model, version)
 	if r.account.Isolated {
 		salt += "/" + r.account.Name
 	}
 	return salt
 }
 
+// modelSalt is the part of a salt that names the weights.
+func modelSalt(model string, version uint64) string {
+	return model + "/" + strconv.FormatUint(version, 10)
+}
+
 // broken turns the error of an attempt into what to do next.
 func (d *dispatch) broken(ctx context.Context, err error) loomstream.Action {
 	now := time.Now()
--- a/loomupstream/runner.go
+++ b/loomupstream/runner.go
@@ -35,6 +35,9 @@
 	// none. Both may be nil.
 	Fetch []string
 	Save  []string
+	// FetchUntil is when a fetch that has not ended is given up, on the clock
+	// that upstreams share; zero means never.
+	FetchUntil time.Duration
 	// ResumeAfter is the last event that the caller has, or empty.
 	ResumeAfter string
 }
