Queue at the instance, spread the rollout, bound fetches

Cause: engines were sent more than they could begin, so that urgent requests waited behind long prompts; the rollout's holder lost its lease to a cut from the store and nobody ordered for four seconds; fetches from a slow store held first tokens back for two seconds.

--- a/loomgate/beliefs.go
+++ b/loomgate/beliefs.go
@@ -48,6 +48,8 @@
 	// named holds the version that operators named for each model; it only
 	// rises.
 	named map[string]uint64
+	// namedAt is when each was first seen.
+	namedAt map[string]time.Time
 	// rows holds the platform's rows for peers that can't reach it.
 	rows map[Topic]map[string]Row
 	// complained holds the versions of rows that could not be read, so that
@@ -60,6 +62,7 @@
 		gate:       g,
 		poke:       make(chan struct{}, 1),
 		named:      make(map[string]uint64),
+		namedAt:    make(map[string]time.Time),
 		rows:       map[Topic]map[string]Row{TopicCatalogue: {}, TopicUpstreams: {}},
 		complained: make(map[string]uint64),
 	}
@@ -92,6 +95,13 @@
 	return b.named[model]
 }
 
+// expired reports whether weights of a version may no longer serve at now.
+func (b *beliefs) expired(now time.Time, model string, version uint64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return version < b.named[model] && now.Sub(b.namedAt[model]) > b.gate.settings.WeightsTime-weightsMargin
+}
+
 // wishes returns the version that operators named for each model.
 func (b *beliefs) wishes() map[string]uint64 {
 	b.mu.Lock()
@@ -246,6 +256,7 @@
 	case WeightsNamed:
 		if c.Version > b.named[c.Model] {
 			b.named[c.Model] = c.Version
+			b.namedAt[c.Model] = now
 			b.gate.log.Info("weights_named", "model", c.Model, "version", c.Version)
 			b.gate.rollout.wake()
 		}
--- a/loomgate/gate.go
+++ b/loomgate/gate.go
@@ -32,8 +32,12 @@
 	RetryRatio   float64
 	RetryWindow  time.Duration
 	RetryReserve float64
-	// LeaseTime is how long a lease lasts without renewal.
-	LeaseTime time.Duration
+	// OrderGap is the least time between the orders of two instances to one
+	// upstream.
+	OrderGap time.Duration
+	// WeightsTime is how long after new weights were named the old ones may
+	// still serve.
+	WeightsTime time.Duration
 	// DrainTime is how long an upstream goes on serving after it was known to
 	// leave.
 	DrainTime time.Duration
@@ -68,6 +72,7 @@
 	peers     *peers
 	rollout   *rollout
 	stores    *stores
+	queues    *queues
 	pace      pace
 
 	// stopping is set once and never unset.
@@ -103,6 +108,7 @@
 	g.peers = newPeers(g)
 	g.rollout = newRollout(g)
 	g.stores = newStores(g)
+	g.queues = newQueues(g)
 	return g, nil
 }
 
--- a/loomgate/peers.go
+++ b/loomgate/peers.go
@@ -19,7 +19,7 @@
 
 const (
 	// exchangeInterval is the time between two rounds with peers.
-	exchangeInterval = 250 * time.Millisecond
+	exchangeInterval = 80 * time.Millisecond
 	// exchangeTimeout bounds one call to a peer.
 	exchangeTimeout = 600 * time.Millisecond
 	// rowsTimeout bounds the reading of a peer's rows.
--- a/loomgate/place.go
+++ b/loomgate/place.go
@@ -20,6 +20,9 @@
 	// recomputeWeight adds to the time of computing what it takes from others at
 	// the same engine, and that parts are not to be read again.
 	recomputeWeight = 2
+	// moveWeight makes an engine that caches the parts preferred to one that has
+	// to fetch them, since transfers share links.
+	moveWeight = 3
 	// cacheShare is the part of an engine's memory that is believed to keep parts
 	// of prompts; running requests use the rest.
 	cacheShare = 0.8
@@ -40,6 +43,11 @@
 			d.upstream = u
 		}
 	}
+	for _, c := range candidates {
+		if c.ID == d.choice.ID {
+			d.wait = c.Wait
+		}
+	}
 	d.version = d.upstream.Version(r.Prompt.Model)
 	return nil
 }
@@ -58,6 +66,9 @@
 	}
 	var fresh, tried []loomroute.Candidate
 	for _, u := range upstreams {
+		if d.req.HasPrompt && d.gate.beliefs.expired(now, d.req.Prompt.Model, u.Version(d.req.Prompt.Model)) {
+			continue
+		}
 		c := d.candidate(now, u)
 		c.Suspect = ejected[u.ID]
 		if d.wasTried(u.ID) {
@@ -122,7 +133,7 @@
 		q.Stored = max(q.Stored, c.Held)
 	}
 	q.Stored = max(q.Stored, d.storedTokens())
-	q.BlockTime = moveTime(d.req.group.Engine)
+	q.BlockTime = moveTime(d.req.group.Engine) * moveWeight
 	return q
 }
 
@@ -154,8 +165,8 @@
 type keptPlan struct {
 	fetch []string
 	save  []string
-	// fetches tells that some part is fetched.
-	fetches bool
+	// fetched counts the tokens of the parts that are fetched.
+	fetched int
 }
 
 // planKept decides which parts the chosen engine fetches, and which are saved.
@@ -170,12 +181,17 @@
 	p := keptPlan{fetch: make([]string, len(parts)), save: make([]string, len(parts))}
 	stored := d.gate.stores.index
 	for i, part := range parts {
-		p.fetch[i], _ = stored.Source(salt, part)
-		if p.fetch[i] == "" {
-			p.fetch[i] = d.holder(now, salt, parts[:i+1])
+		address, _ := stored.Source(salt, part)
+		if address == "" {
 			p.save[i] = stored.Target(now, salt, part, d.unitTime())
 		}
-		p.fetches = p.fetches || p.fetch[i] != ""
+		if address == "" {
+			address = d.holder(now, salt, parts[:i+1])
+		}
+		if address != "" {
+			p.fetch[i] = address
+			p.fetched += part.Tokens
+		}
 	}
 	return p
 }
--- a/loomgate/rollout.go
+++ b/loomgate/rollout.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -20,27 +21,36 @@
 const (
 	// rolloutInterval is the time between two looks at the engines while some
 	// lack the named weights, and rolloutIdle otherwise.
-	rolloutInterval = 200 * time.Millisecond
+	rolloutInterval = 100 * time.Millisecond
 	rolloutIdle     = time.Second
 	// leaseTimeout bounds a call for the lease; orderCallTimeout a call to an
 	// engine.
 	leaseTimeout     = 900 * time.Millisecond
 	orderCallTimeout = 500 * time.Millisecond
-	// orderWindow is how long after the sending of a renewal orders may be given;
-	// the rest of the lease keeps two holders' orders apart.
-	orderWindow = 600 * time.Millisecond
-	// takeoverQuiet is how long a new holder waits after taking the lease from
-	// another, so that their orders are a whole lease apart.
-	takeoverQuiet = 800 * time.Millisecond
+	// rolloutLease is how long the lease lasts without renewal. It is longer than
+	// usual cuts from the platform, through which its holder goes on; a holder
+	// whose process was started again takes its own lease over at once.
+	rolloutLease = 8 * time.Second
+	// orderMargin is kept between the last order that a lease allows and the
+	// first of the next holder, besides the gap that must lie between them.
+	orderMargin = 500 * time.Millisecond
+	// renewInterval is the time between two renewals.
+	renewInterval = 2 * time.Second
 	// candidacyStep is the time by which instances wait for each other before
 	// they try to take the lease.
 	candidacyStep = 300 * time.Millisecond
 	// reorderAfter is when an order that shows no effect is given again.
 	reorderAfter = 4 * time.Second
-	// loadShare is the part of a group's engines that load at once. A site's
-	// weights come at full speed to about a sixth; the rest of the time of an
-	// order goes to runs that end first.
-	loadShare = 0.2
+	// loadShare is the part of a group's engines that have an order under way at
+	// once. A site's weights come at full speed to about a sixth; the rest of the
+	// time of an order goes to runs that end first.
+	loadShare = 0.25
+	// rolloutTime is the time over which the orders to a group are spread, so
+	// that engines load one after the other.
+	rolloutTime = 6 * time.Second
+	// weightsMargin is kept before the time at which old weights may no longer
+	// serve, for requests that wait at an engine.
+	weightsMargin = 1500 * time.Millisecond
 	// toldMemory is how long what peers told of loading engines counts.
 	toldMemory = 1500 * time.Millisecond
 	// readInterval is the time between two reads of another's lease.
@@ -55,14 +65,15 @@
 	woke chan struct{}
 
 	// The fields up to mu belong to the goroutine of run.
-	lease      loomlease.Lease
-	lastHolder string
-	readAt     time.Time
+	lease  loomlease.Lease
+	holder string
+	readAt time.Time
 	// renewedAt is when the write that last renewed the lease was sent.
 	renewedAt  time.Time
 	quietUntil time.Time
 	wantSince  time.Time
 	orders     map[string]*engineOrder
+	orderedAt  time.Time
 
 	mu sync.Mutex
 	// loadingNow holds the engines that load weights, by own and peers' word.
@@ -90,7 +101,8 @@
 	return &rollout{
 		gate:       g,
 		woke:       make(chan struct{}, 1),
-		lease:      loomlease.New(leaseKey, holder, g.settings.LeaseTime),
+		holder:     holder,
+		lease:      loomlease.New(leaseKey, holder, rolloutLease),
 		orders:     make(map[string]*engineOrder),
 		loadingNow: make(map[string]loadingWord),
 	}
@@ -150,7 +162,7 @@
 	if r.wantSince.IsZero() {
 		r.wantSince = now
 	}
-	if r.gate.Stopping() || !r.hold(ctx, now) {
+	if !r.hold(ctx, now) {
 		return true
 	}
 	for _, w := range wishes {
@@ -188,7 +200,7 @@
 	if !held && (!r.read(ctx, now) || now.Sub(r.wantSince) < r.candidacy()) {
 		return false
 	}
-	if !held || now.Sub(r.renewedAt) > orderWindow/2 {
+	if !held || now.Sub(r.renewedAt) > renewInterval {
 		r.write(ctx)
 	}
 	return r.mayOrder(bootNow())
@@ -197,7 +209,14 @@
 // mayOrder reports whether an order may be sent at now.
 func (r *rollout) mayOrder(now time.Time) bool {
 	_, held := r.lease.Held(now)
-	return held && now.Sub(r.renewedAt) < orderWindow && !now.Before(r.quietUntil)
+	return held && now.Sub(r.renewedAt) < r.orderWindow() && !now.Before(r.quietUntil)
+}
+
+// orderWindow is how long after the sending of a renewal orders may be given.
+// The next holder takes the lease a whole lease after that, so its first order
+// comes at least the gap after the last one.
+func (r *rollout) orderWindow() time.Duration {
+	return rolloutLease - r.gate.settings.OrderGap - orderMargin
 }
 
 // candidacy is how long this instance leaves the lease to others: the instance
@@ -211,16 +230,28 @@
 			rank++
 		}
 	}
-	if r.lastHolder == r.gate.settings.ID {
+	if holder, _ := r.lease.Holder(); r.ownMachine(holder) {
 		rank = 0
 	}
 	return time.Duration(rank) * candidacyStep
 }
 
+// ownMachine reports whether a holder is this instance, in this or an earlier
+// incarnation. An earlier one has ended and gives no more orders.
+func (r *rollout) ownMachine(holder string) bool {
+	return strings.HasPrefix(holder, r.gate.settings.ID+"/")
+}
+
+// mayTake reports whether the lease may be taken or is held.
+func (r *rollout) mayTake(now time.Time) bool {
+	holder, _ := r.lease.Holder()
+	return r.lease.Due(now) || (holder != r.holder && r.ownMachine(holder))
+}
+
 // read reads the lease and reports whether it may be taken.
 func (r *rollout) read(ctx context.Context, now time.Time) bool {
 	if !r.readAt.IsZero() && now.Sub(r.readAt) < readInterval {
-		return r.lease.Due(now)
+		return r.mayTake(now)
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
 	defer cancel()
@@ -235,7 +266,7 @@
 		r.gate.log.Warn("lease_unread", "lease", leaseKey, "cause", err.Error())
 		return false
 	}
-	return r.lease.Due(now)
+	return r.mayTake(now)
 }
 
 // write renews or takes the lease.
@@ -274,9 +305,10 @@
 	if held {
 		return
 	}
-	own := fmt.Sprintf("%s/%d", r.gate.settings.ID, r.gate.incarnation)
-	if before != "" && before != own {
-		r.quietUntil = now.Add(takeoverQuiet)
+	if before == "" && token > 1 {
+		// The holder before gave the lease up and may have given an order just
+		// before that.
+		r.quietUntil = now.Add(r.gate.settings.OrderGap + orderMargin)
 	}
 	r.gate.log.Info("lease_taken", "lease", leaseKey, "token", token, "before", before)
 }
@@ -302,11 +334,14 @@
 			loading++
 		}
 	}
+	spacing := rolloutTime / time.Duration(max(len(w.engines), 1))
 	want := loomfleet.Want{Model: w.model, Version: w.version, LoadLimit: limit}
 	for _, o := range loomfleet.Plan(engines, want, limit-loading) {
-		if !r.mayOrder(bootNow()) {
+		now := bootNow()
+		if !r.mayOrder(now) || now.Sub(r.orderedAt) < spacing {
 			return
 		}
+		r.orderedAt = now
 		r.send(ctx, byID[o.Engine], o)
 	}
 }
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -38,6 +38,8 @@
 	attempt  string
 	upstream loommember.Upstream
 	choice   loomroute.Choice
+	// wait is the expected wait at the chosen upstream.
+	wait     time.Duration
 	version  uint64
 	kept     keptPlan
 	ticket   loomroute.Ticket
@@ -97,7 +99,7 @@
 // the caller gets, or nil.
 func (d *dispatch) run(ctx context.Context) *loomerror.Error {
 	for {
-		if err := d.choose(time.Now()); err != nil {
+		if err := d.await(ctx); err != nil {
 			return err.WithNotRun(d.life.NotRun())
 		}
 		action := d.try(ctx)
@@ -140,6 +142,7 @@
 	d.kept = d.planKept(now)
 	d.noteParts()
 	d.gate.logDispatch(d, now)
+	d.gate.queues.wake(d.req.group.Name)
 	call, cancel := context.WithCancel(ctx)
 	d.cancel = cancel
 	reply, err := d.gate.runner.Send(call, d.upstream.Address, d.message(now))
@@ -185,8 +188,8 @@
 	s.Rank = r.rank()
 	s.Fetch = d.kept.fetch
 	s.Save = d.kept.save
-	if d.kept.fetches {
-		s.FetchUntil = d.gate.stores.fetchUntil(now)
+	if d.kept.fetched > 0 {
+		s.FetchUntil = d.gate.stores.fetchUntil(now, time.Duration(d.kept.fetched)*d.unitTime())
 	}
 	return s
 }
@@ -321,6 +324,7 @@
 	}
 	d.firstAt = now
 	d.gate.fleet.Started(d.ticket)
+	d.gate.queues.wake(d.req.group.Name)
 	d.gate.metrics.first(d.req.route, now.Sub(d.req.Received))
 	d.gate.learnPace(d, now)
 }
--- a/loomgate/stores.go
+++ b/loomgate/stores.go
@@ -171,19 +171,19 @@
 }
 
 // fetchUntil returns the time on the upstreams' clock by which a fetch must have
-// ended, or zero while that clock is not known.
-func (s *stores) fetchUntil(now time.Time) time.Duration {
+// ended that spares compute, or zero while that clock is not known.
+func (s *stores) fetchUntil(now time.Time, compute time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.clockKnown {
 		return 0
 	}
-	return now.Sub(processStart) + s.clock + fetchTime
+	return now.Sub(processStart) + s.clock + fetchSlack + 2*compute
 }
 
-// fetchTime is the longest that a fetch from a store may take; computing the
-// prompt takes less.
-const fetchTime = 2 * time.Second
+// fetchSlack is the time that a fetch may take besides twice the time of
+// computing: the way to the engine and the setup of a transfer.
+const fetchSlack = 60 * time.Millisecond
 
 // free frees the parts that belong to weights that no engine has any more. The
 // instance that ranks first does it for all.
--- /dev/null
+++ b/loomlimit/line_test.go
@@ -0,0 +1,97 @@
+package loomlimit_test
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"swiftloom/loomlimit"
+)
+
+var lineStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func waiter(id string, rank int, due time.Duration) loomlimit.Waiter {
+	return loomlimit.Waiter{ID: id, Rank: rank, Arrived: lineStart, Due: lineStart.Add(due), Until: lineStart.Add(due + time.Second)}
+}
+
+func TestLineOrder(t *testing.T) {
+	tests := []struct {
+		name    string
+		waiting []loomlimit.Waiter
+		at      time.Duration
+		want    string
+	}{
+		{"urgent first", []loomlimit.Waiter{waiter("a", 2, 0), waiter("b", 0, time.Second)}, 0, "b"},
+		{"pressing first", []loomlimit.Waiter{waiter("a", 1, time.Second), waiter("b", 1, time.Millisecond)}, 0, "b"},
+		{"late after those on time", []loomlimit.Waiter{waiter("a", 1, time.Millisecond), waiter("b", 1, time.Second)}, 10 * time.Millisecond, "b"},
+		{"a late urgent one still first", []loomlimit.Waiter{waiter("a", 0, time.Millisecond), waiter("b", 1, time.Second)}, 10 * time.Millisecond, "a"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var l loomlimit.Line
+			for _, w := range tt.waiting {
+				l.Push(w)
+			}
+			got, ok := l.Next(lineStart.Add(tt.at))
+			assert.Assert(t, ok)
+			assert.Equal(t, got.ID, tt.want)
+		})
+	}
+}
+
+func TestLineExpires(t *testing.T) {
+	var l loomlimit.Line
+	l.Push(waiter("a", 0, time.Millisecond))
+	l.Push(waiter("b", 0, time.Minute))
+	expired := l.TakeExpired(lineStart.Add(2 * time.Second))
+	assert.Equal(t, len(expired), 1)
+	assert.Equal(t, expired[0].ID, "a")
+	assert.Equal(t, l.Len(), 1)
+}
+
+// TestLineUnderOverload plays a load of 1.4 times what a server does and checks
+// that most callers who are served are served on time, which first come, first
+// served does not give.
+func TestLineUnderOverload(t *testing.T) {
+	const (
+		work      = 20 * time.Millisecond
+		objective = 400 * time.Millisecond
+		patience  = 2 * time.Second
+		count     = 2000
+		overload  = 1.4
+	)
+	served, onTime := playLine(work, objective, patience, count, overload)
+	assert.Assert(t, served >= count*65/100, "served %d", served)
+	assert.Assert(t, onTime >= count*60/100, "on time %d", onTime)
+}
+
+func playLine(work, objective, patience time.Duration, count int, overload float64) (served, onTime int) {
+	random := rand.New(rand.NewPCG(7, 7))
+	var l loomlimit.Line
+	now := lineStart
+	next := lineStart
+	arrived := 0
+	for arrived < count || l.Len() > 0 {
+		for arrived < count && !next.After(now) {
+			l.Push(loomlimit.Waiter{ID: strconv.Itoa(arrived), Arrived: next, Due: next.Add(objective), Until: next.Add(patience)})
+			arrived++
+			next = next.Add(time.Duration(random.ExpFloat64() * float64(work) / overload))
+		}
+		l.TakeExpired(now)
+		w, ok := l.Next(now)
+		if !ok {
+			now = next
+			continue
+		}
+		l.Remove(w.ID)
+		served++
+		if !w.Due.Before(now) {
+			onTime++
+		}
+		now = now.Add(work)
+	}
+	return served, onTime
+}
