Bound what running requests hold of an engine's memory

Cause: under load the running requests of an engine held more tokens than its memory has: they were preempted and read in again, parts that return were evicted, and decoding slowed down, which let still more requests run at once. Seen in decode times of 2.3 s against 1.2 s and in first tokens of 600 ms at engines whose prompts made up half of their rate. Also: an order for older weights that is under way no longer blocks the orders after it; weights are asked for after a refusal in place of being guessed.

--- a/loomcache/residency.go
+++ b/loomcache/residency.go
@@ -78,6 +78,24 @@
 	}
 }
 
+// Cached notes that an engine told that it caches a part.
+func (r *Residency) Cached(engine, salt, id string, tokens int) {
+	e := r.engine(engine)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.use(partKey(salt, id), tokens)
+}
+
+// Evicted notes that an engine told that it no longer caches all of a part.
+func (r *Residency) Evicted(engine, salt, id string) {
+	e := r.engine(engine)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if at, ok := e.byKey[partKey(salt, id)]; ok {
+		e.drop(at)
+	}
+}
+
 func (e *engineParts) use(key uint64, tokens int) {
 	if at, ok := e.byKey[key]; ok {
 		e.recent.MoveToFront(at)
--- a/loomcache/store_index.go
+++ b/loomcache/store_index.go
@@ -12,7 +12,8 @@
 
 // StoreClass is what is known of one store for kept state. It is immutable.
 type StoreClass struct {
-	Address string
+	Address       string
+	FailureDomain string
 	// Capacity is in tokens.
 	Capacity int
 	// FirstByte and PerToken are the time of a transfer.
@@ -31,8 +32,9 @@
 	fullShare = 0.95
 	// pendingTime is how long a save that was asked for is expected to show.
 	pendingTime = 3 * time.Second
-	// slowestTransfer bounds the transfer of a part by the time to compute it.
-	slowestTransfer = 1.5
+	// slowestTransfer bounds the transfer of a part by the time to compute it; a
+	// store in another failure domain takes twice the time.
+	slowestTransfer = 0.6
 )
 
 // StoreIndex is the index of what the stores for kept state hold, as they tell.
@@ -170,16 +172,17 @@
 }
 
 // Source returns the store from which a part may be fetched: the fastest that
-// holds all of it, or an empty address.
-func (s *StoreIndex) Source(salt string, part PromptPart) (string, time.Duration) {
-	best, bestTime := "", time.Duration(0)
+// holds all of it, if there is one.
+func (s *StoreIndex) Source(salt string, part PromptPart) (StoreClass, bool) {
+	var best StoreClass
+	found := false
 	for _, p := range s.all() {
-		t := p.class.transferTime(part.Tokens)
-		if (best == "" || t < bestTime) && p.holds(salt, part) {
-			best, bestTime = p.class.Address, t
+		faster := !found || p.class.transferTime(part.Tokens) < best.transferTime(part.Tokens)
+		if faster && p.holds(salt, part) {
+			best, found = p.class, true
 		}
 	}
-	return best, bestTime
+	return best, found
 }
 
 func (p *storeParts) holds(salt string, part PromptPart) bool {
@@ -191,7 +194,7 @@
 // Target returns the store that a part should be saved to, or an empty address
 // when one holds it, is about to, or none has room. All instances prefer the
 // same store for a part: the one with the highest weight by rendezvous hashing,
-// in which large stores count for more. tokenTime is how long computing one
+// in which fast links count for more. tokenTime is how long computing one
 // token takes; stores that are much slower than computing are left out.
 func (s *StoreIndex) Target(now time.Time, salt string, part PromptPart, tokenTime time.Duration) string {
 	compute := time.Duration(float64(part.Tokens) * float64(tokenTime) * slowestTransfer)
@@ -201,7 +204,7 @@
 		if p.has(now, salt, part) {
 			return ""
 		}
-		if p.class.transferTime(part.Tokens) > max(compute, leastTransfer) || !p.room(now, part.Tokens) {
+		if p.class.transferTime(part.Tokens) > compute || !p.room(now, part.Tokens) {
 			continue
 		}
 		if w := storeWeight(p.class, salt, part.ID); best == nil || w > bestWeight {
@@ -215,15 +218,12 @@
 	return best.class.Address
 }
 
-// leastTransfer is a transfer time that is always worth its while.
-const leastTransfer = 15 * time.Millisecond
-
 // storeWeight orders stores for a part so that each gets parts in proportion to
-// its capacity.
+// the rate of its link, for as long as it has room.
 func storeWeight(c StoreClass, salt, id string) float64 {
 	const bits = 53
 	draw := float64(xxhash.Sum64String(c.Address+"\x00"+salt+"\x00"+id)>>(64-bits)+1) / (1 << bits)
-	return float64(c.Capacity) / -math.Log(draw)
+	return 1 / (max(c.PerToken.Seconds(), 1e-9) * -math.Log(draw))
 }
 
 // has reports whether the store holds a part or is expected to.
--- a/loomgate/peers.go
+++ b/loomgate/peers.go
@@ -243,7 +243,7 @@
 		Weights:          g.rollout.told(time.Now()),
 	}
 	for _, l := range g.fleet.OwnLoads() {
-		r.Loads = append(r.Loads, &loompb.UpstreamLoad{UpstreamId: l.ID, Outstanding: uint32(l.Outstanding), PendingTokens: uint32(l.Tokens)})
+		r.Loads = append(r.Loads, &loompb.UpstreamLoad{UpstreamId: l.ID, Outstanding: uint32(l.Outstanding), PendingTokens: uint32(l.Tokens), MemoryTokens: uint32(l.Memory)})
 	}
 	return r
 }
@@ -363,7 +363,7 @@
 	g := s.gate
 	loads := make([]loomroute.PeerLoad, 0, len(r.GetLoads()))
 	for _, l := range r.GetLoads() {
-		loads = append(loads, loomroute.PeerLoad{ID: l.GetUpstreamId(), Outstanding: int(l.GetOutstanding()), Tokens: int(l.GetPendingTokens())})
+		loads = append(loads, loomroute.PeerLoad{ID: l.GetUpstreamId(), Outstanding: int(l.GetOutstanding()), Tokens: int(l.GetPendingTokens()), Memory: int(l.GetMemoryTokens())})
 	}
 	g.fleet.PeerLoads(now, r.GetFrom(), loads)
 	for _, pl := range r.GetPlacements() {
--- a/loomgate/place.go
+++ b/loomgate/place.go
@@ -94,6 +94,10 @@
 		if wanted := d.gate.beliefs.wanted(d.req.Prompt.Model); version < wanted {
 			c.Wait += oldWeightsPenalty
 		}
+		c.BlockTime = d.moveTime(u, version)
+		if over := estimate.Memory + d.memory() - runningTokens(d.req.group.Engine); over > 0 && estimate.Outstanding > 0 {
+			c.Wait += fullMemoryWait + time.Duration(over)*d.unitTime()
+		}
 		if d.gate.rollout.loading(now, u.ID) {
 			c.Wait += loadingPenalty
 		}
@@ -101,7 +105,20 @@
 	return c
 }
 
+// runningTokens returns how many tokens running requests may hold at an engine.
+func runningTokens(e *loomcatalogue.EngineClass) int {
+	if e == nil || e.MemoryTokens == 0 {
+		return defaultMemoryTokens
+	}
+	return int(float64(e.MemoryTokens) * runningShare)
+}
+
 const (
+	// runningShare is the part of an engine's memory that running requests may
+	// hold; beyond it they are preempted, and parts that return are evicted.
+	runningShare = 0.7
+	// fullMemoryWait is about the time until a running request ends.
+	fullMemoryWait = 300 * time.Millisecond
 	// oldWeightsPenalty prefers engines with the named weights when they are not
 	// much slower.
 	oldWeightsPenalty = 60 * time.Millisecond
@@ -133,7 +150,7 @@
 		q.Stored = max(q.Stored, c.Held)
 	}
 	q.Stored = max(q.Stored, d.storedTokens())
-	q.BlockTime = moveTime(d.req.group.Engine) * moveWeight
+	q.BlockTime = linkTime(d.req.group.Engine) * moveWeight
 	return q
 }
 
@@ -143,7 +160,7 @@
 	salt := saltOf(d.req, d.gate.beliefs.wanted(d.req.Prompt.Model))
 	tokens := 0
 	for _, part := range d.req.Prompt.Parts {
-		if address, _ := d.gate.stores.index.Source(salt, part); address == "" {
+		if _, found := d.gate.stores.index.Source(salt, part); !found {
 			return tokens
 		}
 		tokens += part.Tokens
@@ -151,8 +168,30 @@
 	return tokens
 }
 
-// moveTime is how long the kept state of one token takes on an engine's link.
-func moveTime(e *loomcatalogue.EngineClass) time.Duration {
+// moveTime is how long the kept state of one token takes to an engine: from the
+// store that keeps the session's part, or else on the engine's own link.
+func (d *dispatch) moveTime(u loommember.Upstream, version uint64) time.Duration {
+	parts := d.req.Prompt.Parts
+	if len(parts) == 0 {
+		return 0
+	}
+	last := parts[len(parts)-1]
+	source, found := d.gate.stores.index.Source(saltOf(d.req, version), last)
+	if !found || last.Tokens == 0 {
+		return linkTime(d.req.group.Engine) * moveWeight
+	}
+	perToken := source.PerToken
+	if source.FailureDomain != u.FailureDomain {
+		perToken *= farFactor
+	}
+	return (perToken + source.FirstByte/time.Duration(last.Tokens)) * moveWeight
+}
+
+// farFactor is how much longer a transfer between failure domains takes.
+const farFactor = 2
+
+// linkTime is how long the kept state of one token takes on an engine's link.
+func linkTime(e *loomcatalogue.EngineClass) time.Duration {
 	if e == nil || e.LinkBitsPerSecond <= 0 {
 		return time.Second
 	}
@@ -181,11 +220,10 @@
 	p := keptPlan{fetch: make([]string, len(parts)), save: make([]string, len(parts))}
 	stored := d.gate.stores.index
 	for i, part := range parts {
-		address, _ := stored.Source(salt, part)
-		if address == "" {
+		source, found := stored.Source(salt, part)
+		address := source.Address
+		if !found {
 			p.save[i] = stored.Target(now, salt, part, d.unitTime())
-		}
-		if address == "" {
 			address = d.holder(now, salt, parts[:i+1])
 		}
 		if address != "" {
@@ -230,7 +268,8 @@
 	return int(float64(e.MemoryTokens) * cacheShare)
 }
 
-// pace keeps how long an engine of each group reads one token.
+// pace keeps how long the engines of each group take for one token of a prompt,
+// with what decoding and the work of others add to it.
 type pace struct {
 	mu     sync.Mutex
 	groups map[string]time.Duration
@@ -246,28 +285,35 @@
 }
 
 const (
-	// paceTokens is the least prompt from which the pace is learnt; in shorter
-	// ones the fixed part of the time prevails.
-	paceTokens = 4000
-	// paceFixed is the time to a first token besides reading the prompt.
+	// paceFixed is the time to a first token besides the work before it.
 	paceFixed = 50 * time.Millisecond
+	// paceLeast is the least expected work from which the pace is learnt.
+	paceLeast = 20 * time.Millisecond
 	// paceWeight is the weight of one observation.
-	paceWeight = 0.02
+	paceWeight = 0.04
+	// paceMost bounds how much slower than at first engines are believed to be.
+	paceMost = 1.3
 )
 
-// learnPace takes in the time to the first token of a long prompt.
-func (g *Gate) learnPace(d *dispatch, now time.Time) {
-	if !d.req.HasPrompt || d.choice.Recompute < paceTokens {
+// observe takes in that work that was expected to take some time took another.
+func (p *pace) observe(group string, expected, took time.Duration) {
+	if expected < paceLeast {
 		return
 	}
-	wait := d.choice.Expected - time.Duration(d.choice.Recompute)*d.unitTime()
-	took := now.Sub(d.sentAt) - paceFixed - max(wait, 0)
-	seen := min(max(took/time.Duration(d.choice.Recompute), defaultTokenTime/2), defaultTokenTime*2)
-	g.pace.mu.Lock()
-	defer g.pace.mu.Unlock()
-	old, ok := g.pace.groups[d.req.group.Name]
+	ratio := min(max(float64(took)/float64(expected), 1.0/paceMost), paceMost)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t, ok := p.groups[group]
 	if !ok {
-		old = defaultTokenTime
+		t = defaultTokenTime
+	}
+	t = time.Duration(float64(t) * (1 + paceWeight*(ratio-1)))
+	p.groups[group] = min(max(t, defaultTokenTime), time.Duration(float64(defaultTokenTime)*paceMost))
+}
+
+// learnPace takes in the time to the first token of a prompt.
+func (g *Gate) learnPace(d *dispatch, now time.Time) {
+	if d.req.HasPrompt {
+		g.pace.observe(d.req.group.Name, d.choice.Expected, now.Sub(d.sentAt)-paceFixed)
 	}
-	g.pace.groups[d.req.group.Name] = old + time.Duration(float64(seen-old)*paceWeight)
 }
--- a/loomgate/queue.go
+++ b/loomgate/queue.go
@@ -13,8 +13,12 @@
 const (
 	// roomWait is the wait at the best engine up to which it still has room: it
 	// keeps an engine busy until the next look, and no more, so that the order
-	// of requests is decided here.
-	roomWait = 110 * time.Millisecond
+	// of requests is decided here. Urgent requests may wait longer at an engine,
+	// which takes them first.
+	roomWait       = 120 * time.Millisecond
+	urgentRoomWait = 250 * time.Millisecond
+	// urgentRank is the last rank that counts as urgent.
+	urgentRank = 1
 	// queueTick is the time between two looks at a line while nothing happens.
 	queueTick = 20 * time.Millisecond
 	// abandonFactor, abandonPauses and abandonLeast give when a caller abandons
@@ -85,7 +89,11 @@
 
 // hasRoom reports whether the chosen upstream takes the request without delay.
 func (d *dispatch) hasRoom() bool {
-	return !d.req.HasPrompt || d.req.group.Engine == nil || d.wait <= roomWait
+	room := roomWait
+	if d.req.rank() <= urgentRank {
+		room = urgentRoomWait
+	}
+	return !d.req.HasPrompt || d.req.group.Engine == nil || d.wait <= room
 }
 
 // await holds a request in the line until an engine has room for it. It refuses
--- a/loomgate/rollout.go
+++ b/loomgate/rollout.go
@@ -25,29 +25,31 @@
 	rolloutIdle     = time.Second
 	// leaseTimeout bounds a call for the lease; orderCallTimeout a call to an
 	// engine.
-	leaseTimeout     = 900 * time.Millisecond
+	leaseTimeout = 900 * time.Millisecond
+	// renewTimeout is short, so that orders go on while the platform is away.
+	renewTimeout     = 150 * time.Millisecond
 	orderCallTimeout = 500 * time.Millisecond
 	// rolloutLease is how long the lease lasts without renewal. It is longer than
 	// usual cuts from the platform, through which its holder goes on; a holder
 	// whose process was started again takes its own lease over at once.
-	rolloutLease = 8 * time.Second
+	rolloutLease = 10 * time.Second
 	// orderMargin is kept between the last order that a lease allows and the
 	// first of the next holder, besides the gap that must lie between them.
 	orderMargin = 500 * time.Millisecond
 	// renewInterval is the time between two renewals.
-	renewInterval = 2 * time.Second
+	renewInterval = 400 * time.Millisecond
 	// candidacyStep is the time by which instances wait for each other before
 	// they try to take the lease.
 	candidacyStep = 300 * time.Millisecond
 	// reorderAfter is when an order that shows no effect is given again.
-	reorderAfter = 4 * time.Second
+	reorderAfter = 1500 * time.Millisecond
 	// loadShare is the part of a group's engines that have an order under way at
 	// once. A site's weights come at full speed to about a sixth; the rest of the
 	// time of an order goes to runs that end first.
-	loadShare = 0.25
-	// rolloutTime is the time over which the orders to a group are spread, so
-	// that engines load one after the other.
-	rolloutTime = 6 * time.Second
+	loadShare = 0.3
+	// rolloutShare is the part of the time for new weights over which the orders
+	// to a group are spread, so that engines load one after the other.
+	rolloutShare = 0.6
 	// weightsMargin is kept before the time at which old weights may no longer
 	// serve, for requests that wait at an engine.
 	weightsMargin = 1500 * time.Millisecond
@@ -70,6 +72,7 @@
 	readAt time.Time
 	// renewedAt is when the write that last renewed the lease was sent.
 	renewedAt  time.Time
+	triedAt    time.Time
 	quietUntil time.Time
 	wantSince  time.Time
 	orders     map[string]*engineOrder
@@ -78,6 +81,8 @@
 	mu sync.Mutex
 	// loadingNow holds the engines that load weights, by own and peers' word.
 	loadingNow map[string]loadingWord
+	// askedAt is when each engine was last asked by reportOf.
+	askedAt map[string]time.Time
 }
 
 // engineOrder is an order that this instance gave.
@@ -105,6 +110,7 @@
 		lease:      loomlease.New(leaseKey, holder, rolloutLease),
 		orders:     make(map[string]*engineOrder),
 		loadingNow: make(map[string]loadingWord),
+		askedAt:    make(map[string]time.Time),
 	}
 }
 
@@ -200,8 +206,12 @@
 	if !held && (!r.read(ctx, now) || now.Sub(r.wantSince) < r.candidacy()) {
 		return false
 	}
-	if !held || now.Sub(r.renewedAt) > renewInterval {
-		r.write(ctx)
+	switch {
+	case !held:
+		r.write(ctx, leaseTimeout)
+	case now.Sub(r.renewedAt) > renewInterval && now.Sub(r.triedAt) > renewInterval/2:
+		r.triedAt = now
+		r.write(ctx, renewTimeout)
 	}
 	return r.mayOrder(bootNow())
 }
@@ -270,7 +280,7 @@
 }
 
 // write renews or takes the lease.
-func (r *rollout) write(ctx context.Context) {
+func (r *rollout) write(ctx context.Context, limit time.Duration) {
 	before, _ := r.lease.Holder()
 	sent := bootNow()
 	_, held := r.lease.Held(sent)
@@ -279,17 +289,13 @@
 		r.gate.log.Error("lease_unwritten", "lease", leaseKey, "cause", err.Error())
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	reply, err := r.gate.source.Transact(ctx, request)
 	if err != nil {
 		r.gate.log.Warn("lease_unwritten", "lease", leaseKey, "cause", err.Error())
 		// The write may have taken effect, so the row must be read again.
 		r.readAt = time.Time{}
-		if !held {
-			return
-		}
-		r.read(ctx, bootNow())
 		return
 	}
 	now := bootNow()
@@ -334,7 +340,7 @@
 			loading++
 		}
 	}
-	spacing := rolloutTime / time.Duration(max(len(w.engines), 1))
+	spacing := time.Duration(rolloutShare * float64(r.gate.settings.WeightsTime) / float64(max(len(w.engines), 1)))
 	want := loomfleet.Want{Model: w.model, Version: w.version, LoadLimit: limit}
 	for _, o := range loomfleet.Plan(engines, want, limit-loading) {
 		now := bootNow()
@@ -361,7 +367,12 @@
 	}
 	now := bootNow()
 	token, held := r.lease.Held(now)
-	if !held || !r.mayOrder(now) || state.Busy {
+	if state.Busy {
+		// An earlier order is under way, maybe for older weights.
+		r.orders[u.ID] = &engineOrder{upstream: u, model: o.Model, version: o.Version, lookedAt: now}
+		return
+	}
+	if !held || !r.mayOrder(now) {
 		return
 	}
 	holder := r.gate.settings.ID
@@ -380,6 +391,27 @@
 	}
 }
 
+// reportOf asks an engine for its weights after it refused a request for
+// others, at most once in a while for each engine.
+func (r *rollout) reportOf(ctx context.Context, u loommember.Upstream, model string) {
+	r.mu.Lock()
+	now := time.Now()
+	if now.Sub(r.askedAt[u.ID]) < lookInterval {
+		r.mu.Unlock()
+		return
+	}
+	r.askedAt[u.ID] = now
+	r.mu.Unlock()
+	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderCallTimeout)
+	defer cancel()
+	state, err := r.gate.runner.Report(call, u.Address, u.ID)
+	if err != nil {
+		r.gate.log.Warn("engine_unreported", "upstream", u.ID, "cause", err.Error())
+		return
+	}
+	r.gate.beliefs.sawVersion(time.Now(), u.ID, u.Incarnation, model, state.Version(model))
+}
+
 // lookInterval is the time between two looks at an engine that loads.
 const lookInterval = 300 * time.Millisecond
 
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -136,7 +136,7 @@
 	d.attempt = strconv.Itoa(d.attempts)
 	d.sentAt = now
 	d.tried = append(d.tried, d.upstream.ID)
-	d.ticket = d.gate.fleet.Sent(now, d.upstream.ID, d.work())
+	d.ticket = d.gate.fleet.SentWith(now, d.upstream.ID, d.work(), d.memory())
 	d.ticketed = true
 	d.life.Apply(now, loomstream.Dispatched{Attempt: d.attempt, Version: d.version})
 	d.kept = d.planKept(now)
@@ -163,6 +163,14 @@
 	return d.choice.Recompute
 }
 
+// memory returns the tokens that the request holds at an engine.
+func (d *dispatch) memory() int {
+	if !d.req.HasPrompt {
+		return 0
+	}
+	return d.req.Prompt.Tokens + d.req.Prompt.ExpectedOutput
+}
+
 func (d *dispatch) message(now time.Time) loomupstream.Send {
 	r := d.req
 	s := loomupstream.Send{
@@ -239,7 +247,7 @@
 		d.gate.log.Debug("upstream_closes", "upstream", d.upstream.ID, "request_id", d.req.RequestID)
 	}
 	if reply.NotRun {
-		return d.refusedBy(now, reply)
+		return d.refusedBy(ctx, now, reply)
 	}
 	d.life.Apply(now, loomstream.Delivered{Attempt: d.attempt})
 	if reply.RequestID != d.req.RequestID || !reply.Stamped {
@@ -259,10 +267,10 @@
 }
 
 // refusedBy takes in an upstream's word that it did not run the attempt.
-func (d *dispatch) refusedBy(now time.Time, reply *loomupstream.Reply) loomstream.Action {
+func (d *dispatch) refusedBy(ctx context.Context, now time.Time, reply *loomupstream.Reply) loomstream.Action {
 	d.cause = "refused with status " + strconv.Itoa(reply.Status)
 	if reply.Status == statusMisdirected {
-		d.misdirected(now, reply)
+		d.misdirected(ctx, now, reply)
 	}
 	return d.life.Apply(now, loomstream.Refused{Attempt: d.attempt})
 }
@@ -271,17 +279,16 @@
 
 // misdirected learns from an answer that says that another upstream has the
 // address, or that this one has other weights.
-func (d *dispatch) misdirected(now time.Time, reply *loomupstream.Reply) {
+func (d *dispatch) misdirected(ctx context.Context, now time.Time, reply *loomupstream.Reply) {
 	if reply.Answerer != d.upstream.ID {
 		d.gate.beliefs.markLeaving(now, d.upstream.ID, d.upstream.Incarnation, "another upstream has its address")
 		return
 	}
-	model := d.req.Prompt.Model
-	version := reply.Version
-	if version == 0 {
-		version = d.gate.beliefs.wanted(model)
+	if reply.Version == 0 {
+		d.gate.rollout.reportOf(ctx, d.upstream, d.req.Prompt.Model)
+		return
 	}
-	d.gate.beliefs.sawVersion(now, d.upstream.ID, d.upstream.Incarnation, model, version)
+	d.gate.beliefs.sawVersion(now, d.upstream.ID, d.upstream.Incarnation, d.req.Prompt.Model, reply.Version)
 }
 
 func (d *dispatch) noteVersion(now time.Time, version uint64) {
--- a/loomgate/stores.go
+++ b/loomgate/stores.go
@@ -37,6 +37,8 @@
 	mu sync.Mutex
 	// watched holds the end of the watch of each address.
 	watched map[string]context.CancelFunc
+	// engines holds the upstream behind each watched address of an engine.
+	engines map[string]string
 	// clock is the upstreams' clock minus the steady clock of this process, by
 	// the latest event; known tells that it was ever heard.
 	clock      time.Duration
@@ -46,7 +48,7 @@
 }
 
 func newStores(g *Gate) *stores {
-	return &stores{gate: g, index: loomcache.NewStoreIndex(), watched: make(map[string]context.CancelFunc)}
+	return &stores{gate: g, index: loomcache.NewStoreIndex(), watched: make(map[string]context.CancelFunc), engines: make(map[string]string)}
 }
 
 // processStart anchors the steady clock of this process.
@@ -78,15 +80,21 @@
 		wanted[store.Address] = true
 		const bitsPerByte = 8
 		classes = append(classes, loomcache.StoreClass{
-			Address:   store.Address,
-			Capacity:  store.MemoryTokens,
-			FirstByte: store.FirstByte,
-			PerToken:  time.Duration(bytes * bitsPerByte / max(store.LinkBitsPerSecond, 1) * float64(time.Second)),
+			Address:       store.Address,
+			FailureDomain: store.FailureDomain,
+			Capacity:      store.MemoryTokens,
+			FirstByte:     store.FirstByte,
+			PerToken:      time.Duration(bytes * bitsPerByte / max(store.LinkBitsPerSecond, 1) * float64(time.Second)),
 		})
 	}
 	s.index.SetStores(classes)
+	engines := s.watchedEngines(routing)
+	for address := range engines {
+		wanted[address] = true
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.engines = engines
 	for address, end := range s.watched {
 		if !wanted[address] {
 			end()
@@ -103,6 +111,40 @@
 	}
 }
 
+// maxWatchedEngines bounds the engines whose events one instance follows. In
+// larger fleets the estimate from what was sent stands alone.
+const maxWatchedEngines = 24
+
+// watchedEngines returns the engines whose events this instance follows, by
+// address.
+func (s *stores) watchedEngines(r loomcatalogue.Routing) map[string]string {
+	engines := make(map[string]string)
+	for _, group := range r.Groups() {
+		if group.Engine == nil {
+			continue
+		}
+		for _, u := range s.gate.usable(time.Now(), group.Name) {
+			engines[u.Address] = u.ID
+		}
+	}
+	if len(engines) > maxWatchedEngines {
+		return nil
+	}
+	return engines
+}
+
+// takeEngine takes in the events of an engine.
+func (s *stores) takeEngine(id string, e loomupstream.KeptEvents) uint64 {
+	for _, event := range e.Events {
+		if event.Gone {
+			s.gate.residency.Evicted(id, event.Part.Salt, event.Part.ID)
+			continue
+		}
+		s.gate.residency.Cached(id, event.Part.Salt, event.Part.ID, event.Tokens)
+	}
+	return e.Next
+}
+
 // bytesPerToken returns the size of the kept state of one token.
 func bytesPerToken(r loomcatalogue.Routing) float64 {
 	for _, g := range r.Groups() {
@@ -148,6 +190,12 @@
 
 // take takes in events and returns where to go on.
 func (s *stores) take(now time.Time, address string, since uint64, e loomupstream.KeptEvents) uint64 {
+	s.mu.Lock()
+	engine := s.engines[address]
+	s.mu.Unlock()
+	if engine != "" {
+		return s.takeEngine(engine, e)
+	}
 	if s.index.Epoch(address) != e.Epoch && since > 0 {
 		s.gate.log.Info("store_restarted", "address", address, "epoch", e.Epoch)
 		s.index.Restarted(address, e.Epoch)
@@ -183,7 +231,7 @@
 
 // fetchSlack is the time that a fetch may take besides twice the time of
 // computing: the way to the engine and the setup of a transfer.
-const fetchSlack = 60 * time.Millisecond
+const fetchSlack = 120 * time.Millisecond
 
 // free frees the parts that belong to weights that no engine has any more. The
 // instance that ranks first does it for all.
--- a/loomroute/cost.go
+++ b/loomroute/cost.go
@@ -61,6 +61,9 @@
 
 // appraise returns the best use of a candidate and its score.
 func appraise(r Request, c Candidate) (Choice, time.Duration) {
+	if c.BlockTime > 0 {
+		r.BlockTime = c.BlockTime
+	}
 	lead := c.Wait
 	if c.LacksAdapter {
 		lead += adapterLoadTime
--- a/loomroute/fleet.go
+++ b/loomroute/fleet.go
@@ -64,6 +64,7 @@
 	at          time.Time
 	outstanding int
 	tokens      int
+	memory      int
 }
 
 // PeerLoad is what an instance has under way at an upstream.
@@ -72,6 +73,8 @@
 	Outstanding int
 	// Tokens counts prompt tokens that are not computed yet.
 	Tokens int
+	// Memory counts the tokens that running requests hold.
+	Memory int
 }
 
 // peerLoadMemory is how long a peer's word counts without a new one.
@@ -81,7 +84,7 @@
 func (f *Fleet) PeerLoads(now time.Time, peer string, loads []PeerLoad) {
 	told := make(map[string]peerLoad, len(loads))
 	for _, l := range loads {
-		told[l.ID] = peerLoad{at: now, outstanding: l.Outstanding, tokens: l.Tokens}
+		told[l.ID] = peerLoad{at: now, outstanding: l.Outstanding, tokens: l.Tokens, memory: l.Memory}
 	}
 	for i := range f.shards {
 		f.shards[i].takePeer(peer, told)
@@ -114,7 +117,7 @@
 
 // ofPeers adds up what peers have under way. Work shrinks at the rate of
 // computing since it was told.
-func (l *load) ofPeers(now time.Time, tokenTime time.Duration) (wait time.Duration, outstanding int) {
+func (l *load) ofPeers(now time.Time, tokenTime time.Duration) (wait time.Duration, outstanding, memory int) {
 	var latest time.Time
 	for peer, p := range l.peers {
 		if now.Sub(p.at) > peerLoadMemory {
@@ -123,6 +126,7 @@
 		}
 		wait += time.Duration(p.tokens) * tokenTime
 		outstanding += p.outstanding
+		memory += p.memory
 		if p.at.After(latest) {
 			latest = p.at
 		}
@@ -130,7 +134,7 @@
 	if wait > 0 {
 		wait = max(wait-now.Sub(latest), 0)
 	}
-	return wait, outstanding
+	return wait, outstanding, memory
 }
 
 // OwnLoads returns what this instance has under way at each upstream.
@@ -146,6 +150,7 @@
 			own := PeerLoad{ID: id, Outstanding: len(l.sent)}
 			for _, w := range l.sent {
 				own.Tokens += w.tokens
+				own.Memory += w.memory
 			}
 			loads = append(loads, own)
 		}
@@ -157,6 +162,7 @@
 type sentWork struct {
 	at     time.Time
 	tokens int
+	memory int
 }
 
 // Ticket names one piece of work that was sent to an upstream.
@@ -212,12 +218,18 @@
 // Sent notes that work was sent to an upstream. The ticket must be given back
 // to Started or Done.
 func (f *Fleet) Sent(now time.Time, id string, tokens int) Ticket {
+	return f.SentWith(now, id, tokens, 0)
+}
+
+// SentWith is Sent for work that holds a number of tokens in the upstream's
+// memory until it is done.
+func (f *Fleet) SentWith(now time.Time, id string, tokens, memory int) Ticket {
 	s := f.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.load(id)
 	l.next++
-	l.sent[l.next] = sentWork{at: now, tokens: tokens}
+	l.sent[l.next] = sentWork{at: now, tokens: tokens, memory: memory}
 	return Ticket{upstream: id, number: l.next}
 }
 
@@ -318,6 +330,8 @@
 	Known       bool
 	Wait        time.Duration
 	Outstanding int
+	// Memory counts the tokens that running requests are believed to hold.
+	Memory int
 }
 
 // Estimate returns the expected wait at an upstream. The reported queue is
@@ -332,9 +346,10 @@
 		return Estimate{}
 	}
 	reported := time.Duration(l.report.QueuedTokens)*tokenTime - now.Sub(l.report.MeasuredAt)
-	fresh, freshTokens, tokens := 0, 0, 0
+	fresh, freshTokens, tokens, memory := 0, 0, 0, 0
 	for _, w := range l.sent {
 		tokens += w.tokens
+		memory += w.memory
 		if w.at.After(l.report.MeasuredAt) {
 			fresh++
 			freshTokens += w.tokens
@@ -343,13 +358,13 @@
 	wait := max(reported, 0) + time.Duration(freshTokens)*tokenTime
 	wait = max(wait, time.Duration(tokens)*tokenTime)
 	outstanding := max(l.report.Queued+l.report.Running+fresh, len(l.sent))
-	peerWait, peerOutstanding := l.ofPeers(now, tokenTime)
+	peerWait, peerOutstanding, peerMemory := l.ofPeers(now, tokenTime)
 	wait += peerWait
 	outstanding += peerOutstanding
 	if over := outstanding - l.report.BatchLimit; l.report.BatchLimit > 0 && over > 0 {
 		wait += time.Duration(over) * batchSlotTime
 	}
-	return Estimate{Known: !l.reportedAt.IsZero(), Wait: wait, Outstanding: outstanding}
+	return Estimate{Known: !l.reportedAt.IsZero(), Wait: wait, Outstanding: outstanding, Memory: memory + peerMemory}
 }
 
 // batchSlotTime is the expected time until one more place in a full batch is
--- a/loomroute/policy.go
+++ b/loomroute/policy.go
@@ -49,6 +49,9 @@
 	Pending bool
 	// Wait is the expected time until the engine starts on the prompt.
 	Wait time.Duration
+	// BlockTime replaces that of the request for this candidate unless it is
+	// zero.
+	BlockTime time.Duration
 	// Outstanding is the number of requests that the engine is known to have.
 	Outstanding int
 	// LacksAdapter tells that the engine must load the adapter first.
