Count each version's time from its own naming

The time was kept for the newest version of a model only, so the naming of version 3 gave version 1 another ten seconds.

--- a/loomfleet/plan.go
+++ b/loomfleet/plan.go
@@ -39,7 +39,8 @@
 
 // Plan returns the orders that may be sent now, one for each free permit to
 // load. Of the engines of a domain at most half, but at least one, load at
-// once, and the least busy go first, so that capacity is kept.
+// once. Those with the oldest weights go first, and of these the least busy, so
+// that capacity is kept.
 func Plan(engines []Engine, w Want, permits int) []Order {
 	var stale []Engine
 	loading, usable := 0, 0
@@ -58,7 +59,7 @@
 	}
 	room := min(permits, max(usable/2, 1)-loading, w.LoadLimit)
 	slices.SortFunc(stale, func(a, b Engine) int {
-		return cmp.Or(cmp.Compare(a.Outstanding, b.Outstanding), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Outstanding, b.Outstanding), cmp.Compare(a.ID, b.ID))
 	})
 	var orders []Order
 	for _, e := range stale {
--- a/loomgate/beliefs.go
+++ b/loomgate/beliefs.go
@@ -48,8 +48,9 @@
 	// named holds the version that operators named for each model; it only
 	// rises.
 	named map[string]uint64
-	// namedAt is when each was first seen.
-	namedAt map[string]time.Time
+	// namings holds for each model the versions that were named, in the order of
+	// their numbers, with the time when each was first seen.
+	namings map[string][]naming
 	// rows holds the platform's rows for peers that can't reach it.
 	rows map[Topic]map[string]Row
 	// complained holds the versions of rows that could not be read, so that
@@ -62,7 +63,7 @@
 		gate:       g,
 		poke:       make(chan struct{}, 1),
 		named:      make(map[string]uint64),
-		namedAt:    make(map[string]time.Time),
+		namings:    make(map[string][]naming),
 		rows:       map[Topic]map[string]Row{TopicCatalogue: {}, TopicUpstreams: {}},
 		complained: make(map[string]uint64),
 	}
@@ -99,7 +100,18 @@
 func (b *beliefs) expired(now time.Time, model string, version uint64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return version < b.named[model] && now.Sub(b.namedAt[model]) > b.gate.settings.WeightsTime-weightsMargin
+	for _, n := range b.namings[model] {
+		if n.version > version {
+			return now.Sub(n.at) > b.gate.settings.WeightsTime-weightsMargin
+		}
+	}
+	return false
+}
+
+// naming is a version that operators named.
+type naming struct {
+	version uint64
+	at      time.Time
 }
 
 // wishes returns the version that operators named for each model.
@@ -256,7 +268,7 @@
 	case WeightsNamed:
 		if c.Version > b.named[c.Model] {
 			b.named[c.Model] = c.Version
-			b.namedAt[c.Model] = now
+			b.namings[c.Model] = append(b.namings[c.Model], naming{version: c.Version, at: now})
 			b.gate.log.Info("weights_named", "model", c.Model, "version", c.Version)
 			b.gate.rollout.wake()
 		}
--- a/loomgate/place.go
+++ b/loomgate/place.go
@@ -116,7 +116,7 @@
 const (
 	// runningShare is the part of an engine's memory that running requests may
 	// hold; beyond it they are preempted, and parts that return are evicted.
-	runningShare = 0.7
+	runningShare = 1.0
 	// fullMemoryWait is about the time until a running request ends.
 	fullMemoryWait = 300 * time.Millisecond
 	// oldWeightsPenalty prefers engines with the named weights when they are not
