--- a/loomgate/peers.go
+++ b/loomgate/peers.go
@@ -56,19 +56,20 @@
 	// known is keyed by instance ID and never holds the own one.
 	known      map[string]*peer
 	placements []*loompb.Placement
-	// marks and weights are told in every round while they are recent.
+	// version is that of the rows of instances that were taken in.
 	version uint64
 }
 
 type peer struct {
-	id      string
-	row     instanceRow
-	conn    *grpc.ClientConn
-	client  loompb.GatePeerClient
-	failed  int
-	skip    int
-	busy    bool
-	fetched time.Time
+	id     string
+	row    instanceRow
+	conn   *grpc.ClientConn
+	client loompb.GatePeerClient
+	// failed counts the rounds since the last answer, skip the rounds to leave
+	// out; busy tells that a call is under way.
+	failed int
+	skip   int
+	busy   bool
 }
 
 func newPeers(g *Gate) *peers {
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -342,7 +342,7 @@
 	for {
 		event, err := events.Next()
 		now := time.Now()
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return d.streamEnded(now)
 		}
 		if err != nil {
--- a/loommember/upstream.go
+++ b/loommember/upstream.go
@@ -39,13 +39,24 @@
 
 // WithVersion returns a copy of u whose weights of a model have a version.
 func (u Upstream) WithVersion(model string, version uint64) Upstream {
-	weights := make([]Weights, 0, len(u.Weights)+1)
+	weights := []Weights{{Model: model, Version: version}}
 	for _, w := range u.Weights {
 		if w.Model != model {
 			weights = append(weights, w)
 		}
 	}
-	u.Weights = append(weights, Weights{Model: model, Version: version})
+	u.Weights = weights
+	return u
+}
+
+// withNewest returns a copy of u with the versions of old where these are newer:
+// an upstream lists its weights some time after it has loaded them.
+func (u Upstream) withNewest(old Upstream) Upstream {
+	for _, w := range old.Weights {
+		if w.Version > u.Version(w.Model) {
+			u = u.WithVersion(w.Model, w.Version)
+		}
+	}
 	return u
 }
 
@@ -104,6 +115,9 @@
 	if known && u.Incarnation < e.upstream.Incarnation {
 		return false
 	}
+	if known && u.Incarnation == e.upstream.Incarnation {
+		u = u.withNewest(e.upstream)
+	}
 	if mark, ok := d.left[u.ID]; ok && mark.incarnation == u.Incarnation {
 		leaving = true
 	}
--- a/loommember/upstream_test.go
+++ b/loommember/upstream_test.go
@@ -9,8 +9,8 @@
 
 var listedAt = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func upstream(id string, incarnation uint64) Upstream {
-	return Upstream{ID: id, Group: "engines", Address: "10.0.0.1:80", Incarnation: incarnation}
+func upstream(incarnation uint64) Upstream {
+	return Upstream{ID: "a", Group: "engines", Address: "10.0.0.1:80", Incarnation: incarnation}
 }
 
 func usableIDs(d *Directory, now time.Time) []string {
@@ -30,29 +30,29 @@
 	}{
 		{
 			name: "listed",
-			play: func(d *Directory) { d.List(listedAt, upstream("a", 1), false, 1) },
+			play: func(d *Directory) { d.List(listedAt, upstream(1), false, 1) },
 			want: []string{"a"},
 		},
 		{
 			name: "leaving gets no work",
-			play: func(d *Directory) { d.List(listedAt, upstream("a", 1), true, 1) },
+			play: func(d *Directory) { d.List(listedAt, upstream(1), true, 1) },
 			want: []string{},
 		},
 		{
 			name: "a leaving mark sticks to its incarnation",
 			play: func(d *Directory) {
-				d.List(listedAt, upstream("a", 1), true, 1)
-				d.List(listedAt, upstream("a", 1), false, 2)
+				d.List(listedAt, upstream(1), true, 1)
+				d.List(listedAt, upstream(1), false, 2)
 			},
 			want: []string{},
 		},
 		{
 			name: "a leaving mark outlives the entry",
 			play: func(d *Directory) {
-				d.List(listedAt, upstream("a", 1), true, 1)
+				d.List(listedAt, upstream(1), true, 1)
 				d.Remove(listedAt, "a", 2)
 				d.Tidy(listedAt.Add(time.Second))
-				d.List(listedAt.Add(time.Second), upstream("a", 1), false, 3)
+				d.List(listedAt.Add(time.Second), upstream(1), false, 3)
 			},
 			at:   time.Second,
 			want: []string{},
@@ -60,23 +60,23 @@
 		{
 			name: "the next incarnation gets work",
 			play: func(d *Directory) {
-				d.List(listedAt, upstream("a", 1), true, 1)
-				d.List(listedAt, upstream("a", 2), false, 2)
+				d.List(listedAt, upstream(1), true, 1)
+				d.List(listedAt, upstream(2), false, 2)
 			},
 			want: []string{"a"},
 		},
 		{
 			name: "an older incarnation changes nothing",
 			play: func(d *Directory) {
-				d.List(listedAt, upstream("a", 2), false, 1)
-				d.List(listedAt, upstream("a", 1), true, 2)
+				d.List(listedAt, upstream(2), false, 1)
+				d.List(listedAt, upstream(1), true, 2)
 			},
 			want: []string{"a"},
 		},
 		{
 			name: "an older row changes nothing",
 			play: func(d *Directory) {
-				d.List(listedAt, upstream("a", 1), false, 5)
+				d.List(listedAt, upstream(1), false, 5)
 				d.Remove(listedAt, "a", 4)
 			},
 			want: []string{"a"},
@@ -84,7 +84,7 @@
 		{
 			name: "removed at once while the platform is well",
 			play: func(d *Directory) {
-				d.List(listedAt, upstream("a", 1), false, 1)
+				d.List(listedAt, upstream(1), false, 1)
 				d.Remove(listedAt, "a", 2)
 			},
 			want: []string{},
@@ -92,7 +92,7 @@
 		{
 			name: "kept for a while when it may have lapsed",
 			play: func(d *Directory) {
-				d.List(listedAt, upstream("a", 1), false, 1)
+				d.List(listedAt, upstream(1), false, 1)
 				d.Outage(listedAt)
 				d.Remove(listedAt.Add(time.Second), "a", 2)
 			},
@@ -102,7 +102,7 @@
 		{
 			name: "gone when it has not come back",
 			play: func(d *Directory) {
-				d.List(listedAt, upstream("a", 1), false, 1)
+				d.List(listedAt, upstream(1), false, 1)
 				d.Outage(listedAt)
 				d.Remove(listedAt.Add(time.Second), "a", 2)
 			},
@@ -112,10 +112,10 @@
 		{
 			name: "back after it had lapsed",
 			play: func(d *Directory) {
-				d.List(listedAt, upstream("a", 1), false, 1)
+				d.List(listedAt, upstream(1), false, 1)
 				d.Outage(listedAt)
 				d.Remove(listedAt.Add(time.Second), "a", 2)
-				d.List(listedAt.Add(2*time.Second), upstream("a", 1), false, 3)
+				d.List(listedAt.Add(2*time.Second), upstream(1), false, 3)
 			},
 			at:   time.Minute,
 			want: []string{"a"},
@@ -123,7 +123,7 @@
 		{
 			name: "a rumour of leaving for another incarnation",
 			play: func(d *Directory) {
-				d.List(listedAt, upstream("a", 2), false, 1)
+				d.List(listedAt, upstream(2), false, 1)
 				d.Mark(listedAt, "a", 1)
 			},
 			want: []string{"a"},
@@ -131,7 +131,7 @@
 		{
 			name: "a rumour of leaving",
 			play: func(d *Directory) {
-				d.List(listedAt, upstream("a", 2), false, 1)
+				d.List(listedAt, upstream(2), false, 1)
 				d.Mark(listedAt, "a", 2)
 			},
 			want: []string{},
@@ -148,12 +148,13 @@
 
 func TestDirectoryVersions(t *testing.T) {
 	var d Directory
-	u := upstream("a", 1)
+	u := upstream(1)
 	u.Weights = []Weights{{Model: "m", Version: 3}}
 	d.List(listedAt, u, false, 1)
 	assert.Assert(t, !d.SetVersion("a", 1, "m", 2), "versions only rise")
 	assert.Assert(t, !d.SetVersion("a", 7, "m", 4), "another incarnation")
 	assert.Assert(t, d.SetVersion("a", 1, "m", 4))
+	d.List(listedAt, u, false, 2)
 	got, ok := d.Get(listedAt, "a")
 	assert.Assert(t, ok)
 	assert.Equal(t, got.Version("m"), uint64(4))
