Leave out unreachable and silent upstreams at once; explain from logs

Now one refused connection is enough for 0.7 s, and silence with work for 0.6 s. An instance that reaches no upstream says so after one failure.

--- a/cmd/swiftloom/main.go
+++ b/cmd/swiftloom/main.go
@@ -44,7 +44,7 @@
 	return &cli.Command{
 		Name:           "swiftloom",
 		Usage:          "serves language-model prompts that return after long gaps",
-		Commands:       []*cli.Command{serveCommand(), gateCommand(), checkCommand(), catalogueCommand(), statusCommand(), loadCommand(), tryCommand(), standinCommand()},
+		Commands:       []*cli.Command{serveCommand(), gateCommand(), checkCommand(), catalogueCommand(), statusCommand(), explainCommand(), loadCommand(), tryCommand(), standinCommand()},
 		OnUsageError:   usageError,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		Action: func(_ context.Context, c *cli.Command) error {
--- a/loomgate/events.go
+++ b/loomgate/events.go
@@ -54,5 +54,23 @@
 		"first_ms", first,
 		"total_ms", now.Sub(r.Received).Milliseconds(),
 		"events", d.life.Relayed(),
+		"waited_ms", waited(d).Milliseconds(),
+		"message", messageOf(failure),
 		"cause", d.cause)
 }
+
+// waited returns how long the request was held before its last send, or until
+// its end when it was never sent.
+func waited(d *dispatch) time.Duration {
+	if d.sentAt.IsZero() {
+		return time.Since(d.req.Received)
+	}
+	return d.sentAt.Sub(d.req.Received)
+}
+
+func messageOf(failure *loomerror.Error) string {
+	if failure == nil {
+		return ""
+	}
+	return failure.Message()
+}
--- a/loomgate/place.go
+++ b/loomgate/place.go
@@ -1,6 +1,7 @@
 package loomgate
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -37,6 +38,11 @@
 	if len(candidates) == 0 {
 		return loomerror.New(loomerror.NoUpstream, "no upstream of %q lives now", r.group.Name).WithRetryAfter(refusedRetryAfter)
 	}
+	if len(d.tried) > 0 && allSuspect(candidates) {
+		// After one failure there is no sense in waiting for the next: an instance
+		// that is cut off sends its callers on.
+		return loomerror.New(loomerror.NoUpstream, "no upstream of %q can be reached now", r.group.Name).WithRetryAfter(refusedRetryAfter)
+	}
 	d.choice = g.policy.Choose(d.question(now, candidates), candidates, g.newRandom())
 	for _, u := range g.usable(now, r.group.Name) {
 		if u.ID == d.choice.ID {
@@ -70,7 +76,7 @@
 			continue
 		}
 		c := d.candidate(now, u)
-		c.Suspect = ejected[u.ID]
+		c.Suspect = ejected[u.ID] || d.gate.fleet.Suspect(now, u.ID)
 		if d.wasTried(u.ID) {
 			tried = append(tried, c)
 			continue
@@ -83,6 +89,10 @@
 	return tried
 }
 
+func allSuspect(candidates []loomroute.Candidate) bool {
+	return !slices.ContainsFunc(candidates, func(c loomroute.Candidate) bool { return !c.Suspect })
+}
+
 func (d *dispatch) candidate(now time.Time, u loommember.Upstream) loomroute.Candidate {
 	c := loomroute.Candidate{ID: u.ID, FailureDomain: u.FailureDomain}
 	estimate := d.gate.fleet.Estimate(now, u.ID, d.unitTime())
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -228,6 +228,9 @@
 	if ctx.Err() != nil {
 		return d.givenUp(ctx, now)
 	}
+	if sendErr != nil && sendErr.Unreachable {
+		d.gate.fleet.Unreachable(now, d.upstream.ID)
+	}
 	d.gate.fleet.Broke(now, d.upstream.ID)
 	return d.life.Apply(now, loomstream.Broken{Attempt: d.attempt})
 }
@@ -243,6 +246,7 @@
 // receive looks at the head of an answer and relays the rest.
 func (d *dispatch) receive(ctx context.Context, reply *loomupstream.Reply) loomstream.Action {
 	now := time.Now()
+	d.gate.fleet.Heard(now, d.upstream.ID)
 	if reply.Leaving {
 		d.gate.log.Debug("upstream_closes", "upstream", d.upstream.ID, "request_id", d.req.RequestID)
 	}
@@ -348,6 +352,7 @@
 		if err != nil {
 			return d.broken(ctx, &loomupstream.SendError{Delivered: true, Cause: err})
 		}
+		d.gate.fleet.Heard(now, d.upstream.ID)
 		d.first(now)
 		offset := d.life.Relayed()
 		action := d.life.Apply(now, loomstream.Token{Attempt: d.attempt, Version: d.version, Offset: offset})
--- /dev/null
+++ b/loomlog/log_test.go
@@ -0,0 +1,80 @@
+package loomlog_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"swiftloom/loomlog"
+)
+
+// stuckWriter never returns, like a standard output that nobody reads.
+type stuckWriter struct{}
+
+func (stuckWriter) Write([]byte) (int, error) {
+	select {}
+}
+
+func TestWriterNeverBlocks(t *testing.T) {
+	w := loomlog.NewWriter(stuckWriter{})
+	log := loomlog.New(w, 0)
+	done := make(chan struct{})
+	go func() {
+		for range 10_000 {
+			log.Info("dispatch", "request_id", "r")
+		}
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Fatal("a log line blocks")
+	}
+	assert.Assert(t, w.Dropped() > 0)
+}
+
+func TestWriterWritesInOrder(t *testing.T) {
+	var b bytes.Buffer
+	w := loomlog.NewWriter(&b)
+	log := loomlog.New(w, 0)
+	log.Info("first")
+	log.Info("second", "cause", "two words")
+	w.Close()
+	assert.Assert(t, strings.Contains(b.String(), `msg=second cause="two words"`), b.String())
+	assert.Assert(t, strings.Index(b.String(), "first") < strings.Index(b.String(), "second"))
+	assert.Equal(t, w.Dropped(), int64(0))
+}
+
+const sample = `time=2026-01-01T00:00:01Z level=INFO msg=upstream_listed upstream=e1 incarnation=1
+time=2026-01-01T00:00:02Z level=INFO msg=upstream_listed upstream=e2 incarnation=1
+  1.5 entry-2 time=2026-01-01T00:00:02Z level=INFO msg=catalogue_changed revision=4
+time=2026-01-01T00:00:03Z level=INFO msg=dispatch request_id=r1 attempt=1 route=once upstream=e1
+not a line
+time=2026-01-01T00:00:04Z level=INFO msg=request_done request_id=r1 route=once outcome=outcome_unknown attempts=1 first_ms=-1 cause="send: read tcp 10.0.0.1:1: connection reset by peer"
+time=2026-01-01T00:00:05Z level=INFO msg=request_done request_id=r2 route=once outcome=answered status=200 attempts=1 first_ms=3
+time=2026-01-01T00:00:05Z level=INFO msg=request_refused request_id=r3 path=/x kind=not_found
+`
+
+func TestStory(t *testing.T) {
+	lines, skipped, err := loomlog.ReadLines(strings.NewReader(sample), "entry-1.log")
+	assert.NilError(t, err)
+	assert.Equal(t, skipped, 1)
+	var events []string
+	for _, l := range loomlog.Story(lines, "r1") {
+		events = append(events, l.Event)
+	}
+	assert.DeepEqual(t, events, []string{"upstream_listed", "dispatch", "request_done"})
+	assert.Equal(t, len(loomlog.Story(lines, "absent")), 0)
+}
+
+func TestCauses(t *testing.T) {
+	lines, _, err := loomlog.ReadLines(strings.NewReader(sample), "entry-1.log")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, loomlog.Causes(lines), []loomlog.Cause{
+		{Route: "/x", Outcome: "not_found", Reason: "refused before an upstream was chosen", Count: 1, Example: "r3"},
+		{Route: "once", Outcome: "outcome_unknown", Reason: "the connection to the upstream broke", Count: 1, Example: "r1"},
+	})
+}
--- a/loomroute/fleet.go
+++ b/loomroute/fleet.go
@@ -56,6 +56,10 @@
 	failures int
 	// ejectedUntil is when an outlier gets work again.
 	ejectedUntil time.Time
+	// downUntil is when an upstream that could not be reached is tried again.
+	downUntil time.Time
+	// heardAt is when the upstream last sent anything to this instance.
+	heardAt time.Time
 	// peers holds what other instances told that they have under way here.
 	peers map[string]peerLoad
 }
@@ -275,6 +279,62 @@
 	}
 }
 
+const (
+	// downTime is how long an upstream that could not be reached gets no work; a
+	// process that was started again answers sooner than its entry shows.
+	downTime = 700 * time.Millisecond
+	// silentTime is how long an upstream with work may send nothing to anyone
+	// here before it counts as silent. Answers and events usually come every few
+	// tens of milliseconds.
+	silentTime = 600 * time.Millisecond
+	// silentWork is the least work that tells a silent upstream from an idle one.
+	silentWork = 2
+)
+
+// Unreachable notes that no connection to an upstream could be made.
+func (f *Fleet) Unreachable(now time.Time, id string) {
+	s := f.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.load(id).downUntil = now.Add(downTime)
+}
+
+// Heard notes that an upstream sent something.
+func (f *Fleet) Heard(now time.Time, id string) {
+	s := f.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.load(id)
+	l.heardAt = now
+	l.downUntil = time.Time{}
+}
+
+// Suspect reports whether an upstream could not be reached lately, or is silent
+// although it has work.
+func (f *Fleet) Suspect(now time.Time, id string) bool {
+	s := f.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.loads[id]
+	if !ok {
+		return false
+	}
+	return now.Before(l.downUntil) || l.silent(now)
+}
+
+func (l *load) silent(now time.Time) bool {
+	if now.Sub(l.heardAt) <= silentTime {
+		return false
+	}
+	waiting := 0
+	for _, w := range l.sent {
+		if now.Sub(w.at) > silentTime {
+			waiting++
+		}
+	}
+	return waiting >= silentWork
+}
+
 // Worked notes that an attempt at an upstream ended well.
 func (f *Fleet) Worked(id string) {
 	s := f.shard(id)
--- /dev/null
+++ b/loomroute/suspect_test.go
@@ -0,0 +1,63 @@
+package loomroute_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"swiftloom/loomroute"
+)
+
+func TestSuspect(t *testing.T) {
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	tests := []struct {
+		name string
+		play func(f *loomroute.Fleet)
+		want bool
+	}{
+		{"unknown", func(*loomroute.Fleet) {}, false},
+		{"unreachable just now", func(f *loomroute.Fleet) { f.Unreachable(at.Add(-time.Millisecond), "a") }, true},
+		{"unreachable a while ago", func(f *loomroute.Fleet) { f.Unreachable(at.Add(-time.Second), "a") }, false},
+		{"heard since", func(f *loomroute.Fleet) {
+			f.Unreachable(at.Add(-2*time.Millisecond), "a")
+			f.Heard(at.Add(-time.Millisecond), "a")
+		}, false},
+		{"work and no sound", func(f *loomroute.Fleet) {
+			f.Sent(at.Add(-time.Second), "a", 1)
+			f.Sent(at.Add(-time.Second), "a", 1)
+		}, true},
+		{"work just sent", func(f *loomroute.Fleet) {
+			f.Sent(at.Add(-time.Millisecond), "a", 1)
+			f.Sent(at.Add(-time.Millisecond), "a", 1)
+		}, false},
+		{"work, and others are answered", func(f *loomroute.Fleet) {
+			f.Sent(at.Add(-time.Second), "a", 1)
+			f.Sent(at.Add(-time.Second), "a", 1)
+			f.Heard(at.Add(-time.Millisecond), "a")
+		}, false},
+		{"idle", func(f *loomroute.Fleet) { f.Heard(at.Add(-time.Hour), "a") }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := loomroute.NewFleet()
+			tt.play(f)
+			assert.Equal(t, f.Suspect(at, "a"), tt.want)
+		})
+	}
+}
+
+func TestEstimateCountsPeers(t *testing.T) {
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	f := loomroute.NewFleet()
+	f.SentWith(at, "a", 1000, 1200)
+	f.PeerLoads(at, "p", []loomroute.PeerLoad{{ID: "a", Outstanding: 2, Tokens: 500, Memory: 900}})
+	got := f.Estimate(at, "a", time.Microsecond)
+	assert.Equal(t, got.Outstanding, 3)
+	assert.Equal(t, got.Memory, 2100)
+	assert.Equal(t, got.Wait, 1500*time.Microsecond)
+	f.PeerLoads(at, "p", nil)
+	assert.Equal(t, f.Estimate(at, "a", time.Microsecond).Outstanding, 1)
+	f.PeerLoads(at, "p", []loomroute.PeerLoad{{ID: "a", Outstanding: 2}})
+	assert.Equal(t, f.Estimate(at.Add(time.Minute), "a", time.Microsecond).Outstanding, 1, "a silent peer's word lapses")
+}
