Keep only parts of prompts that come back

Cause, found by listing for each part read again where it was believed to be: the last part of each prompt belonged to its request alone (5,118 of 5,118 seen once), yet was saved and told to peers: 885 tokens a request, 4.5 million in 30 s, filled the stores and the links.

--- /dev/null
+++ b/loomcache/returns_test.go
@@ -0,0 +1,96 @@
+package loomcache_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"swiftloom/loomcache"
+)
+
+func TestReturns(t *testing.T) {
+	var r loomcache.Returns
+	for i := range 5000 {
+		assert.Assert(t, !r.See("own", strconv.Itoa(i)), "a part of its own never returns")
+	}
+	assert.Assert(t, !r.See("session", "a"))
+	assert.Assert(t, !r.See("session", "b"))
+	assert.Assert(t, r.See("session", "a"))
+	assert.Assert(t, r.See("session", "c"), "other parts of the route are expected to return as well")
+	assert.Assert(t, !r.See("own", "a"), "routes are apart")
+}
+
+func storeClass(address string, capacity int, firstByte, perToken time.Duration) loomcache.StoreClass {
+	return loomcache.StoreClass{Address: address, Capacity: capacity, FirstByte: firstByte, PerToken: perToken}
+}
+
+func TestStoreIndex(t *testing.T) {
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	fast := storeClass("fast", 10_000, time.Millisecond/2, time.Microsecond)
+	large := storeClass("large", 100_000, 6*time.Millisecond, 2*time.Microsecond)
+	small, big := loomcache.PromptPart{ID: "s", Tokens: 1000}, loomcache.PromptPart{ID: "b", Tokens: 9000}
+	const token = 9 * time.Microsecond
+	fresh := func() *loomcache.StoreIndex {
+		s := loomcache.NewStoreIndex()
+		s.SetStores([]loomcache.StoreClass{fast, large})
+		s.Restarted("fast", 1)
+		s.Restarted("large", 1)
+		return s
+	}
+	tests := []struct {
+		name string
+		play func(s *loomcache.StoreIndex)
+		part loomcache.PromptPart
+		// source and target are the stores that are chosen, or empty.
+		source, target string
+	}{
+		{"nothing kept, a small part", func(*loomcache.StoreIndex) {}, small, "", "fast"},
+		{"nothing kept, a large part", func(*loomcache.StoreIndex) {}, big, "", "large"},
+		{"kept", func(s *loomcache.StoreIndex) { s.Holds("large", "x", "b", 9000) }, big, "large", ""},
+		{"kept under another salt", func(s *loomcache.StoreIndex) { s.Holds("large", "y", "b", 9000) }, big, "", "large"},
+		{"kept in part only", func(s *loomcache.StoreIndex) { s.Holds("large", "x", "b", 4000) }, big, "", ""},
+		{"freed", func(s *loomcache.StoreIndex) { s.Holds("large", "x", "b", 9000); s.Gone("large", "x", "b") }, big, "", "large"},
+		{"a store that is down", func(s *loomcache.StoreIndex) { s.Holds("large", "x", "b", 9000); s.Down("large") }, big, "", "fast"},
+		{"a store that is back as it was", func(s *loomcache.StoreIndex) {
+			s.Holds("large", "x", "b", 9000)
+			s.Down("large")
+			s.Restarted("large", 1)
+		}, big, "large", ""},
+		{"a store that has started again", func(s *loomcache.StoreIndex) {
+			s.Holds("large", "x", "b", 9000)
+			s.Restarted("large", 2)
+		}, big, "", "large"},
+		{"full", func(s *loomcache.StoreIndex) { s.Holds("fast", "x", "o", 9500) }, small, "", "large"},
+		{"a save under way", func(s *loomcache.StoreIndex) { s.Target(at, "x", big, token) }, big, "", ""},
+		{"a save that never came", func(s *loomcache.StoreIndex) { s.Target(at.Add(-time.Minute), "x", big, token) }, big, "", "large"},
+		{"faster to compute", func(s *loomcache.StoreIndex) { s.Holds("fast", "x", "o", 9500) }, loomcache.PromptPart{ID: "t", Tokens: 300}, "", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := fresh()
+			tt.play(s)
+			source, _ := s.Source("x", tt.part)
+			assert.Equal(t, source.Address, tt.source)
+			assert.Equal(t, s.Target(at, "x", tt.part, token), tt.target)
+		})
+	}
+}
+
+func TestResidency(t *testing.T) {
+	parts := []loomcache.PromptPart{{ID: "a", Tokens: 100}, {ID: "b", Tokens: 200}, {ID: "c", Tokens: 50}}
+	r := loomcache.NewResidency()
+	assert.Equal(t, r.Held("e", "x", parts), 0)
+	r.Note("e", "x", parts, 1000)
+	assert.Equal(t, r.Held("e", "x", parts), 350)
+	assert.Equal(t, r.Held("e", "y", parts), 0, "another salt")
+	assert.Equal(t, r.Held("f", "x", parts), 0, "another engine")
+	r.Evicted("e", "x", "b")
+	assert.Equal(t, r.Held("e", "x", parts), 100, "what follows a gap is of no use")
+	r.Cached("e", "x", "b", 200)
+	r.Note("e", "x", []loomcache.PromptPart{{ID: "d", Tokens: 300}}, 400)
+	assert.Equal(t, r.Held("e", "x", parts), 0, "the least recently used part goes first")
+	r.Forget("e")
+	assert.Equal(t, r.Held("e", "x", []loomcache.PromptPart{{ID: "d", Tokens: 300}}), 0)
+}
--- a/loomcache/store_index.go
+++ b/loomcache/store_index.go
@@ -34,7 +34,7 @@
 	pendingTime = 3 * time.Second
 	// slowestTransfer bounds the transfer of a part by the time to compute it; a
 	// store in another failure domain takes twice the time.
-	slowestTransfer = 0.6
+	slowestTransfer = 1
 )
 
 // StoreIndex is the index of what the stores for kept state hold, as they tell.
@@ -193,9 +193,9 @@
 
 // Target returns the store that a part should be saved to, or an empty address
 // when one holds it, is about to, or none has room. All instances prefer the
-// same store for a part: the one with the highest weight by rendezvous hashing,
-// in which fast links count for more. tokenTime is how long computing one
-// token takes; stores that are much slower than computing are left out.
+// same store for a part: the one with the highest weight by rendezvous hashing.
+// tokenTime is how long computing one token takes; stores that are slower than
+// computing are left out.
 func (s *StoreIndex) Target(now time.Time, salt string, part PromptPart, tokenTime time.Duration) string {
 	compute := time.Duration(float64(part.Tokens) * float64(tokenTime) * slowestTransfer)
 	var best *storeParts
@@ -207,7 +207,7 @@
 		if p.class.transferTime(part.Tokens) > compute || !p.room(now, part.Tokens) {
 			continue
 		}
-		if w := storeWeight(p.class, salt, part.ID); best == nil || w > bestWeight {
+		if w := storeWeight(p.class, salt, part); best == nil || w > bestWeight {
 			best, bestWeight = p, w
 		}
 	}
@@ -218,12 +218,22 @@
 	return best.class.Address
 }
 
-// storeWeight orders stores for a part so that each gets parts in proportion to
-// the rate of its link, for as long as it has room.
-func storeWeight(c StoreClass, salt, id string) float64 {
+// firstByteShare is the part of a transfer's time that its first byte may take
+// for the part to count as large at a store.
+const firstByteShare = 0.3
+
+// storeWeight orders stores for a part. Large parts are spread in proportion to
+// the capacity of the stores; small ones go where transfers begin fast, for as
+// long as there is room.
+func storeWeight(c StoreClass, salt string, part PromptPart) float64 {
 	const bits = 53
-	draw := float64(xxhash.Sum64String(c.Address+"\x00"+salt+"\x00"+id)>>(64-bits)+1) / (1 << bits)
-	return 1 / (max(c.PerToken.Seconds(), 1e-9) * -math.Log(draw))
+	draw := float64(xxhash.Sum64String(c.Address+"\x00"+salt+"\x00"+part.ID)>>(64-bits)+1) / (1 << bits)
+	transfer := c.transferTime(part.Tokens).Seconds()
+	weight := float64(c.Capacity)
+	if c.FirstByte.Seconds() > firstByteShare*transfer {
+		weight /= transfer * transfer
+	}
+	return weight / -math.Log(draw)
 }
 
 // has reports whether the store holds a part or is expected to.
--- a/loomgate/gate.go
+++ b/loomgate/gate.go
@@ -68,6 +68,7 @@
 	fleet     *loomroute.Fleet
 	policy    loomroute.Policy
 	residency *loomcache.Residency
+	returns   loomcache.Returns
 	retries   *loomstream.RetryBudget
 	peers     *peers
 	rollout   *rollout
--- a/loomgate/place.go
+++ b/loomgate/place.go
@@ -169,7 +169,7 @@
 func (d *dispatch) storedTokens() int {
 	salt := saltOf(d.req, d.gate.beliefs.wanted(d.req.Prompt.Model))
 	tokens := 0
-	for _, part := range d.req.Prompt.Parts {
+	for _, part := range d.req.Prompt.Parts[:d.returning()] {
 		if _, found := d.gate.stores.index.Source(salt, part); !found {
 			return tokens
 		}
@@ -185,7 +185,7 @@
 	if len(parts) == 0 {
 		return 0
 	}
-	last := parts[len(parts)-1]
+	last := parts[max(d.returning(), 1)-1]
 	source, found := d.gate.stores.index.Source(saltOf(d.req, version), last)
 	if !found || last.Tokens == 0 {
 		return linkTime(d.req.group.Engine) * moveWeight
@@ -229,7 +229,7 @@
 	salt := saltOf(d.req, d.version)
 	p := keptPlan{fetch: make([]string, len(parts)), save: make([]string, len(parts))}
 	stored := d.gate.stores.index
-	for i, part := range parts {
+	for i, part := range parts[:d.returning()] {
 		source, found := stored.Source(salt, part)
 		address := source.Address
 		if !found {
@@ -244,6 +244,16 @@
 	return p
 }
 
+// returning returns how many leading parts of the prompt may come back with
+// other requests.
+func (d *dispatch) returning() int {
+	parts := d.req.Prompt.Parts
+	if len(parts) == 0 || d.lastReturns {
+		return len(parts)
+	}
+	return len(parts) - 1
+}
+
 // holder returns the address of another engine that is believed to cache the
 // last of the parts, or nothing.
 func (d *dispatch) holder(now time.Time, salt string, parts []Part) string {
@@ -268,7 +278,7 @@
 	}
 	salt := saltOf(d.req, d.version)
 	d.gate.residency.Note(d.upstream.ID, salt, d.req.Prompt.Parts, cacheTokens(d.req.group.Engine))
-	d.gate.peers.placed(d.upstream.ID, salt, d.req.Prompt.Parts)
+	d.gate.peers.placed(d.upstream.ID, salt, d.req.Prompt.Parts[:d.returning()])
 }
 
 func cacheTokens(e *loomcatalogue.EngineClass) int {
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -39,14 +39,16 @@
 	upstream loommember.Upstream
 	choice   loomroute.Choice
 	// wait is the expected wait at the chosen upstream.
-	wait     time.Duration
-	version  uint64
-	kept     keptPlan
-	ticket   loomroute.Ticket
-	ticketed bool
-	sentAt   time.Time
-	tried    []string
-	cancel   context.CancelFunc
+	wait    time.Duration
+	version uint64
+	kept    keptPlan
+	// lastReturns tells that the last part of the prompt may come back.
+	lastReturns bool
+	ticket      loomroute.Ticket
+	ticketed    bool
+	sentAt      time.Time
+	tried       []string
+	cancel      context.CancelFunc
 
 	// lastEvent is the ID of the last event that was passed on.
 	lastEvent string
@@ -71,6 +73,9 @@
 	defer cancel()
 	d := &dispatch{gate: g, req: r, w: w}
 	d.life = loomstream.NewLife(r.repeatable(), g.retries, loomstream.NewBackoff(g.newRandom())).WithMaxRuns(r.route.Attempts)
+	if parts := in.Prompt.Parts; len(parts) > 0 {
+		d.lastReturns = g.returns.See(r.route.Name, parts[len(parts)-1].ID)
+	}
 	failure := d.run(ctx)
 	d.endAttempt()
 	if failure != nil {
