--- a/loomgate/place.go
+++ b/loomgate/place.go
@@ -1,6 +1,7 @@
 package loomgate
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -234,7 +235,10 @@
 		address := source.Address
 		if !found {
 			p.save[i] = stored.Target(now, salt, part, d.unitTime())
-			address = d.holder(now, salt, parts[:i+1])
+		}
+		if !found || source.PerToken > linkTime(d.req.group.Engine) {
+			// Engines have faster links than large stores, and more of them.
+			address = cmp.Or(d.holder(now, salt, parts[:i+1]), address)
 		}
 		if address != "" {
 			p.fetch[i] = address
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -20,8 +20,6 @@
 const (
 	// maxWholeAnswer bounds an answer that is not a stream.
 	maxWholeAnswer = 8 << 20
-	// weightsField names the field of an event that tells a change of weights.
-	weightsField = "swiftloom-weight-versions"
 	// refusedRetryAfter is when a refused caller should come back while no
 	// better estimate is at hand: about one round of a full batch.
 	refusedRetryAfter = 400 * time.Millisecond
@@ -347,7 +345,7 @@
 
 // relayStream passes on whole events as they come.
 func (d *dispatch) relayStream(ctx context.Context, reply *loomupstream.Reply) loomstream.Action {
-	events := loomstream.NewEventReader(reply.Body, weightsField)
+	events := loomstream.NewEventReader(reply.Body)
 	for {
 		event, err := events.Next()
 		now := time.Now()
--- a/loomstream/events.go
+++ b/loomstream/events.go
@@ -17,22 +17,20 @@
 	Raw []byte
 	// ID is empty when the event carries none.
 	ID string
-	// Field is the value of the field that NewEventReader was asked for.
-	Field string
 }
 
 // EventReader cuts a text/event-stream into whole events, so that a stream that
 // breaks in the middle of one is never passed on in part.
 type EventReader struct {
 	r *bufio.Reader
-	// field is the name of the field to report besides the ID.
-	field []byte
 }
 
-// NewEventReader returns a reader that also reports the value of a field; the
-// name is empty for none.
-func NewEventReader(r io.Reader, field string) *EventReader {
-	return &EventReader{r: bufio.NewReaderSize(r, 2<<10), field: []byte(field)}
+// eventBuffer holds the events of some tokens each.
+const eventBuffer = 2 << 10
+
+// NewEventReader returns a reader of the stream r.
+func NewEventReader(r io.Reader) *EventReader {
+	return &EventReader{r: bufio.NewReaderSize(r, eventBuffer)}
 }
 
 // Next returns the next event. At the end of a stream that ends between two
@@ -43,7 +41,7 @@
 		line, err := e.r.ReadBytes('\n')
 		record.Raw = append(record.Raw, line...)
 		if err != nil {
-			if err == io.EOF && len(record.Raw) > 0 {
+			if errors.Is(err, io.EOF) && len(record.Raw) > 0 {
 				return EventRecord{}, io.ErrUnexpectedEOF
 			}
 			return EventRecord{}, err
@@ -55,12 +53,8 @@
 		if len(text) == 0 {
 			return record, nil
 		}
-		name, value, _ := bytes.Cut(text, []byte(":"))
-		switch {
-		case string(name) == "id":
+		if name, value, _ := bytes.Cut(text, []byte(":")); string(name) == "id" {
 			record.ID = string(bytes.TrimPrefix(value, []byte(" ")))
-		case len(e.field) > 0 && bytes.EqualFold(name, e.field):
-			record.Field = string(bytes.TrimSpace(value))
 		}
 	}
 }
