--- a/loomgate/place.go
+++ b/loomgate/place.go
@@ -44,7 +44,7 @@
 		// that is cut off sends its callers on.
 		return loomerror.New(loomerror.NoUpstream, "no upstream of %q can be reached now", r.group.Name).WithRetryAfter(refusedRetryAfter)
 	}
-	d.choice = g.policy.Choose(d.question(now, candidates), candidates, g.newRandom())
+	d.choice = g.policy.Choose(d.question(), candidates, g.newRandom())
 	for _, u := range g.usable(now, r.group.Name) {
 		if u.ID == d.choice.ID {
 			d.upstream = u
@@ -72,7 +72,9 @@
 		ejected[id] = true
 	}
 	var fresh, tried []loomroute.Candidate
+	versions := make(map[string]uint64, len(upstreams))
 	for _, u := range upstreams {
+		versions[u.ID] = u.Version(d.req.Prompt.Model)
 		if d.req.HasPrompt && d.gate.beliefs.expired(now, d.req.Prompt.Model, u.Version(d.req.Prompt.Model)) {
 			continue
 		}
@@ -84,10 +86,11 @@
 		}
 		fresh = append(fresh, c)
 	}
-	if len(fresh) > 0 {
-		return fresh
+	if len(fresh) == 0 {
+		fresh = tried
 	}
-	return tried
+	d.noteStored(fresh, versions)
+	return fresh
 }
 
 func allSuspect(candidates []loomroute.Candidate) bool {
@@ -146,7 +149,7 @@
 }
 
 // question is what the policy is asked about the request.
-func (d *dispatch) question(_ time.Time, candidates []loomroute.Candidate) loomroute.Request {
+func (d *dispatch) question() loomroute.Request {
 	q := loomroute.Request{
 		BlockTokens:     1,
 		FailureDomain:   d.gate.settings.FailureDomain,
@@ -157,18 +160,34 @@
 		return q
 	}
 	q.Tokens = d.req.Prompt.Tokens
-	for _, c := range candidates {
-		q.Stored = max(q.Stored, c.Held)
-	}
-	q.Stored = max(q.Stored, d.storedTokens())
 	q.BlockTime = linkTime(d.req.group.Engine) * moveWeight
 	return q
 }
 
-// storedTokens returns how many leading tokens of the prompt stores keep, for
-// the weights that operators named.
-func (d *dispatch) storedTokens() int {
-	salt := saltOf(d.req, d.gate.beliefs.wanted(d.req.Prompt.Model))
+// noteStored sets what each candidate may fetch: the leading tokens that stores
+// keep for the version of its weights, or that another engine with this version
+// caches.
+func (d *dispatch) noteStored(candidates []loomroute.Candidate, versions map[string]uint64) {
+	if !d.req.HasPrompt {
+		return
+	}
+	stored := make(map[uint64]int)
+	for _, c := range candidates {
+		v := versions[c.ID]
+		if _, ok := stored[v]; !ok {
+			stored[v] = d.storedTokens(v)
+		}
+		stored[v] = max(stored[v], c.Held)
+	}
+	for i := range candidates {
+		candidates[i].Stored = stored[versions[candidates[i].ID]]
+	}
+}
+
+// storedTokens returns how many leading tokens of the prompt stores keep for a
+// version of the weights.
+func (d *dispatch) storedTokens(version uint64) int {
+	salt := saltOf(d.req, version)
 	tokens := 0
 	for _, part := range d.req.Prompt.Parts[:d.returning()] {
 		if _, found := d.gate.stores.index.Source(salt, part); !found {
--- a/loomroute/cost.go
+++ b/loomroute/cost.go
@@ -61,6 +61,9 @@
 
 // appraise returns the best use of a candidate and its score.
 func appraise(r Request, c Candidate) (Choice, time.Duration) {
+	if c.Stored > 0 {
+		r.Stored = c.Stored
+	}
 	if c.BlockTime > 0 {
 		r.BlockTime = c.BlockTime
 	}
--- a/loomroute/policy.go
+++ b/loomroute/policy.go
@@ -45,6 +45,8 @@
 	// Held is the number of leading blocks that the engine is believed to
 	// cache.
 	Held int
+	// Stored replaces that of the request for this candidate unless it is zero.
+	Stored int
 	// Pending tells that the engine is fetching or computing the prompt.
 	Pending bool
 	// Wait is the expected time until the engine starts on the prompt.
