Give the lease up at the end; test beliefs and rollout without a network

An order slot was spent on an engine that had the weights already, found by the test of a restart. The exchange with peers is spaced in larger fleets.

--- /dev/null
+++ b/loomgate/gate_test.go
@@ -0,0 +1,276 @@
+package loomgate
+
+import (
+	"context"
+	"log/slog"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+
+	"swiftloom/loomcatalogue"
+	"swiftloom/loommember"
+	"swiftloom/loompb"
+	"swiftloom/loomupstream"
+)
+
+// fakeSource is a table of leases, and decodes rows of a small text form.
+type fakeSource struct {
+	mu      sync.Mutex
+	rows    map[string]*loompb.Row
+	version uint64
+	down    bool
+}
+
+var errDown = errors.New("the platform is down")
+
+func newFakeSource() *fakeSource {
+	return &fakeSource{rows: make(map[string]*loompb.Row)}
+}
+
+func (s *fakeSource) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// Feed implements Source.
+func (s *fakeSource) Feed(context.Context, Topic, uint64, time.Duration) (Page, error) {
+	return Page{}, errDown
+}
+
+// Snapshot implements Source.
+func (s *fakeSource) Snapshot(context.Context, Topic) (Page, error) {
+	return Page{}, errDown
+}
+
+// Transact implements loomplatform.Table.
+func (s *fakeSource) Transact(_ context.Context, r *loompb.TransactRequest) (*loompb.TransactReply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, errDown
+	}
+	for _, c := range r.GetConditions() {
+		if row := s.rows[c.GetKey()]; row.GetVersion() != c.GetVersion() {
+			return &loompb.TransactReply{Rows: []*loompb.Row{{Key: c.GetKey(), Value: row.GetValue(), Version: row.GetVersion()}}}, nil
+		}
+	}
+	s.version++
+	for _, w := range r.GetWrites() {
+		s.rows[w.GetKey()] = &loompb.Row{Key: w.GetKey(), Value: w.GetValue(), Version: s.version}
+	}
+	return &loompb.TransactReply{Applied: true, Version: s.version}, nil
+}
+
+// ReadRows implements loomplatform.Table.
+func (s *fakeSource) ReadRows(_ context.Context, r *loompb.ReadRowsRequest) (*loompb.ReadRowsReply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, errDown
+	}
+	reply := &loompb.ReadRowsReply{}
+	for _, key := range r.GetKeys() {
+		row := s.rows[key]
+		reply.Rows = append(reply.Rows, &loompb.Row{Key: key, Value: row.GetValue(), Version: row.GetVersion()})
+	}
+	return reply, nil
+}
+
+// Decode implements Source: "routing N", "weights N" and "up N" are understood.
+func (s *fakeSource) Decode(_ Topic, r Row) (Change, error) {
+	word, number, _ := strings.Cut(string(r.Value), " ")
+	n, err := strconv.ParseUint(number, 10, 64)
+	if err != nil && !r.Deleted {
+		return nil, errors.Trace(err)
+	}
+	switch {
+	case r.Deleted:
+		return UpstreamRemoved{ID: r.Key, Version: r.Version}, nil
+	case word == "routing":
+		return RoutingChanged{Routing: loomcatalogue.NewRouting(loomcatalogue.RoutingSource{
+			Revision: n,
+			Groups:   []loomcatalogue.Group{{Name: "engines", Engine: &loomcatalogue.EngineClass{Models: []string{"m"}}}},
+		})}, nil
+	case word == "weights":
+		return WeightsNamed{Model: "m", Version: n}, nil
+	default:
+		return UpstreamListed{Version: r.Version, Upstream: loommember.Upstream{
+			ID: r.Key, Group: "engines", Address: r.Key, Weights: []loommember.Weights{{Model: "m", Version: n}},
+		}}, nil
+	}
+}
+
+// fakeRunner accepts every order at once.
+type fakeRunner struct {
+	mu       sync.Mutex
+	versions map[string]uint64
+	orders   []loomupstream.Order
+}
+
+// Send implements loomupstream.Runner.
+func (r *fakeRunner) Send(context.Context, string, loomupstream.Send) (*loomupstream.Reply, error) {
+	return nil, &loomupstream.SendError{Unreachable: true, Cause: errDown}
+}
+
+// Report implements loomupstream.Runner.
+func (r *fakeRunner) Report(_ context.Context, address, _ string) (loomupstream.EngineState, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return loomupstream.EngineState{Weights: []loomupstream.EngineWeights{{Model: "m", Version: r.versions[address]}}}, nil
+}
+
+// Order implements loomupstream.Runner.
+func (r *fakeRunner) Order(_ context.Context, address string, o loomupstream.Order) (loomupstream.OrderOutcome, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.versions[address] = o.Version
+	r.orders = append(r.orders, o)
+	return loomupstream.OrderAccepted, nil
+}
+
+func (r *fakeRunner) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.orders)
+}
+
+func newTestGate(t *testing.T, id string, s *fakeSource, r *fakeRunner) *Gate {
+	t.Helper()
+	g, err := New(Settings{ID: id, WeightsTime: 10 * time.Second, OrderGap: 3 * time.Second, RetryReserve: 10, RetryRatio: 0.2},
+		Options{Log: slog.New(slog.DiscardHandler), Source: s, Runner: r})
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = g.metrics.Close() })
+	return g
+}
+
+func page(version uint64, rows ...Row) Page {
+	return Page{Version: version, Rows: rows}
+}
+
+func row(key, value string, version uint64) Row {
+	return Row{Key: key, Value: []byte(value), Version: version}
+}
+
+// Weights that were named second do not give the first ones' predecessors more
+// time.
+func TestOldWeightsExpire(t *testing.T) {
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	g := newTestGate(t, "a", newFakeSource(), &fakeRunner{})
+	g.beliefs.apply(at, TopicCatalogue, page(1, row("v", "weights 2", 1)), true)
+	g.beliefs.apply(at.Add(4*time.Second), TopicCatalogue, page(2, row("v", "weights 3", 2)), false)
+	tests := []struct {
+		name    string
+		version uint64
+		after   time.Duration
+		want    bool
+	}{
+		{"first, soon", 1, 5 * time.Second, false},
+		{"first, its time has passed", 1, 9 * time.Second, true},
+		{"second, its time lasts", 2, 9 * time.Second, false},
+		{"second, its time has passed", 2, 13 * time.Second, true},
+		{"the newest", 3, time.Hour, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			assert.Equal(t, g.beliefs.expired(at.Add(tt.after), "m", tt.version), tt.want)
+		})
+	}
+}
+
+func TestBeliefsNeverGoBack(t *testing.T) {
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	g := newTestGate(t, "a", newFakeSource(), &fakeRunner{})
+	g.beliefs.apply(at, TopicCatalogue, page(10, row("c", "routing 7", 10)), true)
+	g.beliefs.apply(at, TopicCatalogue, page(11, row("c", "routing 5", 11)), false)
+	assert.Equal(t, g.beliefs.routing().Revision(), uint64(7), "an older revision under a newer row")
+	g.beliefs.apply(at, TopicCatalogue, page(9, row("c", "routing 9", 9)), false)
+	assert.Equal(t, g.beliefs.routing().Revision(), uint64(7), "rows that a peer kept from before")
+	g.beliefs.apply(at, TopicCatalogue, page(12, row("c", "nonsense", 12)), false)
+	assert.Equal(t, g.beliefs.routing().Revision(), uint64(7), "a row that can't be read")
+	g.beliefs.apply(at, TopicCatalogue, page(13, row("c", "routing 8", 13)), false)
+	assert.Equal(t, g.beliefs.routing().Revision(), uint64(8))
+}
+
+func TestListReadWhole(t *testing.T) {
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	g := newTestGate(t, "a", newFakeSource(), &fakeRunner{})
+	g.beliefs.apply(at, TopicUpstreams, page(3, row("e1", "up 1", 1), row("e2", "up 1", 2)), true)
+	assert.Equal(t, len(g.usable(at, "engines")), 2)
+	// The history was lost, and with it the removal of e1.
+	g.beliefs.apply(at, TopicUpstreams, page(9, row("e2", "up 1", 2)), true)
+	usable := g.usable(at, "engines")
+	assert.Equal(t, len(usable), 1)
+	assert.Equal(t, usable[0].ID, "e2")
+}
+
+// rolloutGate is a gate that knows two engines with old weights.
+func rolloutGate(t *testing.T, id string, s *fakeSource, r *fakeRunner) *Gate {
+	t.Helper()
+	g := newTestGate(t, id, s, r)
+	now := time.Now()
+	g.beliefs.apply(now, TopicCatalogue, page(2, row("c", "routing 1", 1), row("v", "weights 2", 2)), true)
+	g.beliefs.apply(now, TopicUpstreams, page(4, row("e1", "up 1", 3), row("e2", "up 1", 4)), true)
+	return g
+}
+
+func stepUntil(t *testing.T, g *Gate, limit time.Duration, done func() bool) bool {
+	t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		g.rollout.step(t.Context())
+		if done() {
+			return true
+		}
+	}
+	return false
+}
+
+func TestRolloutHasOneHolder(t *testing.T) {
+	s, r := newFakeSource(), &fakeRunner{versions: map[string]uint64{"e1": 1, "e2": 1}}
+	a, b := rolloutGate(t, "a", s, r), rolloutGate(t, "b", s, r)
+	assert.Assert(t, stepUntil(t, a, time.Second, func() bool { return r.count() == 1 }))
+	assert.Assert(t, !stepUntil(t, b, 500*time.Millisecond, func() bool { return r.count() > 1 }), "the lease is in another's hands")
+}
+
+func TestRolloutGoesOnWithoutThePlatform(t *testing.T) {
+	s, r := newFakeSource(), &fakeRunner{versions: map[string]uint64{"e1": 1, "e2": 1}}
+	g := rolloutGate(t, "a", s, r)
+	assert.Assert(t, stepUntil(t, g, time.Second, func() bool { return r.count() == 1 }))
+	s.setDown(true)
+	assert.Assert(t, stepUntil(t, g, 5*time.Second, func() bool { return r.count() == 2 }), "the lease outlasts a short outage")
+}
+
+func TestRolloutAfterRestart(t *testing.T) {
+	s, r := newFakeSource(), &fakeRunner{versions: map[string]uint64{"e1": 1, "e2": 1}}
+	g := rolloutGate(t, "a", s, r)
+	assert.Assert(t, stepUntil(t, g, time.Second, func() bool { return r.count() == 1 }))
+	time.Sleep(2 * time.Millisecond)
+	again := rolloutGate(t, "a", s, r)
+	assert.Assert(t, stepUntil(t, again, 2*time.Second, func() bool { return r.count() == 2 }), "a process that was started again takes its own lease over")
+	assert.Assert(t, r.orders[1].Fence > r.orders[0].Fence)
+}
+
+func TestRolloutHolderStopsInTime(t *testing.T) {
+	g := rolloutGate(t, "a", newFakeSource(), &fakeRunner{versions: map[string]uint64{}})
+	now := bootNow()
+	assert.Assert(t, g.rollout.hold(t.Context(), now))
+	window := g.rollout.orderWindow()
+	assert.Assert(t, !g.rollout.mayOrder(now.Add(window+time.Millisecond)), "no order after the window")
+	// The next holder waits for the whole lease from the renewal it saw last.
+	assert.Assert(t, rolloutLease-window >= g.settings.OrderGap, "two holders' orders are the gap apart")
+}
+
+func TestRolloutGivesUpItsLease(t *testing.T) {
+	s, r := newFakeSource(), &fakeRunner{versions: map[string]uint64{"e1": 1, "e2": 1}}
+	a, b := rolloutGate(t, "a", s, r), rolloutGate(t, "b", s, r)
+	assert.Assert(t, stepUntil(t, a, time.Second, func() bool { return r.count() == 1 }))
+	a.rollout.giveUp(t.Context())
+	given := time.Now()
+	assert.Assert(t, stepUntil(t, b, 6*time.Second, func() bool { return r.count() == 2 }))
+	assert.Assert(t, time.Since(given) >= b.settings.OrderGap, "the orders of two holders are the gap apart")
+}
--- a/loomgate/peers.go
+++ b/loomgate/peers.go
@@ -20,6 +20,8 @@
 const (
 	// exchangeInterval is the time between two rounds with peers.
 	exchangeInterval = 80 * time.Millisecond
+	// exchangeSpacing bounds the calls of one instance to some eighty a second.
+	exchangeSpacing = 12 * time.Millisecond
 	// exchangeTimeout bounds one call to a peer.
 	exchangeTimeout = 600 * time.Millisecond
 	// rowsTimeout bounds the reading of a peer's rows.
@@ -218,13 +220,16 @@
 
 // rounds tells peers what is new until ctx ends.
 func (p *peers) rounds(ctx context.Context) {
-	for pause(ctx, exchangeInterval) == nil {
+	interval := exchangeInterval
+	for pause(ctx, interval) == nil {
 		now := time.Now()
 		p.gate.beliefs.tidy(now)
 		request := p.message()
-		for _, peer := range p.due() {
+		due := p.due()
+		for _, peer := range due {
 			go p.exchange(ctx, peer, request)
 		}
+		interval = max(exchangeInterval, time.Duration(len(due))*exchangeSpacing)
 	}
 }
 
--- a/loomgate/rollout.go
+++ b/loomgate/rollout.go
@@ -145,9 +145,26 @@
 		}
 		timer.Stop()
 	}
+	r.giveUp(ctx)
 	return nil
 }
 
+// giveUp frees the lease at the end of the process, so that the next holder need
+// not wait until it lapses.
+func (r *rollout) giveUp(ctx context.Context) {
+	request, err := r.lease.GiveUp(bootNow())
+	if err != nil || request == nil {
+		return
+	}
+	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), renewTimeout)
+	defer cancel()
+	if _, err := r.gate.source.Transact(call, request); err != nil {
+		r.gate.log.Warn("lease_unwritten", "lease", leaseKey, "cause", err.Error())
+		return
+	}
+	r.gate.log.Info("lease_given_up", "lease", leaseKey)
+}
+
 // wish is one model that some engines of a group lack in the named version.
 type wish struct {
 	model   string
@@ -347,33 +364,35 @@
 		if !r.mayOrder(now) || now.Sub(r.orderedAt) < spacing {
 			return
 		}
-		r.orderedAt = now
-		r.send(ctx, byID[o.Engine], o)
+		if r.send(ctx, byID[o.Engine], o) {
+			r.orderedAt = now
+		}
 	}
 }
 
-// send gives one order. Its effect is seen by look.
-func (r *rollout) send(ctx context.Context, u loommember.Upstream, o loomfleet.Order) {
+// send gives one order and reports whether it may have been accepted. Its effect
+// is seen by look.
+func (r *rollout) send(ctx context.Context, u loommember.Upstream, o loomfleet.Order) bool {
 	call, cancel := context.WithTimeout(ctx, orderCallTimeout)
 	defer cancel()
 	state, err := r.gate.runner.Report(call, u.Address, u.ID)
 	if err != nil {
 		r.gate.log.Warn("engine_unreported", "upstream", u.ID, "cause", err.Error())
-		return
+		return false
 	}
 	if v := state.Version(o.Model); v >= o.Version {
 		r.gate.beliefs.sawVersion(time.Now(), u.ID, u.Incarnation, o.Model, v)
-		return
+		return false
 	}
 	now := bootNow()
 	token, held := r.lease.Held(now)
 	if state.Busy {
 		// An earlier order is under way, maybe for older weights.
 		r.orders[u.ID] = &engineOrder{upstream: u, model: o.Model, version: o.Version, lookedAt: now}
-		return
+		return false
 	}
 	if !held || !r.mayOrder(now) {
-		return
+		return false
 	}
 	holder := r.gate.settings.ID
 	outcome, err := r.gate.runner.Order(call, u.Address, loomupstream.Order{
@@ -385,10 +404,12 @@
 	case loomupstream.OrderAccepted, loomupstream.OrderUnknown:
 		r.orders[u.ID] = &engineOrder{upstream: u, model: o.Model, version: o.Version, sentAt: now, lookedAt: now}
 		r.note(u.ID, u.Incarnation, o.Version, true)
+		return true
 	case loomupstream.OrderHolds:
 		r.gate.beliefs.sawVersion(time.Now(), u.ID, u.Incarnation, o.Model, o.Version)
 	default:
 	}
+	return false
 }
 
 // reportOf asks an engine for its weights after it refused a request for
--- a/loomlog/explain.go
+++ b/loomlog/explain.go
@@ -102,7 +102,7 @@
 
 // beliefEvents are the events that change what an instance believes.
 var beliefEvents = []string{
-	"catalogue_changed", "dependency_lost", "dependency_regained", "history_lost", "lease_lost", "lease_taken", "order_sent",
+	"catalogue_changed", "dependency_lost", "dependency_regained", "history_lost", "lease_given_up", "lease_lost", "lease_taken", "order_sent",
 	"rows_from_peer", "store_restarted", "upstream_leaving", "upstream_listed", "upstream_removed",
 	"upstream_weights", "weights_named",
 }
