Keep a retry budget for each group, and let it save up for a burst

The one budget for all groups would also have let the failures of one group overdraw another's. A stream that goes on at another upstream no longer waits in line, where it was refused after the patience of a first event.

--- a/loomgate/gate.go
+++ b/loomgate/gate.go
@@ -16,7 +16,6 @@
 	"swiftloom/loomkernel"
 	"swiftloom/loommember"
 	"swiftloom/loomroute"
-	"swiftloom/loomstream"
 	"swiftloom/loomupstream"
 )
 
@@ -69,7 +68,7 @@
 	policy    loomroute.Policy
 	residency *loomcache.Residency
 	returns   loomcache.Returns
-	retries   *loomstream.RetryBudget
+	retries   *retryBudgets
 	peers     *peers
 	rollout   *rollout
 	stores    *stores
@@ -101,7 +100,7 @@
 		fleet:       loomroute.NewFleet(),
 		policy:      policy,
 		residency:   loomcache.NewResidency(),
-		retries:     loomstream.NewRetryBudgetOf(s.RetryRatio*retryMargin, retryReserve(s, 1)),
+		retries:     newRetryBudgets(s),
 		random:      rand.New(rand.NewPCG(o.Seed, uint64(len(s.ID)))),
 	}
 	g.pace.groups = make(map[string]time.Duration)
@@ -113,19 +112,6 @@
 	return g, nil
 }
 
-const (
-	// retryMargin keeps second sends below the budget of all instances, since
-	// each sees its own requests only.
-	retryMargin = 0.8
-	// leastRetryReserve lets a lone request be sent again in large fleets.
-	leastRetryReserve = 2
-)
-
-// retryReserve returns one instance's part of the reserve.
-func retryReserve(s Settings, instances int) float64 {
-	return max(s.RetryReserve*retryMargin/float64(max(instances, 1)), leastRetryReserve)
-}
-
 // Run keeps the gate's beliefs up to date until ctx ends.
 func (g *Gate) Run(ctx context.Context) error {
 	var kernel loomkernel.Kernel
--- a/loomgate/peers.go
+++ b/loomgate/peers.go
@@ -154,7 +154,7 @@
 		}
 		p.takeRow(id, row)
 	}
-	p.gate.retries.SetReserve(retryReserve(p.gate.settings, len(p.known)+1))
+	p.gate.retries.setInstances(len(p.known) + 1)
 }
 
 func cutInstance(key string) (string, bool) {
--- a/loomgate/queue.go
+++ b/loomgate/queue.go
@@ -103,6 +103,10 @@
 	if err := d.choose(now); err != nil {
 		return err
 	}
+	if d.started {
+		// A stream that goes on at another upstream has had its turn.
+		return nil
+	}
 	l := d.gate.queues.line(d.req.group.Name)
 	l.mu.Lock()
 	w := d.waiter()
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -70,7 +70,7 @@
 	ctx, cancel := context.WithDeadline(ctx, r.until)
 	defer cancel()
 	d := &dispatch{gate: g, req: r, w: w}
-	d.life = loomstream.NewLife(r.repeatable(), g.retries, loomstream.NewBackoff(g.newRandom())).WithMaxRuns(r.route.Attempts)
+	d.life = loomstream.NewLife(r.repeatable(), g.retries.of(r.group.Name), loomstream.NewBackoff(g.newRandom())).WithMaxRuns(r.route.Attempts)
 	if parts := in.Prompt.Parts; len(parts) > 0 {
 		d.lastReturns = g.returns.See(r.route.Name, parts[len(parts)-1].ID)
 	}
--- a/loomstream/life_test.go
+++ b/loomstream/life_test.go
@@ -150,3 +150,35 @@
 	}
 	assert.Assert(t, granted <= requests/5+20, "%d retries", granted)
 }
+
+// TestRetryBudgetBursts plays ten seconds of requests with a failure of a third
+// of the upstreams for one second, and checks that the burst is retried while the
+// whole stays below a fifth of the requests and the reserve.
+func TestRetryBudgetBursts(t *testing.T) {
+	const (
+		perSecond = 30
+		seconds   = 10
+		reserve   = 6
+		share     = 0.16
+	)
+	b := loomstream.NewRetryBudgetOf(share, reserve)
+	burst, retried, all := 0, 0, 0
+	for i := range perSecond * seconds * 2 {
+		now := start.Add(time.Duration(i) * time.Second / perSecond)
+		b.Deposit(now)
+		failing := i >= perSecond*seconds && i < perSecond*(seconds+1) && i%3 == 0
+		if failing {
+			burst++
+			if b.Withdraw(now) {
+				retried++
+			}
+		}
+		// From then on every request fails, and takes what there is.
+		if i >= perSecond*(seconds+1) && b.Withdraw(now) {
+			all++
+		}
+	}
+	assert.Equal(t, retried, burst, "a burst is retried whole")
+	limit := 0.2*perSecond*seconds + reserve/0.8
+	assert.Assert(t, float64(retried+all) <= limit, "%d of %v", retried+all, limit)
+}
--- a/loomstream/retry.go
+++ b/loomstream/retry.go
@@ -1,6 +1,7 @@
 package loomstream
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -20,12 +21,20 @@
 // called concurrently.
 type RetryBudget struct {
 	mu sync.Mutex
-	// balance is between zero and reserve.
+	// balance is between zero and reserve plus the share of recent requests.
 	balance float64
 	share   float64
 	reserve float64
+	// recent is the number of requests, fading over recentTime, and at when it
+	// was last brought up to date.
+	recent float64
+	at     time.Time
 }
 
+// recentTime is the time over which requests add to what may be saved up for a
+// burst of retries, as when several upstreams fail together.
+const recentTime = 2500 * time.Millisecond
+
 // NewRetryBudget returns a full budget.
 func NewRetryBudget() *RetryBudget {
 	return NewRetryBudgetOf(retryShare, retryReserve)
@@ -43,14 +52,29 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.reserve = reserve
-	b.balance = min(b.balance, reserve)
+	b.balance = min(b.balance, reserve+b.share*b.recent)
 }
 
 // Deposit adds the share of one request.
-func (b *RetryBudget) Deposit(time.Time) {
+func (b *RetryBudget) Deposit(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.balance = min(b.balance+b.share, b.reserve)
+	b.fade(now)
+	b.recent++
+	b.balance = min(b.balance+b.share, b.reserve+b.share*b.recent)
+}
+
+// fade brings the number of recent requests up to date. Time that runs backwards
+// changes nothing.
+func (b *RetryBudget) fade(now time.Time) {
+	d := now.Sub(b.at)
+	if d <= 0 {
+		return
+	}
+	if !b.at.IsZero() {
+		b.recent *= math.Exp(-d.Seconds() / recentTime.Seconds())
+	}
+	b.at = now
 }
 
 // Withdraw takes one retry and reports whether there was one.
