--- a/loomcache/residency.go
+++ b/loomcache/residency.go
@@ -2,6 +2,8 @@
 
 import (
 	"container/list"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -135,6 +137,13 @@
 	return held
 }
 
+// Keep drops what is believed of all engines but some.
+func (r *Residency) Keep(engines []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.engines, func(id string, _ *engineParts) bool { return !slices.Contains(engines, id) })
+}
+
 // Forget drops what is believed of an engine, as when it starts again.
 func (r *Residency) Forget(engine string) {
 	r.mu.Lock()
--- a/loomgate/beliefs.go
+++ b/loomgate/beliefs.go
@@ -229,16 +229,15 @@
 		if old, ok := b.rows[t][row.Key]; ok && row.Version < old.Version {
 			continue
 		}
-		b.rows[t][row.Key] = row
+		if row.Deleted {
+			delete(b.rows[t], row.Key)
+		} else {
+			b.rows[t][row.Key] = row
+		}
 		changed = b.take(now, t, row) || changed
 	}
 	if whole && t == TopicUpstreams {
-		for _, id := range b.directory.Listed() {
-			if !present[id] {
-				changed = b.directory.Remove(now, id, page.Version) || changed
-				delete(b.rows[t], id)
-			}
-		}
+		changed = b.removeAbsent(now, present, page.Version) || changed
 	}
 	known.Store(max(known.Load(), page.Version))
 	if t != TopicUpstreams {
@@ -252,6 +251,18 @@
 	b.seen.Store(true)
 }
 
+// removeAbsent removes the upstreams that a whole list lacks. The caller holds mu.
+func (b *beliefs) removeAbsent(now time.Time, present map[string]bool, version uint64) bool {
+	changed := false
+	for _, id := range b.directory.Listed() {
+		if !present[id] {
+			changed = b.directory.Remove(now, id, version) || changed
+			delete(b.rows[TopicUpstreams], id)
+		}
+	}
+	return changed
+}
+
 // take takes in one row and reports whether the upstreams changed.
 func (b *beliefs) take(now time.Time, t Topic, row Row) bool {
 	change, err := b.gate.source.Decode(t, row)
@@ -310,10 +321,14 @@
 // publish makes the current groups visible to readers. The caller holds mu.
 func (b *beliefs) publish(now time.Time) {
 	groups := make(map[string][]loommember.Upstream)
+	var ids []string
 	for _, u := range b.directory.Usable(now) {
 		groups[u.Group] = append(groups[u.Group], u)
+		ids = append(ids, u.ID)
 	}
 	b.currentGroups.Store(&groups)
+	b.gate.fleet.Forget(ids)
+	b.gate.residency.Keep(ids)
 }
 
 // markLeaving notes that an incarnation gets no new work.
--- a/loomgate/gate_test.go
+++ b/loomgate/gate_test.go
@@ -209,6 +209,19 @@
 	assert.Equal(t, usable[0].ID, "e2")
 }
 
+// What a peer knows of the list is all that it knows: an entry that it lacks is
+// gone.
+func TestListFromPeer(t *testing.T) {
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	g := newTestGate(t, "a", newFakeSource(), &fakeRunner{})
+	g.beliefs.apply(at, TopicUpstreams, page(3, row("e1", "up 1", 1), row("e2", "up 1", 2)), true)
+	peer := newTestGate(t, "b", newFakeSource(), &fakeRunner{})
+	peer.beliefs.apply(at, TopicUpstreams, page(3, row("e1", "up 1", 1), row("e2", "up 1", 2)), true)
+	peer.beliefs.apply(at, TopicUpstreams, page(4, Row{Key: "e1", Version: 4, Deleted: true}), false)
+	g.beliefs.apply(at, TopicUpstreams, peer.beliefs.knownRows(TopicUpstreams), true)
+	assert.Equal(t, len(g.usable(at, "engines")), 1)
+}
+
 // rolloutGate is a gate that knows two engines with old weights.
 func rolloutGate(t *testing.T, id string, s *fakeSource, r *fakeRunner) *Gate {
 	t.Helper()
--- a/loomgate/peers.go
+++ b/loomgate/peers.go
@@ -340,7 +340,7 @@
 		page.Rows = append(page.Rows, Row{Key: row.GetKey(), Value: row.GetValue(), Version: row.GetVersion(), Deleted: row.GetDeleted()})
 	}
 	p.gate.log.Info("rows_from_peer", "peer", peer.id, "topic", t.String(), "version", page.Version, "rows", len(page.Rows))
-	p.gate.beliefs.apply(time.Now(), t, page, false)
+	p.gate.beliefs.apply(time.Now(), t, page, true)
 }
 
 // live returns the peers that answered lately, with this instance, in order.
