Try an upstream that was unreachable with one request at a time

Cause: while a failure domain was cut off, each upstream in it was taken back after 0.7 s by all requests at once, and each batch waited for its connections to fail again: first tokens of 1.5 s at p99 for as long as the cut lasted. Now one request tries at a time, and the pause doubles up to 2.8 s until the upstream is heard. An attempt that breaks at an upstream that has been quiet counts as a miss too.

--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -229,7 +229,7 @@
 	if ctx.Err() != nil {
 		return d.givenUp(ctx, now)
 	}
-	if sendErr != nil && sendErr.Unreachable {
+	if sendErr != nil && (sendErr.Unreachable || d.gate.fleet.Quiet(now, d.upstream.ID)) {
 		d.gate.fleet.Unreachable(now, d.upstream.ID)
 	}
 	d.gate.fleet.Broke(now, d.upstream.ID)
--- a/loomroute/fleet.go
+++ b/loomroute/fleet.go
@@ -56,8 +56,10 @@
 	failures int
 	// ejectedUntil is when an outlier gets work again.
 	ejectedUntil time.Time
-	// downUntil is when an upstream that could not be reached is tried again.
+	// downUntil is when an upstream that could not be reached is tried again, and
+	// misses the number of times since it was last heard.
 	downUntil time.Time
+	misses    int
 	// heardAt is when the upstream last sent anything to this instance.
 	heardAt time.Time
 	// peers holds what other instances told that they have under way here.
@@ -281,8 +283,10 @@
 
 const (
 	// downTime is how long an upstream that could not be reached gets no work; a
-	// process that was started again answers sooner than its entry shows.
-	downTime = 700 * time.Millisecond
+	// process that was started again answers sooner than its entry shows. The time
+	// doubles with each further miss, up to mostDownTime.
+	downTime     = 700 * time.Millisecond
+	mostDownTime = 2800 * time.Millisecond
 	// silentTime is how long an upstream with work may send nothing to anyone
 	// here before it counts as silent. Answers and events usually come every few
 	// tens of milliseconds.
@@ -296,7 +300,21 @@
 	s := f.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.load(id).downUntil = now.Add(downTime)
+	l := s.load(id)
+	l.downUntil = now.Add(min(downTime<<min(l.misses, maxMisses), mostDownTime))
+	l.misses++
+}
+
+// maxMisses bounds the doubling.
+const maxMisses = 4
+
+// Quiet reports whether an upstream has sent nothing for a while.
+func (f *Fleet) Quiet(now time.Time, id string) bool {
+	s := f.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.loads[id]
+	return ok && now.Sub(l.heardAt) > silentTime
 }
 
 // Heard notes that an upstream sent something.
@@ -307,10 +325,12 @@
 	l := s.load(id)
 	l.heardAt = now
 	l.downUntil = time.Time{}
+	l.misses = 0
 }
 
 // Suspect reports whether an upstream could not be reached lately, or is silent
-// although it has work.
+// although it has work. One that could not be reached gets a single request at a
+// time until it is heard again.
 func (f *Fleet) Suspect(now time.Time, id string) bool {
 	s := f.shard(id)
 	s.mu.Lock()
@@ -319,7 +339,7 @@
 	if !ok {
 		return false
 	}
-	return now.Before(l.downUntil) || l.silent(now)
+	return now.Before(l.downUntil) || (l.misses > 0 && len(l.sent) > 0) || l.silent(now)
 }
 
 func (l *load) silent(now time.Time) bool {
--- a/loomroute/suspect_test.go
+++ b/loomroute/suspect_test.go
@@ -23,6 +23,14 @@
 			f.Unreachable(at.Add(-2*time.Millisecond), "a")
 			f.Heard(at.Add(-time.Millisecond), "a")
 		}, false},
+		{"unreachable again", func(f *loomroute.Fleet) {
+			f.Unreachable(at.Add(-2*time.Second), "a")
+			f.Unreachable(at.Add(-time.Second), "a")
+		}, true},
+		{"being tried after it was unreachable", func(f *loomroute.Fleet) {
+			f.Unreachable(at.Add(-time.Second), "a")
+			f.Sent(at.Add(-time.Millisecond), "a", 1)
+		}, true},
 		{"work and no sound", func(f *loomroute.Fleet) {
 			f.Sent(at.Add(-time.Second), "a", 1)
 			f.Sent(at.Add(-time.Second), "a", 1)
