--- a/loomgate/beliefs.go
+++ b/loomgate/beliefs.go
@@ -122,22 +122,22 @@
 }
 
 func (b *beliefs) followCatalogue(ctx context.Context) error {
-	b.follow(ctx, TopicCatalogue, func() time.Duration { return catalogueWait }, 0)
+	b.follow(ctx, TopicCatalogue, catalogueWait, 0)
 	return nil
 }
 
 func (b *beliefs) followUpstreams(ctx context.Context) error {
-	b.follow(ctx, TopicUpstreams, func() time.Duration { return 0 }, upstreamsInterval)
+	b.follow(ctx, TopicUpstreams, 0, upstreamsInterval)
 	return nil
 }
 
 // follow reads a topic whole and then its changes, for as long as ctx lasts.
-func (b *beliefs) follow(ctx context.Context, t Topic, wait func() time.Duration, interval time.Duration) {
+func (b *beliefs) follow(ctx context.Context, t Topic, wait, interval time.Duration) {
 	whole := true
 	failing := false
 	for ctx.Err() == nil {
 		started := time.Now()
-		err := b.step(ctx, t, whole, wait())
+		err := b.step(ctx, t, whole, wait)
 		if ctx.Err() != nil {
 			return
 		}
--- a/loomgate/gate.go
+++ b/loomgate/gate.go
@@ -26,10 +26,9 @@
 	FailureDomain string
 	// PeerAddress is where other instances reach this one.
 	PeerAddress string
-	// RetryRatio, RetryWindow and RetryReserve bound the second sends of all
+	// RetryRatio and RetryReserve bound the second sends of all
 	// instances together.
 	RetryRatio   float64
-	RetryWindow  time.Duration
 	RetryReserve float64
 	// OrderGap is the least time between the orders of two instances to one
 	// upstream.
@@ -37,9 +36,6 @@
 	// WeightsTime is how long after new weights were named the old ones may
 	// still serve.
 	WeightsTime time.Duration
-	// DrainTime is how long an upstream goes on serving after it was known to
-	// leave.
-	DrainTime time.Duration
 }
 
 // Options holds what a gate works with.
--- a/loomgate/metrics.go
+++ b/loomgate/metrics.go
@@ -31,7 +31,6 @@
 	// outcomes is keyed by error kind.
 	outcomes map[loomerror.Kind]tally.Counter
 	answered tally.Counter
-	failed   tally.Counter
 }
 
 func newMetrics() *Metrics {
@@ -51,7 +50,6 @@
 		retries:  scope.Counter("retries_total"),
 		revision: scope.Gauge("catalogue_revision"),
 		answered: scope.Counter("answered_total"),
-		failed:   scope.Counter("upstream_failures_total"),
 		firstOf:  make(map[loomcatalogue.RouteKind]tally.Histogram),
 		totalOf:  make(map[loomcatalogue.RouteKind]tally.Histogram),
 		outcomes: make(map[loomerror.Kind]tally.Counter),
--- a/loomgate/peers.go
+++ b/loomgate/peers.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 	"google.golang.org/grpc"
 
+	"swiftloom/loomkernel"
 	"swiftloom/loomplatform"
 	"swiftloom/loomroute"
 
@@ -112,7 +113,7 @@
 			return
 		}
 		p.gate.log.Warn("announce_failed", "cause", err.Error())
-		if pause(ctx, p.gate.jitter(retryInterval)) != nil {
+		if loomkernel.Pause(ctx, p.gate.jitter(retryInterval)) != nil {
 			return
 		}
 	}
@@ -136,7 +137,7 @@
 		case errors.Is(err, ErrHistoryLost):
 			whole = true
 		default:
-			if pause(ctx, p.gate.jitter(retryInterval)) != nil {
+			if loomkernel.Pause(ctx, p.gate.jitter(retryInterval)) != nil {
 				return
 			}
 		}
@@ -221,7 +222,7 @@
 // rounds tells peers what is new until ctx ends.
 func (p *peers) rounds(ctx context.Context) {
 	interval := exchangeInterval
-	for pause(ctx, interval) == nil {
+	for loomkernel.Pause(ctx, interval) == nil {
 		now := time.Now()
 		p.gate.beliefs.tidy(now)
 		request := p.message()
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"swiftloom/loomerror"
+	"swiftloom/loomkernel"
 	"swiftloom/loommember"
 	"swiftloom/loomroute"
 	"swiftloom/loomstream"
@@ -108,7 +109,7 @@
 		case loomstream.Retry:
 			d.endAttempt()
 			d.gate.metrics.retries.Inc(1)
-			if err := pause(ctx, a.After); err != nil {
+			if err := loomkernel.Pause(ctx, a.After); err != nil {
 				return d.ended(ctx)
 			}
 		case loomstream.Fail:
@@ -256,17 +257,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // wasTried reports whether an upstream had an attempt of this request.
 func (d *dispatch) wasTried(id string) bool {
 	return slices.Contains(d.tried, id)
--- a/loomgate/stores.go
+++ b/loomgate/stores.go
@@ -7,6 +7,7 @@
 
 	"swiftloom/loomcache"
 	"swiftloom/loomcatalogue"
+	"swiftloom/loomkernel"
 	"swiftloom/loomupstream"
 )
 
@@ -61,7 +62,7 @@
 	for {
 		s.adopt(ctx, &running)
 		s.free(ctx, time.Now())
-		if pause(ctx, freeInterval) != nil {
+		if loomkernel.Pause(ctx, freeInterval) != nil {
 			return nil
 		}
 	}
@@ -172,7 +173,7 @@
 				s.gate.log.Warn("dependency_lost", "dependency", "store", "address", address, "cause", err.Error())
 			}
 			down = true
-			if pause(ctx, s.gate.jitter(watchRetry)) != nil {
+			if loomkernel.Pause(ctx, s.gate.jitter(watchRetry)) != nil {
 				return
 			}
 			continue
@@ -182,7 +183,7 @@
 		}
 		down = false
 		since = s.take(time.Now(), address, since, events)
-		if len(events.Events) > 0 && pause(ctx, watchPause) != nil {
+		if len(events.Events) > 0 && loomkernel.Pause(ctx, watchPause) != nil {
 			return
 		}
 	}
--- a/loominstance/dispatch.go
+++ b/loominstance/dispatch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"swiftloom/loomerror"
+	"swiftloom/loomkernel"
 	"swiftloom/loomlimit"
 	"swiftloom/loomlink"
 	"swiftloom/loompb"
@@ -390,7 +391,7 @@
 func (d *dispatch) retry(ctx context.Context, a loomstream.Retry) error {
 	d.instance.metrics.retries.Inc(1)
 	d.endAttempt()
-	if err := pause(ctx, a.After); err != nil {
+	if err := loomkernel.Pause(ctx, a.After); err != nil {
 		return d.withPromise(err)
 	}
 	version := uint64(0)
--- a/loominstance/quotas.go
+++ b/loominstance/quotas.go
@@ -9,6 +9,7 @@
 	"swiftloom/loomcatalogue"
 	"swiftloom/loomerror"
 	"swiftloom/loomhome"
+	"swiftloom/loomkernel"
 	"swiftloom/loomlimit"
 	"swiftloom/loommember"
 	"swiftloom/loompb"
@@ -83,7 +84,7 @@
 		if time.Now().Add(wait).After(until) {
 			return quotaExceeded(wait)
 		}
-		if err := pause(ctx, min(wait, quotaPoll)); err != nil {
+		if err := loomkernel.Pause(ctx, min(wait, quotaPoll)); err != nil {
 			return loomerror.From(err).WithNotRun(loomerror.NotRunTrue)
 		}
 	}
--- a/loominstance/services.go
+++ b/loominstance/services.go
@@ -14,6 +14,7 @@
 	"swiftloom/loomcatalogue"
 	"swiftloom/loomerror"
 	"swiftloom/loomhome"
+	"swiftloom/loomkernel"
 	"swiftloom/loommember"
 	"swiftloom/loomstream"
 	"swiftloom/loomupstream"
@@ -155,7 +156,7 @@
 			return nil, a.Err
 		case loomstream.Retry:
 			n.metrics.retries.Inc(1)
-			if err := pause(ctx, a.After); err != nil {
+			if err := loomkernel.Pause(ctx, a.After); err != nil {
 				return nil, loomerror.From(err).WithNotRun(life.NotRun())
 			}
 		}
@@ -185,17 +186,6 @@
 	return &serviceAnswer{Status: outcome.Status, ContentType: outcome.ContentType, Body: outcome.Body}, nil
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // chooseService returns the less busy of two services drawn by the request,
 // in the own failure domain when there is one, and not one that was tried.
 func (n *Instance) chooseService(group, requestID string, tried []string) (loommember.Member, error) {
