Send nothing to old weights that could begin there too late

A request was sent at 29.41 s to an engine with version 1, 1.71 s before that version's time was over, waited there for 1.85 s and began 0.14 s too late. The margin was a fixed 1.5 s, but a request may wait at an engine for as long as its caller does, which is two seconds and more.

The margin is now the patience of the request's route, and 300 ms for the way. Before: the new test fails for the routes with 2 s and more. After: it passes.

--- a/loomgate/beliefs.go
+++ b/loomgate/beliefs.go
@@ -96,13 +96,14 @@
 	return b.named[model]
 }
 
-// expired reports whether weights of a version may no longer serve at now.
-func (b *beliefs) expired(now time.Time, model string, version uint64) bool {
+// expired reports whether weights of a version may no longer serve a request
+// that begins within a delay of now.
+func (b *beliefs) expired(now time.Time, delay time.Duration, model string, version uint64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, n := range b.namings[model] {
 		if n.version > version {
-			return now.Sub(n.at) > b.gate.settings.WeightsTime-weightsMargin
+			return now.Add(delay).Sub(n.at) > b.gate.settings.WeightsTime-weightsMargin
 		}
 	}
 	return false
--- a/loomgate/gate_test.go
+++ b/loomgate/gate_test.go
@@ -178,7 +178,37 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			assert.Equal(t, g.beliefs.expired(at.Add(tt.after), "m", tt.version), tt.want)
+			assert.Equal(t, g.beliefs.expired(at.Add(tt.after), time.Second, "m", tt.version), tt.want)
+		})
+	}
+}
+
+// A request that waits at an engine for as long as its caller does begins
+// before the time of the engine's weights is over, or is not sent there.
+func TestNoRequestBeginsOnExpiredWeights(t *testing.T) {
+	named := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	g := newTestGate(t, "a", newFakeSource(), &fakeRunner{})
+	g.beliefs.apply(named, TopicCatalogue, page(1, row("v", "weights 2", 1)), true)
+	old := loommember.Upstream{ID: "e1", Weights: []loommember.Weights{{Model: "m", Version: 1}}}
+	routes := []loomcatalogue.Route{
+		{Name: "short", Objective: 100 * time.Millisecond},
+		{Name: "long", Objective: 900 * time.Millisecond},
+		{Name: "pauses", Objective: 100 * time.Millisecond, PauseObjective: 400 * time.Millisecond},
+	}
+	for _, route := range routes {
+		t.Run(route.Name, func(t *testing.T) {
+			r := &request{Incoming: Incoming{HasPrompt: true, Prompt: Prompt{Model: "m"}}, route: route}
+			d := &dispatch{gate: g, req: r}
+			sent := 0
+			for at := named; at.Before(named.Add(12 * time.Second)); at = at.Add(50 * time.Millisecond) {
+				if d.tooOld(at, old) {
+					continue
+				}
+				sent++
+				begins := at.Add(patience(route))
+				assert.Assert(t, begins.Before(named.Add(g.settings.WeightsTime)), "sent %s after the naming", at.Sub(named))
+			}
+			assert.Assert(t, sent > 100, "old weights serve at first")
 		})
 	}
 }
--- a/loomgate/place.go
+++ b/loomgate/place.go
@@ -73,7 +73,7 @@
 	versions := make(map[string]uint64, len(upstreams))
 	for _, u := range upstreams {
 		versions[u.ID] = u.Version(d.req.Prompt.Model)
-		if d.req.HasPrompt && d.gate.beliefs.expired(now, d.req.Prompt.Model, u.Version(d.req.Prompt.Model)) {
+		if d.tooOld(now, u) {
 			continue
 		}
 		c := d.candidate(now, u)
@@ -91,6 +91,13 @@
 	return fresh
 }
 
+// tooOld reports whether the request could begin on weights of an upstream
+// after their time. It may wait there for as long as its caller does.
+func (d *dispatch) tooOld(now time.Time, u loommember.Upstream) bool {
+	model := d.req.Prompt.Model
+	return d.req.HasPrompt && d.gate.beliefs.expired(now, patience(d.req.route), model, u.Version(model))
+}
+
 func allSuspect(candidates []loomroute.Candidate) bool {
 	return !slices.ContainsFunc(candidates, func(c loomroute.Candidate) bool { return !c.Suspect })
 }
--- a/loomgate/rollout.go
+++ b/loomgate/rollout.go
@@ -47,8 +47,8 @@
 	// to a group are spread, so that engines load one after the other.
 	rolloutShare = 0.6
 	// weightsMargin is kept before the time at which old weights may no longer
-	// serve, for requests that wait at an engine.
-	weightsMargin = 1500 * time.Millisecond
+	// serve, for the way to an engine and for a caller's leaving to reach it.
+	weightsMargin = 300 * time.Millisecond
 	// toldMemory is how long what peers told of loading engines counts.
 	toldMemory = 1500 * time.Millisecond
 	// readInterval is the time between two reads of another's lease.
