Show lines, budgets, lease and index; check the platform's settings

Cause: an engineer on call could not see how long the lines are, what is left of the retry budget, who orders weights or how much is kept; and a fault in the platform's settings file was told one at a time, at the start.

--- a/cmd/swiftloom/check.go
+++ b/cmd/swiftloom/check.go
@@ -14,6 +14,7 @@
 	"swiftloom/loomplatform"
 	"swiftloom/loomroute"
 	"swiftloom/loomsettings"
+	"swiftloom/platform"
 )
 
 func checkCommand() *cli.Command {
@@ -21,7 +22,8 @@
 		Name:  "check",
 		Usage: "checks settings and a catalogue file, and prints every fault",
 		Flags: []cli.Flag{
-			settingsFlag(),
+			&cli.StringFlag{Name: "settings", Usage: "INI file with the settings of the instance"},
+			&cli.StringFlag{Name: "gate", Usage: "settings file that the users' platform writes for a gate"},
 			&cli.StringFlag{Name: "catalogue", Usage: "JSON or INI file with catalogue entries"},
 			jsonFlag(),
 		},
@@ -35,7 +37,16 @@
 }
 
 func check(_ context.Context, c *cli.Command) error {
-	faults := checkSettings(c.String("settings"))
+	var faults []loomsettings.Fault
+	if c.String("settings") == "" && c.String("gate") == "" && c.String("catalogue") == "" {
+		return usagef("check needs --settings, --gate or --catalogue")
+	}
+	if path := c.String("settings"); path != "" {
+		faults = append(faults, checkSettings(path)...)
+	}
+	if path := c.String("gate"); path != "" {
+		faults = append(faults, checkGate(path)...)
+	}
 	if path := c.String("catalogue"); path != "" {
 		faults = append(faults, checkCatalogue(path)...)
 	}
@@ -71,6 +82,13 @@
 	return faults
 }
 
+func checkGate(path string) []loomsettings.Fault {
+	if _, err := platform.ReadSettings(path); err != nil {
+		return faultsOf(path, err)
+	}
+	return nil
+}
+
 func checkCatalogue(path string) []loomsettings.Fault {
 	data, err := os.ReadFile(path)
 	if err != nil {
--- a/loomcache/residency.go
+++ b/loomcache/residency.go
@@ -137,6 +137,19 @@
 	return held
 }
 
+// Len returns the number of parts that engines are believed to cache.
+func (r *Residency) Len() int {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	parts := 0
+	for _, e := range r.engines {
+		e.mu.Lock()
+		parts += len(e.byKey)
+		e.mu.Unlock()
+	}
+	return parts
+}
+
 // Keep drops what is believed of all engines but some.
 func (r *Residency) Keep(engines []string) {
 	r.mu.Lock()
--- a/loomcache/store_index.go
+++ b/loomcache/store_index.go
@@ -298,6 +298,17 @@
 	ID   string
 }
 
+// Len returns the number of parts that all stores hold, and their tokens.
+func (s *StoreIndex) Len() (parts, tokens int) {
+	for _, p := range s.all() {
+		p.mu.Lock()
+		parts += len(p.parts)
+		tokens += p.used
+		p.mu.Unlock()
+	}
+	return parts, tokens
+}
+
 // Usage returns the tokens that a store holds and its capacity.
 func (s *StoreIndex) Usage(address string) (used, capacity int) {
 	p := s.store(address)
--- a/loomgate/events.go
+++ b/loomgate/events.go
@@ -33,10 +33,9 @@
 	if failure != nil {
 		outcome = failure.Kind().String()
 		notRun = failure.NotRun().String()
-		g.metrics.refused(failure.Kind())
+		g.metrics.failed(r.group.Name, failure.Kind())
 	} else {
-		g.metrics.answered.Inc(1)
-		g.metrics.totalOf[r.route.Kind].RecordDuration(now.Sub(r.Received))
+		g.metrics.answered(r.group.Name, r.route.Kind, now.Sub(r.Received))
 	}
 	first := int64(-1)
 	if !d.firstAt.IsZero() {
--- a/loomgate/gate.go
+++ b/loomgate/gate.go
@@ -116,6 +116,7 @@
 	kernel.Add("peers", loomkernel.Func(g.peers.run))
 	kernel.Add("stores", loomkernel.Func(g.stores.run))
 	kernel.Add("rollout", loomkernel.Func(g.rollout.run))
+	kernel.Add("gauges", loomkernel.Func(g.followGauges))
 	return kernel.Run(ctx)
 }
 
--- a/loomgate/queue.go
+++ b/loomgate/queue.go
@@ -66,6 +66,14 @@
 	return l
 }
 
+// length returns how many requests wait in the line of a group.
+func (q *queues) length(group string) int {
+	l := q.line(group)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.order.Len()
+}
+
 // patience returns how long after its arrival a request's first event is still
 // of use.
 func patience(r loomcatalogue.Route) time.Duration {
--- a/loomgate/relay.go
+++ b/loomgate/relay.go
@@ -106,7 +106,7 @@
 	d.firstAt = now
 	d.gate.fleet.Started(d.ticket)
 	d.gate.queues.wake(d.req.group.Name)
-	d.gate.metrics.first(d.req.route, now.Sub(d.req.Received))
+	d.gate.metrics.first(d.req.group.Name, d.req.route.Kind, now.Sub(d.req.Received))
 	d.gate.learnPace(d, now)
 }
 
--- a/loomgate/rollout.go
+++ b/loomgate/rollout.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"swiftloom/loomfleet"
@@ -74,6 +75,9 @@
 	orders     map[string]*engineOrder
 	orderedAt  time.Time
 
+	// holds tells others whether this instance held the lease at the last look.
+	holds atomic.Bool
+
 	mu sync.Mutex
 	// loadingNow holds the engines that load weights, by own and peers' word.
 	loadingNow map[string]loadingWord
@@ -150,12 +154,15 @@
 	r.forgetDone()
 	if len(wishes) == 0 {
 		r.wantSince = time.Time{}
+		r.holds.Store(false)
 		return false
 	}
 	if r.wantSince.IsZero() {
 		r.wantSince = now
 	}
-	if !r.hold(ctx, now) {
+	holds := r.hold(ctx, now)
+	r.holds.Store(holds)
+	if !holds {
 		return true
 	}
 	for _, w := range wishes {
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -83,7 +83,7 @@
 
 // refused logs a request that was refused before an upstream was chosen.
 func (g *Gate) refused(in Incoming, err *loomerror.Error) {
-	g.metrics.refused(err.Kind())
+	g.metrics.failed("", err.Kind())
 	g.log.Info("request_refused", "request_id", in.RequestID, "host", in.Host, "path", in.Path,
 		"kind", err.Kind().String(), "revision", g.beliefs.routing().Revision())
 }
--- a/loominstance/http.go
+++ b/loominstance/http.go
@@ -76,7 +76,7 @@
 	serviceshttp.New(services.NewEndpoints(&servicesAPI{n}), mux, decode, encode, n.encodeFailed, formatError).Mount(mux)
 	cataloguehttp.New(catalogue.NewEndpoints(&catalogueAPI{n}), mux, decode, encode, n.encodeFailed, formatError).Mount(mux)
 	healthhttp.New(health.NewEndpoints(&healthAPI{n}), mux, decode, encode, n.encodeFailed, formatError).Mount(mux)
-	mux.Handle(http.MethodGet, "/metrics", n.metrics.handler.ServeHTTP)
+	mux.Handle(http.MethodGet, "/metrics", n.metrics.page.Handler().ServeHTTP)
 	return n.exchange(mux)
 }
 
--- a/loominstance/metrics.go
+++ b/loominstance/metrics.go
@@ -1,24 +1,19 @@
 package loominstance
 
 import (
-	"io"
-	"net/http"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
-	tallyprom "github.com/uber-go/tally/v4/prometheus"
 
 	"swiftloom/loomerror"
+	"swiftloom/loommetrics"
 )
 
 const metricsInterval = time.Second
 
-// metrics holds the scope of an instance and the counters of hot paths.
+// metrics holds the page of an instance and the counters of hot paths.
 type metrics struct {
-	scope   tally.Scope
-	closer  io.Closer
-	handler http.Handler
+	page *loommetrics.Page
 
 	requests        tally.Counter
 	answered        tally.Counter
@@ -40,19 +35,11 @@
 }
 
 func newMetrics() *metrics {
-	registry := prometheus.NewRegistry()
-	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:                 "swiftloom",
-		CachedReporter:         reporter,
-		Separator:              tallyprom.DefaultSeparator,
-		OmitCardinalityMetrics: true,
-	}, metricsInterval)
+	page := loommetrics.NewPage(metricsInterval)
+	scope := page.Scope()
 	buckets := tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
 	return &metrics{
-		scope:           scope,
-		closer:          closer,
-		handler:         reporter.HTTPHandler(),
+		page:            page,
 		requests:        scope.Counter("requests_total"),
 		answered:        scope.Counter("answered_total"),
 		promptTokens:    scope.Counter("prompt_tokens_total"),
@@ -74,9 +61,9 @@
 }
 
 func (m *metrics) failed(k loomerror.Kind) {
-	m.scope.Tagged(map[string]string{"kind": k.String()}).Counter("errors_total").Inc(1)
+	m.page.Scope().Tagged(map[string]string{"kind": k.String()}).Counter("errors_total").Inc(1)
 }
 
 func (m *metrics) close() {
-	_ = m.closer.Close()
+	_ = m.page.Close()
 }
--- /dev/null
+++ b/loommetrics/labels_test.go
@@ -0,0 +1,20 @@
+package loommetrics_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"swiftloom/loommetrics"
+)
+
+func TestLabelsAreBounded(t *testing.T) {
+	l := loommetrics.NewLabels(3)
+	seen := make(map[string]bool)
+	for i := range 100 {
+		seen[l.Of(fmt.Sprint(i))] = true
+	}
+	assert.DeepEqual(t, seen, map[string]bool{"0": true, "1": true, "2": true, loommetrics.Other: true})
+	assert.Equal(t, l.Of("1"), "1", "a value that is known stays apart")
+}
--- a/loomsettings/read.go
+++ b/loomsettings/read.go
@@ -33,9 +33,12 @@
 	if f.Line > 0 {
 		place += ":" + strconv.Itoa(f.Line)
 	}
-	if f.Section == "" {
+	if f.Section == "" && f.Key == "" {
 		return place + ": " + f.Message
 	}
+	if f.Section == "" {
+		return place + ": " + f.Key + ": " + f.Message
+	}
 	if f.Key == "" {
 		return fmt.Sprintf("%s: [%s]: %s", place, f.Section, f.Message)
 	}
--- a/loomstream/retry.go
+++ b/loomstream/retry.go
@@ -55,6 +55,13 @@
 	b.balance = min(b.balance, reserve+b.share*b.recent)
 }
 
+// Balance returns the number of retries that may be made now.
+func (b *RetryBudget) Balance() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.balance
+}
+
 // Deposit adds the share of one request.
 func (b *RetryBudget) Deposit(now time.Time) {
 	b.mu.Lock()
