--- a/loomcache/returns_test.go
+++ b/loomcache/returns_test.go
@@ -48,24 +48,24 @@
 	}{
 		{"nothing kept, a small part", func(*loomcache.StoreIndex) {}, small, "", "fast"},
 		{"nothing kept, a large part", func(*loomcache.StoreIndex) {}, big, "", "large"},
-		{"kept", func(s *loomcache.StoreIndex) { s.Holds(at, "large", "x", "b", 9000) }, big, "large", ""},
-		{"kept under another salt", func(s *loomcache.StoreIndex) { s.Holds(at, "large", "y", "b", 9000) }, big, "", "large"},
-		{"kept in part only", func(s *loomcache.StoreIndex) { s.Holds(at, "large", "x", "b", 4000) }, big, "", ""},
-		{"freed", func(s *loomcache.StoreIndex) { s.Holds(at, "large", "x", "b", 9000); s.Gone("large", "x", "b") }, big, "", "large"},
-		{"a store that is down", func(s *loomcache.StoreIndex) { s.Holds(at, "large", "x", "b", 9000); s.Down("large") }, big, "", "fast"},
+		{"kept", func(s *loomcache.StoreIndex) { s.Holds("large", "x", "b", 9000) }, big, "large", ""},
+		{"kept under another salt", func(s *loomcache.StoreIndex) { s.Holds("large", "y", "b", 9000) }, big, "", "large"},
+		{"kept in part only", func(s *loomcache.StoreIndex) { s.Holds("large", "x", "b", 4000) }, big, "", ""},
+		{"freed", func(s *loomcache.StoreIndex) { s.Holds("large", "x", "b", 9000); s.Gone("large", "x", "b") }, big, "", "large"},
+		{"a store that is down", func(s *loomcache.StoreIndex) { s.Holds("large", "x", "b", 9000); s.Down("large") }, big, "", "fast"},
 		{"a store that is back as it was", func(s *loomcache.StoreIndex) {
-			s.Holds(at, "large", "x", "b", 9000)
+			s.Holds("large", "x", "b", 9000)
 			s.Down("large")
 			s.Restarted("large", 1)
 		}, big, "large", ""},
 		{"a store that has started again", func(s *loomcache.StoreIndex) {
-			s.Holds(at, "large", "x", "b", 9000)
+			s.Holds("large", "x", "b", 9000)
 			s.Restarted("large", 2)
 		}, big, "", "large"},
-		{"full", func(s *loomcache.StoreIndex) { s.Holds(at, "fast", "x", "o", 9500) }, small, "", "large"},
+		{"full", func(s *loomcache.StoreIndex) { s.Holds("fast", "x", "o", 9500) }, small, "", "large"},
 		{"a save under way", func(s *loomcache.StoreIndex) { s.Target(at, "x", big, token) }, big, "", ""},
 		{"a save that never came", func(s *loomcache.StoreIndex) { s.Target(at.Add(-time.Minute), "x", big, token) }, big, "", "large"},
-		{"faster to compute", func(s *loomcache.StoreIndex) { s.Holds(at, "fast", "x", "o", 9500) }, loomcache.PromptPart{ID: "t", Tokens: 300}, "", ""},
+		{"faster to compute", func(s *loomcache.StoreIndex) { s.Holds("fast", "x", "o", 9500) }, loomcache.PromptPart{ID: "t", Tokens: 300}, "", ""},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/loomcache/store_index.go
+++ b/loomcache/store_index.go
@@ -52,23 +52,13 @@
 	// up tells that the store answers.
 	up    bool
 	epoch uint64
-	parts map[partName]storedPart
-	// used is the sum of tokens over parts.
+	parts map[partName]int
+	// used is the sum over parts.
 	used int
-	// retired is the time before which parts must have been last used to be
-	// fetched no more, since they are about to be freed; zero while none is.
-	retired time.Time
 	// pending holds saves that were asked for and not told yet.
 	pending map[partName]pendingSave
 }
 
-// storedPart is what is known of a part at a store.
-type storedPart struct {
-	tokens int
-	// usedAt is when a prompt with the part was last known to be sent anywhere.
-	usedAt time.Time
-}
-
 type partName struct {
 	salt string
 	id   string
@@ -95,7 +85,7 @@
 			next = append(next, s.stores[i])
 			continue
 		}
-		next = append(next, &storeParts{class: c, parts: make(map[partName]storedPart), pending: make(map[partName]pendingSave)})
+		next = append(next, &storeParts{class: c, parts: make(map[partName]int), pending: make(map[partName]pendingSave)})
 	}
 	s.stores = next
 }
@@ -154,9 +144,8 @@
 	}
 }
 
-// Holds notes that a store holds a part whole, with a number of tokens. It was
-// used then, if it is new.
-func (s *StoreIndex) Holds(now time.Time, address, salt, id string, tokens int) {
+// Holds notes that a store holds a part whole, with a number of tokens.
+func (s *StoreIndex) Holds(address, salt, id string, tokens int) {
 	p := s.store(address)
 	if p == nil {
 		return
@@ -164,31 +153,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := partName{salt: salt, id: id}
-	old, known := p.parts[n]
-	usedAt := old.usedAt
-	if !known {
-		usedAt = now
-	}
-	p.used += tokens - old.tokens
-	p.parts[n] = storedPart{tokens: tokens, usedAt: usedAt}
+	p.used += tokens - p.parts[n]
+	p.parts[n] = tokens
 	delete(p.pending, n)
 }
 
-// Used notes that a prompt with a part was sent to an engine at now, by this
-// instance or another.
-func (s *StoreIndex) Used(now time.Time, salt, id string) {
-	n := partName{salt: salt, id: id}
-	for _, p := range s.all() {
-		p.mu.Lock()
-		// A part that is about to be freed stays so, whoever asks for it.
-		if part, ok := p.parts[n]; ok && now.After(part.usedAt) && !part.usedAt.Before(p.retired) {
-			part.usedAt = now
-			p.parts[n] = part
-		}
-		p.mu.Unlock()
-	}
-}
-
 // Gone notes that a store no longer holds a part.
 func (s *StoreIndex) Gone(address, salt, id string) {
 	p := s.store(address)
@@ -198,7 +167,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := partName{salt: salt, id: id}
-	p.used -= p.parts[n].tokens
+	p.used -= p.parts[n]
 	delete(p.parts, n)
 }
 
@@ -219,8 +188,7 @@
 func (p *storeParts) holds(salt string, part PromptPart) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	stored := p.parts[partName{salt: salt, id: part.ID}]
-	return p.up && part.Tokens > 0 && stored.tokens == part.Tokens && !stored.usedAt.Before(p.retired)
+	return p.up && part.Tokens > 0 && p.parts[partName{salt: salt, id: part.ID}] == part.Tokens
 }
 
 // Target returns the store that a part should be saved to, or an empty address
@@ -273,7 +241,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := partName{salt: salt, id: part.ID}
-	if p.up && p.parts[n].tokens > 0 {
+	if p.up && p.parts[n] > 0 {
 		return true
 	}
 	save, ok := p.pending[n]
--- a/loomgate/kept.go
+++ b/loomgate/kept.go
@@ -140,15 +140,12 @@
 }
 
 // noteParts notes that the chosen engine is about to read the prompt.
-func (d *dispatch) noteParts(now time.Time) {
+func (d *dispatch) noteParts() {
 	if !d.req.HasPrompt || len(d.req.Prompt.Parts) == 0 {
 		return
 	}
 	salt := saltOf(d.req, d.version)
 	d.gate.residency.Note(d.upstream.ID, salt, d.req.Prompt.Parts, cacheTokens(d.req.group.Engine))
-	for _, part := range d.req.Prompt.Parts[:d.returning()] {
-		d.gate.stores.index.Used(now, salt, part.ID)
-	}
 	d.gate.peers.placed(d.upstream.ID, salt, d.req.Prompt.Parts[:d.returning()])
 }
 
--- a/loomgate/peers.go
+++ b/loomgate/peers.go
@@ -61,10 +61,6 @@
 	placements []*loompb.Placement
 	// version is that of the rows of instances that were taken in.
 	version uint64
-	// followed tells that the platform answered the latest call for the rows.
-	followed bool
-	// strangerAt is when an instance was last heard of that is not known.
-	strangerAt time.Time
 }
 
 type peer struct {
@@ -77,10 +73,6 @@
 	failed int
 	skip   int
 	busy   bool
-	// heard is the latest round of retirements that the peer has heard of, and
-	// heardAt when it last answered.
-	heard   uint64
-	heardAt time.Time
 }
 
 func newPeers(g *Gate) *peers {
@@ -138,9 +130,6 @@
 		} else {
 			page, err = p.gate.source.Feed(ctx, TopicInstances, p.version, instancesWait)
 		}
-		p.mu.Lock()
-		p.followed = err == nil
-		p.mu.Unlock()
 		switch {
 		case err == nil:
 			whole = false
@@ -236,18 +225,17 @@
 	for loomkernel.Pause(ctx, interval) == nil {
 		now := time.Now()
 		p.gate.beliefs.tidy(now)
-		request, round := p.message(now)
+		request := p.message()
 		due := p.due()
 		for _, peer := range due {
-			go p.exchange(ctx, peer, request, round)
+			go p.exchange(ctx, peer, request)
 		}
 		interval = max(exchangeInterval, time.Duration(len(due))*exchangeSpacing)
 	}
 }
 
-// message returns what is told in a round of calls, and the latest round of
-// retirements in it.
-func (p *peers) message(now time.Time) (*loompb.ExchangeRequest, uint64) {
+// message returns what is told in a round.
+func (p *peers) message() *loompb.ExchangeRequest {
 	p.mu.Lock()
 	placements := p.placements
 	p.placements = nil
@@ -259,14 +247,12 @@
 		CatalogueVersion: g.beliefs.catalogueVersion.Load(),
 		UpstreamsVersion: g.beliefs.upstreamsVersion.Load(),
 		Placements:       placements,
-		Weights:          g.rollout.told(now),
+		Weights:          g.rollout.told(time.Now()),
 	}
-	var round uint64
-	r.Retirements, round = g.stores.toldRetirements(now)
 	for _, l := range g.fleet.OwnLoads() {
 		r.Loads = append(r.Loads, &loompb.UpstreamLoad{UpstreamId: l.ID, Outstanding: uint32(l.Outstanding), PendingTokens: uint32(l.Tokens), MemoryTokens: uint32(l.Memory)})
 	}
-	return r, round
+	return r
 }
 
 // due returns the peers of a round.
@@ -296,7 +282,7 @@
 }
 
 // exchange makes one call to a peer, and reads its rows when it knows more.
-func (p *peers) exchange(ctx context.Context, peer *peer, r *loompb.ExchangeRequest, round uint64) {
+func (p *peers) exchange(ctx context.Context, peer *peer, r *loompb.ExchangeRequest) {
 	call, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	reply, err := peer.client.Exchange(call, r)
 	cancel()
@@ -310,8 +296,6 @@
 		}
 	} else {
 		peer.failed = 0
-		peer.heard = max(peer.heard, round)
-		peer.heardAt = time.Now()
 	}
 	p.mu.Unlock()
 	if err != nil {
@@ -374,33 +358,6 @@
 	return ids
 }
 
-// allHeard reports whether each instance that may fetch from stores has heard of
-// a round of retirements. It is false while there may be instances that are not
-// known.
-func (p *peers) allHeard(now time.Time, round uint64) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.followed || now.Sub(p.strangerAt) < strangerTime {
-		return false
-	}
-	for _, peer := range p.known {
-		if peer.heard < round || now.Sub(peer.heardAt) > heardMemory {
-			return false
-		}
-	}
-	return true
-}
-
-// noteStranger notes a call of an instance, or of an incarnation of one, that is
-// not known.
-func (p *peers) noteStranger(now time.Time, id string, incarnation uint64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if known, ok := p.known[id]; !ok || known.row.Incarnation != incarnation {
-		p.strangerAt = now
-	}
-}
-
 // peerService answers the calls of peers.
 type peerService struct {
 	loompb.UnimplementedGatePeerServer
@@ -417,11 +374,8 @@
 	}
 	g.fleet.PeerLoads(now, r.GetFrom(), loads)
 	for _, pl := range r.GetPlacements() {
-		g.stores.index.Used(now, pl.GetSalt(), pl.GetPart())
 		g.residency.Note(pl.GetUpstreamId(), pl.GetSalt(), []Part{{ID: pl.GetPart(), Tokens: int(pl.GetTokens())}}, g.cacheTokensOf(pl.GetUpstreamId()))
 	}
-	g.peers.noteStranger(now, r.GetFrom(), r.GetIncarnation())
-	g.stores.heardRetirements(now, r.GetFrom(), r.GetRetirements())
 	g.rollout.heard(now, r.GetWeights())
 	return &loompb.ExchangeReply{
 		CatalogueVersion: g.beliefs.catalogueVersion.Load(),
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -142,7 +142,7 @@
 	d.ticketed = true
 	d.life.Apply(now, loomstream.Dispatched{Attempt: d.attempt, Version: d.version})
 	d.kept = d.planKept(now)
-	d.noteParts(now)
+	d.noteParts()
 	d.gate.logDispatch(d, now)
 	d.gate.queues.wake(d.req.group.Name)
 	call, cancel := context.WithCancel(ctx)
--- a/loomgate/stores.go
+++ b/loomgate/stores.go
@@ -44,25 +44,12 @@
 	// the latest event; known tells that it was ever heard.
 	clock      time.Duration
 	clockKnown bool
-	// retiring holds what this instance is about to free, by store, and retired
-	// the time that each instance told for a store, by store and instance.
-	retiring map[string]*retirement
-	retired  map[string]map[string]time.Time
-	// rounds counts the retirements that this instance told of.
-	rounds uint64
 	// settledAt is since when all engines have the named weights.
 	settledAt time.Time
 }
 
 func newStores(g *Gate) *stores {
-	return &stores{
-		gate:     g,
-		index:    loomcache.NewStoreIndex(),
-		watched:  make(map[string]context.CancelFunc),
-		engines:  make(map[string]string),
-		retiring: make(map[string]*retirement),
-		retired:  make(map[string]map[string]time.Time),
-	}
+	return &stores{gate: g, index: loomcache.NewStoreIndex(), watched: make(map[string]context.CancelFunc), engines: make(map[string]string)}
 }
 
 // processStart anchors the steady clock of this process.
@@ -75,7 +62,6 @@
 	for {
 		s.adopt(ctx, &running)
 		s.free(ctx, time.Now())
-		s.retire(ctx, time.Now())
 		if loomkernel.Pause(ctx, freeInterval) != nil {
 			return nil
 		}
@@ -85,12 +71,24 @@
 // adopt starts the watches of new stores and ends those of old ones.
 func (s *stores) adopt(ctx context.Context, running *sync.WaitGroup) {
 	routing := s.gate.beliefs.routing()
-	classes := storeClasses(routing)
-	s.index.SetStores(classes)
+	var classes []loomcache.StoreClass
 	wanted := make(map[string]bool)
-	for _, c := range classes {
-		wanted[c.Address] = true
+	bytes := bytesPerToken(routing)
+	for _, store := range routing.Stores() {
+		if !store.Managed {
+			continue
+		}
+		wanted[store.Address] = true
+		const bitsPerByte = 8
+		classes = append(classes, loomcache.StoreClass{
+			Address:       store.Address,
+			FailureDomain: store.FailureDomain,
+			Capacity:      store.MemoryTokens,
+			FirstByte:     store.FirstByte,
+			PerToken:      time.Duration(bytes * bitsPerByte / max(store.LinkBitsPerSecond, 1) * float64(time.Second)),
+		})
 	}
+	s.index.SetStores(classes)
 	engines := s.watchedEngines(routing)
 	for address := range engines {
 		wanted[address] = true
@@ -114,26 +112,6 @@
 	}
 }
 
-// storeClasses returns the stores that keep what they are told to.
-func storeClasses(r loomcatalogue.Routing) []loomcache.StoreClass {
-	var classes []loomcache.StoreClass
-	bytes := bytesPerToken(r)
-	for _, store := range r.Stores() {
-		if !store.Managed {
-			continue
-		}
-		const bitsPerByte = 8
-		classes = append(classes, loomcache.StoreClass{
-			Address:       store.Address,
-			FailureDomain: store.FailureDomain,
-			Capacity:      store.MemoryTokens,
-			FirstByte:     store.FirstByte,
-			PerToken:      time.Duration(bytes * bitsPerByte / max(store.LinkBitsPerSecond, 1) * float64(time.Second)),
-		})
-	}
-	return classes
-}
-
 // maxWatchedEngines bounds the engines whose events one instance follows. In
 // larger fleets the estimate from what was sent stands alone.
 const maxWatchedEngines = 24
@@ -230,7 +208,7 @@
 			s.index.Gone(address, event.Part.Salt, event.Part.ID)
 			continue
 		}
-		s.index.Holds(now, address, event.Part.Salt, event.Part.ID, event.Tokens)
+		s.index.Holds(address, event.Part.Salt, event.Part.ID, event.Tokens)
 	}
 	if e.Clock > 0 {
 		s.mu.Lock()
@@ -244,18 +222,12 @@
 // fetchUntil returns the time on the upstreams' clock by which a fetch must have
 // ended that spares compute, or zero while that clock is not known.
 func (s *stores) fetchUntil(now time.Time, compute time.Duration) time.Duration {
-	return s.upstreamClock(now.Add(fetchSlack + 2*compute))
-}
-
-// upstreamClock returns what the upstreams' clock shows at a time, or zero while
-// it is not known.
-func (s *stores) upstreamClock(at time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.clockKnown {
 		return 0
 	}
-	return at.Sub(processStart) + s.clock
+	return now.Sub(processStart) + s.clock + fetchSlack + 2*compute
 }
 
 // fetchSlack is the time that a fetch may take besides twice the time of
@@ -287,26 +259,21 @@
 	if len(old) == 0 {
 		return
 	}
-	s.freeParts(ctx, address, old)
-}
-
-// freeParts frees parts at a store and reports whether it did.
-func (s *stores) freeParts(ctx context.Context, address string, old []loomcache.PartAt) bool {
-	f := loomupstream.KeptFree{Epoch: s.index.Epoch(address), Until: s.upstreamClock(time.Now().Add(orderCallTimeout))}
+	parts := make([]loomupstream.KeptPart, 0, len(old))
 	for _, p := range old {
-		f.Parts = append(f.Parts, loomupstream.KeptPart{Salt: p.Salt, ID: p.ID})
+		parts = append(parts, loomupstream.KeptPart{Salt: p.Salt, ID: p.ID})
 	}
 	call, cancel := context.WithTimeout(ctx, orderCallTimeout)
 	defer cancel()
-	if err := s.gate.kept.Free(call, address, f); err != nil {
-		s.gate.log.Warn("free_failed", "address", address, "parts", len(old), "cause", err.Error())
-		return false
+	err := s.gate.kept.Free(call, address, s.index.Epoch(address), parts)
+	if err != nil {
+		s.gate.log.Warn("free_failed", "address", address, "parts", len(parts), "cause", err.Error())
+		return
 	}
 	for _, p := range old {
 		s.index.Gone(address, p.Salt, p.ID)
 	}
-	s.gate.log.Info("parts_freed", "address", address, "parts", len(old))
-	return true
+	s.gate.log.Info("parts_freed", "address", address, "parts", len(parts))
 }
 
 // currentSalts returns the beginnings of the salts that requests use, and
--- a/loomupstream/keptstore.go
+++ b/loomupstream/keptstore.go
@@ -32,23 +32,12 @@
 	Clock time.Duration
 }
 
-// KeptFree asks a store to free parts.
-type KeptFree struct {
-	Parts []KeptPart
-	// Epoch is that of the store when the parts were seen there: a store that
-	// has started again since frees nothing.
-	Epoch uint64
-	// Until is the latest time at the store at which the parts may be freed, by
-	// the clock that all upstreams share; zero bounds nothing.
-	Until time.Duration
-}
-
 // KeptStores speaks with stores for kept state. Its methods may be called
 // concurrently.
 type KeptStores interface {
 	// Watch returns the events after a number, as soon as there are some or wait
 	// has passed.
 	Watch(ctx context.Context, address string, since uint64, wait time.Duration) (KeptEvents, error)
-	// Free frees parts at a store.
-	Free(ctx context.Context, address string, f KeptFree) error
+	// Free frees parts, unless the store has started again since epoch.
+	Free(ctx context.Context, address string, epoch uint64, parts []KeptPart) error
 }
