--- a/loomfleet/plan.go
+++ b/loomfleet/plan.go
@@ -5,7 +5,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 )
 
 // Engine is what a reconciler knows of one engine of its failure domain.
@@ -16,8 +15,6 @@
 	Version uint64
 	// Loading is the version that the engine is loading, or zero.
 	Loading uint64
-	// LoadedBy is when an engine that loads is expected to be done.
-	LoadedBy time.Time
 	// Outstanding is the number of requests that the engine is known to have.
 	Outstanding int
 	// Usable tells that the engine takes orders: it is live and has reported.
--- a/loomgate/beliefs.go
+++ b/loomgate/beliefs.go
@@ -11,7 +11,6 @@
 	"github.com/juju/errors"
 
 	"swiftloom/loomcatalogue"
-	"swiftloom/loomfleet"
 	"swiftloom/loommember"
 	"swiftloom/loomroute"
 )
@@ -110,18 +109,6 @@
 	return false
 }
 
-// deadlines returns until when requests may be sent to older weights of a model.
-func (b *beliefs) deadlines(model string) []loomfleet.Deadline {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	deadlines := make([]loomfleet.Deadline, 0, len(b.namings[model]))
-	for _, n := range b.namings[model] {
-		at := n.at.Add(b.gate.settings.WeightsTime - weightsMargin - abandonLeast)
-		deadlines = append(deadlines, loomfleet.Deadline{Version: n.version, At: at})
-	}
-	return deadlines
-}
-
 // naming is a version that operators named.
 type naming struct {
 	version uint64
--- a/loomgate/gate.go
+++ b/loomgate/gate.go
@@ -69,7 +69,7 @@
 	rollout   *rollout
 	stores    *stores
 	queues    *queues
-	pace      *pace
+	pace      pace
 
 	// stopping is set once and never unset.
 	stopping atomic.Bool
@@ -99,7 +99,7 @@
 		retries:     newRetryBudgets(s),
 		random:      rand.New(rand.NewPCG(o.Seed, uint64(len(s.ID)))),
 	}
-	g.pace = newPace()
+	g.pace.groups = make(map[string]time.Duration)
 	g.beliefs = newBeliefs(g)
 	g.peers = newPeers(g)
 	g.rollout = newRollout(g)
--- a/loomgate/place.go
+++ b/loomgate/place.go
@@ -42,33 +42,19 @@
 		// that is cut off sends its callers on.
 		return loomerror.New(loomerror.NoUpstream, "no upstream of %q can be reached now", r.group.Name).WithRetryAfter(refusedRetryAfter)
 	}
-	d.take(now, g.policy.Choose(d.question(), candidates, g.newRandom()), candidates)
-	if d.hasRoom() {
-		return nil
-	}
-	// Kept state is worth a wait at an engine, but not one in the line, whose end
-	// nobody knows.
-	roomy := slices.DeleteFunc(candidates, func(c loomroute.Candidate) bool { return c.Suspect || c.Wait > r.roomWait() })
-	if len(roomy) > 0 {
-		d.take(now, g.policy.Choose(d.question(), roomy, g.newRandom()), roomy)
-	}
-	return nil
-}
-
-// take makes a choice that of the next attempt.
-func (d *dispatch) take(now time.Time, choice loomroute.Choice, candidates []loomroute.Candidate) {
-	d.choice = choice
-	for _, u := range d.gate.usable(now, d.req.group.Name) {
-		if u.ID == choice.ID {
+	d.choice = g.policy.Choose(d.question(), candidates, g.newRandom())
+	for _, u := range g.usable(now, r.group.Name) {
+		if u.ID == d.choice.ID {
 			d.upstream = u
 		}
 	}
 	for _, c := range candidates {
-		if c.ID == choice.ID {
+		if c.ID == d.choice.ID {
 			d.wait = c.Wait
 		}
 	}
-	d.version = d.upstream.Version(d.req.Prompt.Model)
+	d.version = d.upstream.Version(r.Prompt.Model)
+	return nil
 }
 
 // candidates returns the upstreams that may take the next attempt. Those that
@@ -125,7 +111,7 @@
 		version := u.Version(d.req.Prompt.Model)
 		c.Held = d.gate.residency.Held(u.ID, saltOf(d.req, version), d.req.Prompt.Parts)
 		if wanted := d.gate.beliefs.wanted(d.req.Prompt.Model); version < wanted {
-			c.Aversion += oldWeightsPenalty
+			c.Wait += oldWeightsPenalty
 		}
 		c.BlockTime = d.moveTime(u, version)
 		if over := estimate.Memory + d.memory() - runningTokens(d.req.group.Engine); over > 0 && estimate.Outstanding > 0 {
@@ -134,10 +120,6 @@
 		if d.gate.rollout.loading(now, u.ID) {
 			c.Wait += loadingPenalty
 		}
-		if left, ok := d.gate.rollout.emptying(now, u.ID); ok {
-			// A run that outlasts the others keeps the engine from loading.
-			c.Wait += max(d.gate.pace.runTime(d.req.group.Name, d.req.Prompt.ExpectedOutput)-left, 0)
-		}
 	}
 	return c
 }
--- a/loomgate/queue.go
+++ b/loomgate/queue.go
@@ -97,15 +97,11 @@
 
 // hasRoom reports whether the chosen upstream takes the request without delay.
 func (d *dispatch) hasRoom() bool {
-	return !d.req.HasPrompt || d.req.group.Engine == nil || d.wait <= d.req.roomWait()
-}
-
-// roomWait returns the wait up to which an engine has room for the request.
-func (r *request) roomWait() time.Duration {
-	if r.rank() <= urgentRank {
-		return urgentRoomWait
+	room := roomWait
+	if d.req.rank() <= urgentRank {
+		room = urgentRoomWait
 	}
-	return roomWait
+	return !d.req.HasPrompt || d.req.group.Engine == nil || d.wait <= room
 }
 
 // await holds a request in the line until an engine has room for it. It refuses
--- a/loomgate/relay.go
+++ b/loomgate/relay.go
@@ -150,6 +150,5 @@
 		return d.life.Apply(now, loomstream.Broken{Attempt: d.attempt})
 	}
 	d.gate.fleet.Worked(d.upstream.ID)
-	d.gate.learnRun(d, now)
 	return d.life.Apply(now, loomstream.Finished{Attempt: d.attempt, Tokens: d.life.Relayed()})
 }
--- a/loomgate/rollout.go
+++ b/loomgate/rollout.go
@@ -40,18 +40,13 @@
 	candidacyStep = 300 * time.Millisecond
 	// reorderAfter is when an order that shows no effect is given again.
 	reorderAfter = 1500 * time.Millisecond
-	// mostLoadShare is the largest part of a group's engines that have an order
-	// under way at once: the rest has to serve.
-	mostLoadShare = 0.34
-	// emptyLead is how long an engine is emptied before its order: half of the
-	// runs measured on the users' platform last less than 1.1 s.
-	emptyLead = 1200 * time.Millisecond
-	// firstLoadTime is how long an order takes until one was measured: 1.5 s to
-	// load at full speed, and as long again for runs that end first and for the
-	// look that finds it done.
-	firstLoadTime = 2500 * time.Millisecond
-	// loadTimeWeight is the weight of one measured load.
-	loadTimeWeight = 0.3
+	// loadShare is the part of a group's engines that have an order under way at
+	// once. A site's weights come at full speed to about a sixth; the rest of the
+	// time of an order goes to runs that end first.
+	loadShare = 0.3
+	// rolloutShare is the part of the time for new weights over which the orders
+	// to a group are spread, so that engines load one after the other.
+	rolloutShare = 0.6
 	// weightsMargin is kept before the time at which old weights may no longer
 	// serve, for the way to an engine and for a caller's leaving to reach it.
 	weightsMargin = 300 * time.Millisecond
@@ -79,18 +74,13 @@
 	wantSince  time.Time
 	orders     map[string]*engineOrder
 	orderedAt  time.Time
-	// loadTime is how long an order takes until its engine serves again, fading.
-	loadTime time.Duration
-	// rotas is keyed by model.
-	rotas map[string]*loomfleet.Rota
 
 	// holds tells others whether this instance held the lease at the last look.
 	holds atomic.Bool
 
 	mu sync.Mutex
-	// words holds what is known of the engines that load weights or soon will,
-	// by own and peers' word.
-	words map[string]weightsWord
+	// loadingNow holds the engines that load weights, by own and peers' word.
+	loadingNow map[string]loadingWord
 	// askedAt is when each engine was last asked by reportOf.
 	askedAt map[string]time.Time
 }
@@ -104,30 +94,23 @@
 	lookedAt time.Time
 }
 
-// weightsWord states that an engine loads weights, or when it will be ordered
-// to.
-type weightsWord struct {
+type loadingWord struct {
 	at          time.Time
 	incarnation uint64
 	version     uint64
 	own         bool
-	loading     bool
-	// due is when an engine that does not load yet gets its order.
-	due time.Time
 }
 
 func newRollout(g *Gate) *rollout {
 	holder := fmt.Sprintf("%s/%d", g.settings.ID, g.incarnation)
 	return &rollout{
-		gate:     g,
-		woke:     make(chan struct{}, 1),
-		holder:   holder,
-		lease:    loomlease.New(leaseKey, holder, rolloutLease),
-		orders:   make(map[string]*engineOrder),
-		loadTime: firstLoadTime,
-		rotas:    make(map[string]*loomfleet.Rota),
-		words:    make(map[string]weightsWord),
-		askedAt:  make(map[string]time.Time),
+		gate:       g,
+		woke:       make(chan struct{}, 1),
+		holder:     holder,
+		lease:      loomlease.New(leaseKey, holder, rolloutLease),
+		orders:     make(map[string]*engineOrder),
+		loadingNow: make(map[string]loadingWord),
+		askedAt:    make(map[string]time.Time),
 	}
 }
 
@@ -168,8 +151,8 @@
 func (r *rollout) step(ctx context.Context) bool {
 	now := bootNow()
 	wishes := r.wishes(time.Now())
+	r.forgetDone()
 	if len(wishes) == 0 {
-		r.forgetOrders()
 		r.wantSince = time.Time{}
 		r.holds.Store(false)
 		return false
@@ -213,60 +196,36 @@
 
 // order gives the orders that are due for one model.
 func (r *rollout) order(ctx context.Context, w wish) {
+	engines := make([]loomfleet.Engine, 0, len(w.engines))
 	byID := make(map[string]loommember.Upstream, len(w.engines))
 	for _, u := range w.engines {
 		byID[u.ID] = u
+		e := loomfleet.Engine{ID: u.ID, Address: u.Address, Model: w.model, Version: u.Version(w.model), Usable: true}
+		e.Outstanding = r.gate.fleet.Estimate(time.Now(), u.ID, defaultTokenTime).Outstanding
+		if o, ok := r.orders[u.ID]; ok && o.upstream.Incarnation == u.Incarnation && o.version == w.version && e.Version < w.version {
+			e.Loading = w.version
+			r.look(ctx, o)
+		}
+		engines = append(engines, e)
 	}
-	rota, ok := r.rotas[w.model]
-	if !ok {
-		rota = &loomfleet.Rota{}
-		r.rotas[w.model] = rota
-	}
-	engines := r.engines(ctx, w)
-	most := max(int(mostLoadShare*float64(len(engines))), 1)
-	pace := loomfleet.Pace{
-		LoadLimit: min(loomfleet.LoadsAtOnce(time.Now(), engines, r.gate.beliefs.deadlines(w.model), r.loadTime), most),
-		Lead:      emptyLead,
+	limit := max(int(float64(len(w.engines))*loadShare+0.99), 1)
+	loading := 0
+	for _, e := range engines {
+		if e.Loading > 0 {
+			loading++
+		}
 	}
-	spacing := r.loadTime / time.Duration(pace.LoadLimit) / 2
-	want := loomfleet.Want{Model: w.model, Version: w.version}
-	for _, o := range rota.Step(bootNow(), engines, want, pace) {
+	spacing := time.Duration(rolloutShare * float64(r.gate.settings.WeightsTime) / float64(max(len(w.engines), 1)))
+	want := loomfleet.Want{Model: w.model, Version: w.version, LoadLimit: limit}
+	for _, o := range loomfleet.Plan(engines, want, limit-loading) {
 		now := bootNow()
 		if !r.mayOrder(now) || now.Sub(r.orderedAt) < spacing {
-			break
+			return
 		}
 		if r.send(ctx, byID[o.Engine], o) {
 			r.orderedAt = now
 		}
 	}
-	for _, e := range rota.Emptying() {
-		r.noteEmptying(byID[e.Engine], w.version, e.Due.Sub(bootNow()))
-	}
-}
-
-// engines returns what is known of the engines that a wish concerns, after a
-// look at those that load.
-func (r *rollout) engines(ctx context.Context, w wish) []loomfleet.Engine {
-	engines := make([]loomfleet.Engine, 0, len(w.engines))
-	for _, u := range w.engines {
-		now := time.Now()
-		e := loomfleet.Engine{ID: u.ID, Address: u.Address, Model: w.model, Version: u.Version(w.model)}
-		e.Usable = !r.gate.fleet.Suspect(now, u.ID)
-		e.Outstanding = r.gate.fleet.Estimate(now, u.ID, defaultTokenTime).Outstanding
-		if o, ok := r.orders[u.ID]; ok && o.upstream.Incarnation == u.Incarnation {
-			r.look(ctx, o)
-			switch {
-			case o.model != w.model:
-				// It loads another model's weights and takes no order until then.
-				e.Usable = false
-			case e.Version < o.version:
-				e.Loading = o.version
-				e.LoadedBy = o.sentAt.Add(r.loadTime)
-			}
-		}
-		engines = append(engines, e)
-	}
-	return engines
 }
 
 // send gives one order and reports whether it may have been accepted. Its effect
@@ -329,7 +288,6 @@
 	case err != nil:
 		r.gate.log.Warn("engine_unreported", "upstream", o.upstream.ID, "cause", err.Error())
 	case state.Version(o.model) >= o.version:
-		r.measured(now, o)
 		r.note(o.upstream.ID, o.upstream.Incarnation, o.version, false)
 		r.gate.beliefs.sawVersion(time.Now(), o.upstream.ID, o.upstream.Incarnation, o.model, o.version)
 		delete(r.orders, o.upstream.ID)
@@ -343,17 +301,11 @@
 	}
 }
 
-// measured takes in how long an order took.
-func (r *rollout) measured(now time.Time, o *engineOrder) {
-	if o.sentAt.IsZero() {
-		return
+// forgetDone drops orders for versions that are no longer wanted.
+func (r *rollout) forgetDone() {
+	for id, o := range r.orders {
+		if r.gate.beliefs.wanted(o.model) != o.version {
+			delete(r.orders, id)
+		}
 	}
-	r.loadTime += time.Duration(loadTimeWeight * float64(now.Sub(o.sentAt)-r.loadTime))
-}
-
-// forgetOrders drops all orders, as when no engine is left to be ordered. An
-// order for weights that were replaced is kept until it is done: its engine
-// loads, and has those weights then.
-func (r *rollout) forgetOrders() {
-	clear(r.orders)
 }
--- a/loomgate/weights.go
+++ b/loomgate/weights.go
@@ -34,53 +34,33 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !loading {
-		delete(r.words, id)
+		delete(r.loadingNow, id)
 		return
 	}
-	r.words[id] = weightsWord{at: time.Now(), incarnation: incarnation, version: version, own: true, loading: true}
-}
-
-// noteEmptying remembers that an engine gets its order in a while.
-func (r *rollout) noteEmptying(u loommember.Upstream, version uint64, in time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := time.Now()
-	r.words[u.ID] = weightsWord{at: now, incarnation: u.Incarnation, version: version, own: true, due: now.Add(max(in, 0))}
+	r.loadingNow[id] = loadingWord{at: time.Now(), incarnation: incarnation, version: version, own: true}
 }
 
 // loading reports whether an engine is known to load weights.
 func (r *rollout) loading(now time.Time, id string) bool {
-	w, ok := r.word(now, id)
-	return ok && w.loading
-}
-
-// emptying returns the time until an engine is ordered to load weights, if that
-// is planned.
-func (r *rollout) emptying(now time.Time, id string) (time.Duration, bool) {
-	w, ok := r.word(now, id)
-	return max(w.due.Sub(now), 0), ok && !w.loading
-}
-
-func (r *rollout) word(now time.Time, id string) (weightsWord, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	w, ok := r.words[id]
-	return w, ok && now.Sub(w.at) < toldMemory
+	w, ok := r.loadingNow[id]
+	return ok && now.Sub(w.at) < toldMemory
 }
 
-// told returns what peers should know of weights: what loads and what soon will.
+// told returns what peers should know of weights: what loads, and the versions
+// of engines that the platform's list may not show yet.
 func (r *rollout) told(now time.Time) []*loompb.WeightsSeen {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var words []*loompb.WeightsSeen
-	for id, w := range r.words {
+	for id, w := range r.loadingNow {
 		if now.Sub(w.at) >= toldMemory {
-			delete(r.words, id)
+			delete(r.loadingNow, id)
 			continue
 		}
 		if w.own {
-			in := max(w.due.Sub(now), 0).Milliseconds()
-			words = append(words, &loompb.WeightsSeen{UpstreamId: id, Incarnation: w.incarnation, Version: w.version, Loading: w.loading, OrderInMs: uint32(in)})
+			words = append(words, &loompb.WeightsSeen{UpstreamId: id, Incarnation: w.incarnation, Version: w.version, Loading: true})
 		}
 	}
 	return words
@@ -91,7 +71,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, w := range words {
-		in := time.Duration(w.GetOrderInMs()) * time.Millisecond
-		r.words[w.GetUpstreamId()] = weightsWord{at: now, incarnation: w.GetIncarnation(), version: w.GetVersion(), loading: w.GetLoading(), due: now.Add(in)}
+		if w.GetLoading() {
+			r.loadingNow[w.GetUpstreamId()] = loadingWord{at: now, incarnation: w.GetIncarnation(), version: w.GetVersion()}
+		}
 	}
 }
--- a/loomroute/cost.go
+++ b/loomroute/cost.go
@@ -67,7 +67,7 @@
 	if c.BlockTime > 0 {
 		r.BlockTime = c.BlockTime
 	}
-	lead := c.Wait + c.Aversion
+	lead := c.Wait
 	if c.LacksAdapter {
 		lead += adapterLoadTime
 	}
--- a/loomroute/policy.go
+++ b/loomroute/policy.go
@@ -51,8 +51,6 @@
 	Pending bool
 	// Wait is the expected time until the engine starts on the prompt.
 	Wait time.Duration
-	// Aversion is a time by which others are preferred, though nothing waits.
-	Aversion time.Duration
 	// BlockTime replaces that of the request for this candidate unless it is
 	// zero.
 	BlockTime time.Duration
