--- a/cmd/swiftloom/explain.go
+++ b/cmd/swiftloom/explain.go
@@ -51,7 +51,7 @@
 	if c.Bool("json") {
 		return printJSON(story)
 	}
-	printStory(story)
+	printStory(lines, story)
 	return nil
 }
 
@@ -92,7 +92,7 @@
 	return nil
 }
 
-func printStory(story []loomlog.Line) {
+func printStory(lines, story []loomlog.Line) {
 	t := newTable(os.Stdout)
 	start := story[0].Time
 	for _, l := range story {
@@ -111,7 +111,12 @@
 			last = l
 		}
 	}
-	if last.Event == "request_done" {
-		fmt.Printf("conclusion: %s; %s\n", last.Get("outcome"), loomlog.ReasonOf(last))
+	if last.Event != "request_done" {
+		return
+	}
+	fmt.Printf("conclusion: %s; %s\n", last.Get("outcome"), loomlog.ReasonOf(last))
+	fmt.Printf("time: %s\n", loomlog.Spent(last))
+	if around := loomlog.Around(lines, last); len(around) > 0 {
+		fmt.Printf("around: %s\n", strings.Join(around, "; "))
 	}
 }
--- /dev/null
+++ b/loomlog/around.go
@@ -0,0 +1,186 @@
+package loomlog
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// aroundTime is how long before the end of a request the state of the site
+// belongs to its cause. New weights take an engine out for three to five seconds.
+const aroundTime = 5 * time.Second
+
+// circumstance is something that many requests can suffer from, told by the
+// lines of one event.
+type circumstance struct {
+	event string
+	// one and many name it, with a %d for the number of distinct values of key.
+	one, many string
+	key       string
+}
+
+// circumstances are in the order in which they explain a failure.
+var circumstances = []circumstance{
+	{"start", "an instance was started", "%d instances were started", ""},
+	{"weights_named", "new weights were named", "%d versions of weights were named", "version"},
+	{"order_sent", "an engine was ordered to load weights", "%d engines were ordered to load weights", "upstream"},
+	{"upstream_removed", "an upstream was removed from the list", "%d upstreams were removed from the list", "upstream"},
+	{"upstream_leaving", "an upstream was seen to leave", "%d upstreams were seen to leave", "upstream"},
+	{"store_restarted", "a store for kept state was started again", "%d stores for kept state were started again", "address"},
+	{"catalogue_changed", "a new revision came into force", "%d revisions came into force", "revision"},
+}
+
+// leastSilence is the shortest time without a line that tells of a process that
+// did not run: one that serves writes many lines a second.
+const leastSilence = 1500 * time.Millisecond
+
+// Around returns what happened to the site in the seconds before the last line
+// of a request, at any instance, in words.
+func Around(lines []Line, last Line) []string {
+	end := last.Time
+	var near []Line
+	for _, l := range lines {
+		if !l.Time.After(end) && end.Sub(l.Time) <= aroundTime {
+			near = append(near, l)
+		}
+	}
+	var told []string
+	if gap := silence(lines, last); gap >= leastSilence {
+		told = append(told, fmt.Sprintf("the instance wrote nothing for %d ms, as one that is frozen", gap.Milliseconds()))
+	}
+	for _, c := range circumstances {
+		if text := c.tell(near); text != "" {
+			told = append(told, text)
+		}
+	}
+	return append(told, lostDependencies(lines, end)...)
+}
+
+// silence returns the longest time without a line of an instance in the seconds
+// before a line of it, while others wrote some.
+func silence(lines []Line, last Line) time.Duration {
+	sorted := slices.Clone(lines)
+	byTime(sorted)
+	var longest time.Duration
+	var before time.Time
+	others := false
+	for _, l := range sorted {
+		if l.Time.After(last.Time) {
+			break
+		}
+		if l.Source != last.Source {
+			others = true
+			continue
+		}
+		// The lines of a request are written when its process runs again.
+		if !before.IsZero() && others && last.Time.Sub(l.Time) <= aroundTime {
+			longest = max(longest, l.Time.Sub(before))
+		}
+		before, others = l.Time, false
+	}
+	return longest
+}
+
+// tell counts the distinct values of the circumstance's key.
+func (c circumstance) tell(near []Line) string {
+	seen := make(map[string]bool)
+	for _, l := range near {
+		if l.Event != c.event {
+			continue
+		}
+		value := l.Source
+		if c.key != "" {
+			value = l.Get(c.key)
+		}
+		seen[value] = true
+	}
+	switch len(seen) {
+	case 0:
+		return ""
+	case 1:
+		return c.one
+	default:
+		return fmt.Sprintf(c.many, len(seen))
+	}
+}
+
+// lostDependencies tells which dependencies instances had lost at a time, or
+// lost shortly before, by their kind.
+func lostDependencies(lines []Line, end time.Time) []string {
+	type link struct{ instance, kind, name string }
+	lost := make(map[link]time.Time)
+	sorted := slices.Clone(lines)
+	byTime(sorted)
+	for _, l := range sorted {
+		if l.Time.After(end) {
+			break
+		}
+		k := link{l.Source, l.Get("dependency"), l.Get("peer") + l.Get("address") + l.Get("topic")}
+		switch l.Event {
+		case "dependency_lost":
+			lost[k] = time.Time{}
+		case "dependency_regained":
+			lost[k] = l.Time
+		case "start":
+			for old := range lost {
+				if old.instance == l.Source {
+					delete(lost, old)
+				}
+			}
+		}
+	}
+	instances := make(map[string]map[string]bool)
+	for k, regained := range lost {
+		if !regained.IsZero() && end.Sub(regained) > aroundTime {
+			continue
+		}
+		if instances[k.kind] == nil {
+			instances[k.kind] = make(map[string]bool)
+		}
+		instances[k.kind][k.instance] = true
+	}
+	var told []string
+	for kind, who := range instances {
+		number := "an instance"
+		if len(who) > 1 {
+			number = fmt.Sprintf("%d instances", len(who))
+		}
+		told = append(told, number+" had lost "+dependencyName(kind))
+	}
+	slices.Sort(told)
+	return told
+}
+
+func dependencyName(kind string) string {
+	switch kind {
+	case "peer":
+		return "a peer"
+	case "store":
+		return "a store or the events of an engine"
+	case "":
+		return "a dependency"
+	default:
+		return "the " + kind
+	}
+}
+
+// Spent tells where a request's time went: in line, at its last upstream before
+// the first event, and after that. It returns nothing for another line than
+// request_done.
+func Spent(l Line) string {
+	if l.Event != "request_done" {
+		return ""
+	}
+	waited, first, total := l.Number("waited_ms"), l.Number("first_ms"), l.Number("total_ms")
+	var parts []string
+	switch {
+	case l.Number("attempts") <= 0:
+		parts = append(parts, fmt.Sprintf("%d ms in line", total))
+	case first < 0:
+		parts = append(parts, fmt.Sprintf("%d ms until the last send, %d ms without a first event", waited, total-waited))
+	default:
+		parts = append(parts, fmt.Sprintf("%d ms until the first event, %d ms after it", first, total-first))
+	}
+	return strings.Join(parts, ", ")
+}
--- a/loomlog/explain.go
+++ b/loomlog/explain.go
@@ -208,6 +208,8 @@
 func ReasonOf(l Line) string {
 	cause := l.Get("cause")
 	switch {
+	case strings.Contains(cause, "the caller's connection broke"), cause == "" && l.Get("outcome") == "canceled":
+		return "the caller left " + phase(l)
 	case cause == "" && l.Number("attempts") == 0:
 		return "no upstream had room or lived"
 	case cause == "" && l.Get("outcome") == "answered":
@@ -219,12 +221,24 @@
 	case strings.Contains(cause, "dial tcp"):
 		return "the upstream could not be reached"
 	case strings.Contains(cause, "context canceled"):
-		return "the caller left"
+		return "the caller left " + phase(l)
 	case strings.Contains(cause, "deadline exceeded"):
-		return "the time had passed"
+		return "the time had passed " + phase(l)
 	case strings.Contains(cause, "EOF"), strings.Contains(cause, "reset"), strings.Contains(cause, "timed out"):
 		return "the connection to the upstream broke"
 	default:
 		return cause
 	}
 }
+
+// phase returns how far a request had come at its end.
+func phase(l Line) string {
+	switch {
+	case l.Number("attempts") == 0:
+		return "while the request waited in line"
+	case l.Number("first_ms") < 0:
+		return "before the first event"
+	default:
+		return "midway"
+	}
+}
