--- a/loomgate/load_test.go
+++ b/loomgate/load_test.go
@@ -24,7 +24,6 @@
 type modelEngines struct {
 	fakeRunner
 
-	mu      sync.Mutex
 	engines map[string]*modelEngine
 }
 
