--- a/loomlog/around.go
+++ b/loomlog/around.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -15,9 +15,12 @@
 // lines of one event.
 type circumstance struct {
 	event string
-	// one and many name it, with a %d for the number of distinct values of key.
-	one, many string
-	key       string
+	// one and many name it; many has a %d for the number.
+	one  string
+	many string
+	// key is the field whose distinct values are counted, or empty to count
+	// instances.
+	key string
 }
 
 // circumstances are in the order in which they explain a failure.
@@ -105,42 +108,27 @@
 	}
 }
 
+// dependencyLink is one instance's way to something that it depends on.
+type dependencyLink struct {
+	instance string
+	kind     string
+	name     string
+}
+
 // lostDependencies tells which dependencies instances had lost at a time, or
-// lost shortly before, by their kind.
+// regained shortly before, by their kind.
 func lostDependencies(lines []Line, end time.Time) []string {
-	type link struct{ instance, kind, name string }
-	lost := make(map[link]time.Time)
-	sorted := slices.Clone(lines)
-	byTime(sorted)
-	for _, l := range sorted {
-		if l.Time.After(end) {
-			break
-		}
-		k := link{l.Source, l.Get("dependency"), l.Get("peer") + l.Get("address") + l.Get("topic")}
-		switch l.Event {
-		case "dependency_lost":
-			lost[k] = time.Time{}
-		case "dependency_regained":
-			lost[k] = l.Time
-		case "start":
-			for old := range lost {
-				if old.instance == l.Source {
-					delete(lost, old)
-				}
-			}
-		}
-	}
 	instances := make(map[string]map[string]bool)
-	for k, regained := range lost {
+	for link, regained := range dependencyLosses(lines, end) {
 		if !regained.IsZero() && end.Sub(regained) > aroundTime {
 			continue
 		}
-		if instances[k.kind] == nil {
-			instances[k.kind] = make(map[string]bool)
+		if instances[link.kind] == nil {
+			instances[link.kind] = make(map[string]bool)
 		}
-		instances[k.kind][k.instance] = true
+		instances[link.kind][link.instance] = true
 	}
-	var told []string
+	told := make([]string, 0, len(instances))
 	for kind, who := range instances {
 		number := "an instance"
 		if len(who) > 1 {
@@ -152,6 +140,30 @@
 	return told
 }
 
+// dependencyLosses returns the links that were lost until a time, with when each
+// was regained; zero for those that were not. A process that starts has lost
+// nothing yet.
+func dependencyLosses(lines []Line, end time.Time) map[dependencyLink]time.Time {
+	sorted := slices.Clone(lines)
+	byTime(sorted)
+	lost := make(map[dependencyLink]time.Time)
+	for _, l := range sorted {
+		if l.Time.After(end) {
+			break
+		}
+		link := dependencyLink{l.Source, l.Get("dependency"), l.Get("peer") + l.Get("address") + l.Get("topic")}
+		switch l.Event {
+		case "dependency_lost":
+			lost[link] = time.Time{}
+		case "dependency_regained":
+			lost[link] = l.Time
+		case "start":
+			maps.DeleteFunc(lost, func(old dependencyLink, _ time.Time) bool { return old.instance == l.Source })
+		}
+	}
+	return lost
+}
+
 func dependencyName(kind string) string {
 	switch kind {
 	case "peer":
@@ -173,14 +185,12 @@
 		return ""
 	}
 	waited, first, total := l.Number("waited_ms"), l.Number("first_ms"), l.Number("total_ms")
-	var parts []string
 	switch {
 	case l.Number("attempts") <= 0:
-		parts = append(parts, fmt.Sprintf("%d ms in line", total))
+		return fmt.Sprintf("%d ms in line", total)
 	case first < 0:
-		parts = append(parts, fmt.Sprintf("%d ms until the last send, %d ms without a first event", waited, total-waited))
+		return fmt.Sprintf("%d ms until the last send, %d ms without a first event", waited, total-waited)
 	default:
-		parts = append(parts, fmt.Sprintf("%d ms until the first event, %d ms after it", first, total-first))
+		return fmt.Sprintf("%d ms until the first event, %d ms after it", first, total-first)
 	}
-	return strings.Join(parts, ", ")
 }
