--- a/loomload/run.go
+++ b/loomload/run.go
@@ -14,6 +14,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"swiftloom/loomcache"
+	"swiftloom/loomkernel"
 	"swiftloom/loomstandin"
 )
 
@@ -241,15 +242,9 @@
 	return hdrhistogram.New(1, highestLatency, precision)
 }
 
+// sleepUntil waits until t and reports whether ctx lasted.
 func sleepUntil(ctx context.Context, t time.Time) bool {
-	timer := time.NewTimer(time.Until(t))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return loomkernel.Pause(ctx, time.Until(t)) == nil
 }
 
 func (r *Runner) play(ctx context.Context, q Request) {
--- a/loomstandin/link.go
+++ b/loomstandin/link.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"swiftloom/loomkernel"
 )
 
 // link is a connection of limited capacity that serves transfers in order of
@@ -77,12 +79,5 @@
 	if d <= 0 {
 		return ctx.Err()
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
+	return loomkernel.Pause(ctx, d)
 }
--- a/loomtrial/faults.go
+++ b/loomtrial/faults.go
@@ -105,15 +105,9 @@
 	}
 }
 
+// pause waits for d and reports whether ctx lasted.
 func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return loomkernel.Pause(ctx, d) == nil
 }
 
 func killEngine(ctx context.Context, t *Trial, random *rand.Rand) {
