Put the lines of a story in order once; read the operators' page in one place

Around sorted a copy of all lines twice, for silences and for lost dependencies, and cut it at the request's end three times. It does so once now. Two tests cut their section out of the page in the same five lines.

--- a/loomgate/operations_test.go
+++ b/loomgate/operations_test.go
@@ -16,6 +16,17 @@
 	"swiftloom/loomerror"
 )
 
+// operationsSection returns a section of the operators' page.
+func operationsSection(t *testing.T, title string) string {
+	t.Helper()
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
+	assert.NilError(t, err)
+	_, section, found := strings.Cut(string(page), title)
+	assert.Assert(t, found)
+	section, _, _ = strings.Cut(section, "\n## ")
+	return section
+}
+
 // TestOperationsPageNamesEvents checks that docs/OPERATIONS.md names each event
 // that the code logs, and no other.
 func TestOperationsPageNamesEvents(t *testing.T) {
@@ -35,11 +46,7 @@
 			}
 		}
 	}
-	page, err := os.ReadFile("../docs/OPERATIONS.md")
-	assert.NilError(t, err)
-	_, table, found := strings.Cut(string(page), "## Events")
-	assert.Assert(t, found)
-	table, _, _ = strings.Cut(table, "\n## ")
+	table := operationsSection(t, "## Events")
 	named := make(map[string]bool)
 	code := regexp.MustCompile("`([a-z_]+)`")
 	for line := range strings.SplitSeq(table, "\n") {
@@ -69,11 +76,7 @@
 	for _, m := range metric.FindAllStringSubmatch(string(data), -1) {
 		shown["swiftloom_"+m[1]] = true
 	}
-	page, err := os.ReadFile("../docs/OPERATIONS.md")
-	assert.NilError(t, err)
-	_, table, found := strings.Cut(string(page), "## Metrics")
-	assert.Assert(t, found)
-	table, _, _ = strings.Cut(table, "\n## ")
+	table := operationsSection(t, "## Metrics")
 	named := make(map[string]bool)
 	for _, m := range regexp.MustCompile("`(swiftloom_[a-z_]+)").FindAllStringSubmatch(table, -1) {
 		named[m[1]] = true
--- a/loomlog/around.go
+++ b/loomlog/around.go
@@ -41,37 +41,39 @@
 // Around returns what happened to the site in the seconds before the last line
 // of a request, at any instance, in words.
 func Around(lines []Line, last Line) []string {
-	end := last.Time
-	var near []Line
-	for _, l := range lines {
-		if !l.Time.After(end) && end.Sub(l.Time) <= aroundTime {
-			near = append(near, l)
-		}
-	}
+	before := until(lines, last.Time)
 	var told []string
-	if gap := silence(lines, last); gap >= leastSilence {
+	if gap := silence(before, last); gap >= leastSilence {
 		told = append(told, fmt.Sprintf("the instance wrote nothing for %d ms, as one that is frozen", gap.Milliseconds()))
 	}
 	for _, c := range circumstances {
-		if text := c.tell(near); text != "" {
+		if text := c.tell(before, last.Time); text != "" {
 			told = append(told, text)
 		}
 	}
-	return append(told, lostDependencies(lines, end)...)
+	return append(told, lostDependencies(before, last.Time)...)
+}
+
+// until returns the lines that are not after a time, in order of time.
+func until(lines []Line, end time.Time) []Line {
+	var before []Line
+	for _, l := range lines {
+		if !l.Time.After(end) {
+			before = append(before, l)
+		}
+	}
+	byTime(before)
+	return before
 }
 
 // silence returns the longest time without a line of an instance in the seconds
-// before a line of it, while others wrote some.
+// before a line of it, while others wrote some. The lines are in order of time
+// and end with it.
 func silence(lines []Line, last Line) time.Duration {
-	sorted := slices.Clone(lines)
-	byTime(sorted)
 	var longest time.Duration
 	var before time.Time
 	others := false
-	for _, l := range sorted {
-		if l.Time.After(last.Time) {
-			break
-		}
+	for _, l := range lines {
 		if l.Source != last.Source {
 			others = true
 			continue
@@ -85,11 +87,12 @@
 	return longest
 }
 
-// tell counts the distinct values of the circumstance's key.
-func (c circumstance) tell(near []Line) string {
+// tell counts the distinct values of the circumstance's key in the lines shortly
+// before a time.
+func (c circumstance) tell(lines []Line, end time.Time) string {
 	seen := make(map[string]bool)
-	for _, l := range near {
-		if l.Event != c.event {
+	for _, l := range lines {
+		if l.Event != c.event || end.Sub(l.Time) > aroundTime {
 			continue
 		}
 		value := l.Source
@@ -119,7 +122,7 @@
 // regained shortly before, by their kind.
 func lostDependencies(lines []Line, end time.Time) []string {
 	instances := make(map[string]map[string]bool)
-	for link, regained := range dependencyLosses(lines, end) {
+	for link, regained := range dependencyLosses(lines) {
 		if !regained.IsZero() && end.Sub(regained) > aroundTime {
 			continue
 		}
@@ -140,17 +143,12 @@
 	return told
 }
 
-// dependencyLosses returns the links that were lost until a time, with when each
-// was regained; zero for those that were not. A process that starts has lost
-// nothing yet.
-func dependencyLosses(lines []Line, end time.Time) map[dependencyLink]time.Time {
-	sorted := slices.Clone(lines)
-	byTime(sorted)
+// dependencyLosses returns the links that were lost by lines in order of time,
+// with when each was regained; zero for those that were not. A process that
+// starts has lost nothing yet.
+func dependencyLosses(lines []Line) map[dependencyLink]time.Time {
 	lost := make(map[dependencyLink]time.Time)
-	for _, l := range sorted {
-		if l.Time.After(end) {
-			break
-		}
+	for _, l := range lines {
 		link := dependencyLink{l.Source, l.Get("dependency"), l.Get("peer") + l.Get("address") + l.Get("topic")}
 		switch l.Event {
 		case "dependency_lost":
