Log how each attempt ended, and count the ends of streams

New: a line attempt_ended for each attempt that another one follows, with status, framing, the event after which it was to continue, the events so far and the cause; framing and resumed_after in request_done; a counter stream_ends_total by end (framed, until_close, cut, other_answer). The cause of a failed attempt no longer appears in the request_done line of an attempt that was sent after it. What is decided is unchanged. The lines are bounded by the retry budget.

--- a/loomgate/events.go
+++ b/loomgate/events.go
@@ -26,6 +26,21 @@
 		"left_ms", r.deadline.Sub(now).Milliseconds())
 }
 
+// logAttemptEnded logs the end of an attempt that another one follows after a
+// pause.
+func (g *Gate) logAttemptEnded(d *dispatch, pause time.Duration) {
+	g.log.Info("attempt_ended",
+		"request_id", d.req.RequestID,
+		"attempt", d.attempts,
+		"upstream", d.upstream.ID,
+		"status", d.status,
+		"framing", d.framing.String(),
+		"resumed_after", d.resumedAfter,
+		"events", d.lifecycle.Relayed(),
+		"pause_ms", pause.Milliseconds(),
+		"cause", d.cause)
+}
+
 // logDone logs the end of a request and updates the metrics.
 func (g *Gate) logDone(d *dispatch, failure *loomerror.Error) {
 	r := d.req
@@ -49,6 +64,8 @@
 		"account", r.account.Name,
 		"outcome", outcome,
 		"status", d.status,
+		"framing", d.framing.String(),
+		"resumed_after", d.resumedAfter,
 		"not_run", notRun,
 		"attempts", d.attempts,
 		"upstream", d.upstream.ID,
--- a/loomgate/metrics.go
+++ b/loomgate/metrics.go
@@ -48,9 +48,10 @@
 	answered tally.Counter
 	// firstByte and total are keyed by route kind, errors by error kind.
 	// Entries are created on first use and guarded by Metrics.mu.
-	firstByte map[loomcatalogue.RouteKind]tally.Histogram
-	total     map[loomcatalogue.RouteKind]tally.Histogram
-	errors    map[loomerror.Kind]tally.Counter
+	firstByte  map[loomcatalogue.RouteKind]tally.Histogram
+	total      map[loomcatalogue.RouteKind]tally.Histogram
+	errors     map[loomerror.Kind]tally.Counter
+	streamEnds map[streamEnd]tally.Counter
 }
 
 func newMetrics() *Metrics {
@@ -87,11 +88,12 @@
 	}
 	scope := m.exporter.Scope().Tagged(map[string]string{"upstream_group": label})
 	g := &groupMetrics{
-		scope:     scope,
-		answered:  scope.Counter("answered_total"),
-		firstByte: make(map[loomcatalogue.RouteKind]tally.Histogram),
-		total:     make(map[loomcatalogue.RouteKind]tally.Histogram),
-		errors:    make(map[loomerror.Kind]tally.Counter),
+		scope:      scope,
+		answered:   scope.Counter("answered_total"),
+		firstByte:  make(map[loomcatalogue.RouteKind]tally.Histogram),
+		total:      make(map[loomcatalogue.RouteKind]tally.Histogram),
+		errors:     make(map[loomerror.Kind]tally.Counter),
+		streamEnds: make(map[streamEnd]tally.Counter),
 	}
 	m.groups[label] = g
 	return g
@@ -111,6 +113,19 @@
 	c.Inc(1)
 }
 
+// streamEnded counts how an upstream's stream ended.
+func (m *Metrics) streamEnded(group string, end streamEnd) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	g := m.group(group)
+	c, ok := g.streamEnds[end]
+	if !ok {
+		c = g.scope.Tagged(map[string]string{"stream_end": end.String()}).Counter("stream_ends_total")
+		g.streamEnds[end] = c
+	}
+	c.Inc(1)
+}
+
 // firstByte records the time to the first byte of an answer.
 func (m *Metrics) firstByte(group string, k loomcatalogue.RouteKind, d time.Duration) {
 	m.mu.Lock()
--- a/loomgate/operations_test.go
+++ b/loomgate/operations_test.go
@@ -91,11 +91,13 @@
 	g.metrics.answered("engines", loomcatalogue.Streaming, time.Second)
 	g.metrics.failed("engines", loomerror.NoUpstream)
 	g.metrics.failed("", loomerror.NotFound)
+	g.metrics.streamEnded("engines", streamEndCut)
 	g.updateGauges(time.Now())
 	assert.Assert(t, pageHas(g, `swiftloom_upstreams{upstream_group="engines"} 2`))
 	assert.Assert(t, pageHas(g, `swiftloom_line_length{upstream_group="engines"} 0`))
 	assert.Assert(t, pageHas(g, `swiftloom_errors_total{error_kind="no_upstream",upstream_group="engines"} 1`))
 	assert.Assert(t, pageHas(g, `swiftloom_errors_total{error_kind="not_found",upstream_group="none"} 1`))
+	assert.Assert(t, pageHas(g, `swiftloom_stream_ends_total{stream_end="cut",upstream_group="engines"} 1`))
 	for i := range 10 * maxGroupLabels {
 		g.metrics.failed("group"+strconv.Itoa(i), loomerror.NoUpstream)
 	}
--- a/loomgate/relay.go
+++ b/loomgate/relay.go
@@ -33,6 +33,9 @@
 	if d.req.route.Kind == loomcatalogue.Streaming && isSuccess(reply) {
 		return d.relayStream(ctx, reply)
 	}
+	if d.started {
+		d.gate.metrics.streamEnded(d.req.group.Name, streamEndOther)
+	}
 	return d.relayBuffered(ctx, reply)
 }
 
@@ -115,6 +118,33 @@
 	d.gate.observePrefill(d, now)
 }
 
+// streamEnd is the way in which an upstream's stream ended.
+type streamEnd int
+
+// The ends of streams. streamEndUntilClose is a proper end of a body that ends with
+// its connection. streamEndOther is the answer to a continuation that is not a
+// stream.
+const (
+	streamEndFramed streamEnd = iota
+	streamEndUntilClose
+	streamEndCut
+	streamEndOther
+)
+
+// String returns the name of the end in lower case.
+func (e streamEnd) String() string {
+	switch e {
+	case streamEndFramed:
+		return "framed"
+	case streamEndUntilClose:
+		return "until_close"
+	case streamEndCut:
+		return "cut"
+	default:
+		return "other_answer"
+	}
+}
+
 // relayStream relays the events of a stream as they arrive, each only once it
 // is complete.
 func (d *dispatch) relayStream(ctx context.Context, reply *loomupstream.Reply) loomstream.Action {
@@ -123,9 +153,10 @@
 		event, err := events.Next()
 		now := time.Now()
 		if errors.Is(err, io.EOF) {
-			return d.handleStreamEnd(now)
+			return d.handleStreamEnd(now, reply.Framing)
 		}
 		if err != nil {
+			d.gate.metrics.streamEnded(d.req.group.Name, streamEndCut)
 			return d.handleAttemptError(ctx, &loomupstream.SendError{Delivered: true, Cause: err})
 		}
 		d.gate.fleet.RecordReceived(now, d.upstream.ID)
@@ -160,7 +191,12 @@
 
 // handleStreamEnd handles a stream that ended after a complete event, or before
 // the first one.
-func (d *dispatch) handleStreamEnd(now time.Time) loomstream.Action {
+func (d *dispatch) handleStreamEnd(now time.Time, framing loomupstream.Framing) loomstream.Action {
+	end := streamEndFramed
+	if framing == loomupstream.FramingUntilClose {
+		end = streamEndUntilClose
+	}
+	d.gate.metrics.streamEnded(d.req.group.Name, end)
 	if d.lifecycle.Relayed() == 0 {
 		d.cause = "stream ended before its first event"
 		return d.lifecycle.Apply(now, loomstream.Broken{Attempt: d.attemptID})
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -43,6 +43,9 @@
 	hasTicket      bool
 	sentAt         time.Time
 	cancel         context.CancelFunc
+	// resumedAfter is the event ID after which the current attempt continues the
+	// answer, or empty.
+	resumedAfter string
 
 	// lastEventID is the ID of the last event that was relayed.
 	lastEventID string
@@ -52,8 +55,12 @@
 	longestPause time.Duration
 	started      bool
 	firstAt      time.Time
-	status       int
-	cause        string
+	// status and framing are those of the response to the last attempt. They are
+	// zero if it got none.
+	status  int
+	framing loomupstream.Framing
+	// cause says why the last attempt failed.
+	cause string
 }
 
 // Serve processes one request. It returns when the answer is complete or the
@@ -113,6 +120,7 @@
 		case loomstream.Retry:
 			d.releaseAttempt()
 			d.gate.metrics.retries.Inc(1)
+			d.gate.logAttemptEnded(d, a.After)
 			if err := loomkernel.Sleep(ctx, a.After); err != nil {
 				return d.contextError(ctx)
 			}
@@ -157,6 +165,7 @@
 	d.attempts++
 	d.attemptID = strconv.Itoa(d.attempts)
 	d.sentAt = now
+	d.status, d.framing, d.cause = 0, loomupstream.FramingUnknown, ""
 	d.triedIDs = append(d.triedIDs, d.upstream.ID)
 	d.ticket = d.gate.fleet.RecordSentWithMemory(now, d.upstream.ID, d.expectedWork(d.choice), d.memoryTokens())
 	d.hasTicket = true
@@ -169,12 +178,14 @@
 	d.gate.queues.wakeFirst(d.req.group.Name)
 	call, cancel := context.WithCancel(ctx)
 	d.cancel = cancel
-	reply, err := d.gate.runner.Send(call, d.upstream.Address, d.newSend(now))
+	send := d.newSend(now)
+	d.resumedAfter = send.ResumeAfter
+	reply, err := d.gate.runner.Send(call, d.upstream.Address, send)
 	if err != nil {
 		return d.handleAttemptError(ctx, err)
 	}
 	defer func() { _ = reply.Body.Close() }()
-	d.status = reply.Status
+	d.status, d.framing = reply.Status, reply.Framing
 	return d.handleReply(ctx, reply)
 }
 
--- a/loomupstream/runner.go
+++ b/loomupstream/runner.go
@@ -56,7 +56,9 @@
 	// Length is the length of the body in bytes, or -1 when the upstream did not
 	// send it.
 	Length int64
-	Body   io.ReadCloser
+	// Framing is what marks the end of the body.
+	Framing Framing
+	Body    io.ReadCloser
 	// RequestID is the request ID that the response carries.
 	RequestID string
 	// Stamped reports that the response carries the stamp of an upstream, so it
@@ -73,6 +75,33 @@
 	Leaving bool
 }
 
+// Framing is the way in which a response marks the end of its body.
+type Framing int
+
+// The framings. A body that ends with its connection is also cut without a trace
+// when the upstream's process is killed, because the operating system then closes
+// the connection in the same way.
+const (
+	FramingUnknown Framing = iota
+	FramingLength
+	FramingChunked
+	FramingUntilClose
+)
+
+// String returns the name of the framing in lower case.
+func (f Framing) String() string {
+	switch f {
+	case FramingLength:
+		return "length"
+	case FramingChunked:
+		return "chunked"
+	case FramingUntilClose:
+		return "until_close"
+	default:
+		return "unknown"
+	}
+}
+
 // Order instructs an upstream to load weights.
 type Order struct {
 	Upstream string
