Complete a stream only when its own upstream has ended it

Cause: a resumable stream was cut at its upstream and continued at another one, which answered with a status of its own. The end of that answer was taken for the end of the caller's: Lifecycle returned Complete for an error after relayed tokens, relayBuffered wrote the error's body into the open response, and the handler ended every response that nobody had aborted.

Now an error after relayed tokens breaks the attempt, which is retried elsewhere or cuts the stream; a continuation must have the status that the caller has received; and a response is complete only if the gate says so: without EndStream, WriteAnswer or WriteError the handler breaks the connection. So a path that forgets to abort can't complete an answer any more.

TestGuarantees knew no Failed event, which is why it missed this; it has one now and fails on the code before, as do two rows of TestLifecycle.

--- a/loomgate/load_test.go
+++ b/loomgate/load_test.go
@@ -73,6 +73,7 @@
 
 func (r *recordingResponder) WriteAnswer(*loomupstream.Reply, []byte) error { return nil }
 func (r *recordingResponder) StartStream(*loomupstream.Reply)               {}
+func (r *recordingResponder) EndStream()                                    {}
 func (r *recordingResponder) Abort()                                        {}
 
 func (r *recordingResponder) WriteEvent([]byte) error {
--- a/loomgate/pause_test.go
+++ b/loomgate/pause_test.go
@@ -30,6 +30,7 @@
 
 func (r *streamResponder) WriteAnswer(*loomupstream.Reply, []byte) error { return nil }
 func (r *streamResponder) StartStream(*loomupstream.Reply)               {}
+func (r *streamResponder) EndStream()                                    {}
 func (r *streamResponder) Abort()                                        {}
 
 func (r *streamResponder) WriteError(_ string, err *loomerror.Error) {
--- a/loomgate/queue.go
+++ b/loomgate/queue.go
@@ -114,7 +114,7 @@
 // capacity for it. It refuses at once a request that could not start in time.
 func (d *dispatch) waitForEngine(ctx context.Context) *loomerror.Error {
 	now := time.Now()
-	if d.started {
+	if d.streamStatus != 0 {
 		// A stream that resumes at another upstream has already waited in the
 		// queue.
 		return d.place(ctx, now, placeAlways)
--- a/loomgate/relay.go
+++ b/loomgate/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"strconv"
 	"time"
@@ -30,15 +31,27 @@
 		return d.lifecycle.Apply(now, loomstream.Broken{Attempt: d.attemptID})
 	}
 	d.updateVersion(now, reply.Version)
+	if d.streamStatus != 0 && reply.Status != d.streamStatus {
+		return d.handleFailedContinuation(now, reply)
+	}
 	if d.req.route.Kind == loomcatalogue.Streaming && isSuccess(reply) {
 		return d.relayStream(ctx, reply)
 	}
-	if d.started {
-		d.gate.metrics.streamEnded(d.req.group.Name, streamEndOther)
-	}
 	return d.relayBuffered(ctx, reply)
 }
 
+// handleFailedContinuation handles a response to an attempt that was to continue a
+// stream, but that has another status than the stream. Nothing of the response may
+// reach the caller, who has received the head and some events of the stream.
+func (d *dispatch) handleFailedContinuation(now time.Time, reply *loomupstream.Reply) loomstream.Action {
+	d.cause = fmt.Sprintf("continuation of a stream with status %d was answered with status %d", d.streamStatus, reply.Status)
+	d.gate.metrics.streamEnded(d.req.group.Name, streamEndOther)
+	if reply.Status >= 500 {
+		d.gate.fleet.RecordFailure(now, d.upstream.ID)
+	}
+	return d.lifecycle.Apply(now, loomstream.Failed{Attempt: d.attemptID})
+}
+
 func isSuccess(r *loomupstream.Reply) bool {
 	return r.Status >= 200 && r.Status < 300
 }
@@ -98,7 +111,6 @@
 	} else {
 		d.gate.fleet.RecordSuccess(d.upstream.ID)
 	}
-	d.started = true
 	if err := d.w.WriteAnswer(reply, body); err != nil {
 		d.cause = "the caller's connection broke: " + err.Error()
 	}
@@ -167,8 +179,8 @@
 		if _, ok := action.(loomstream.Relay); !ok {
 			return action
 		}
-		if !d.started {
-			d.started = true
+		if d.streamStatus == 0 {
+			d.streamStatus = reply.Status
 			d.w.StartStream(reply)
 		}
 		if err := d.w.WriteEvent(event.Raw); err != nil {
@@ -202,5 +214,9 @@
 		return d.lifecycle.Apply(now, loomstream.Broken{Attempt: d.attemptID})
 	}
 	d.gate.fleet.RecordSuccess(d.upstream.ID)
-	return d.lifecycle.Apply(now, loomstream.Finished{Attempt: d.attemptID, Tokens: d.lifecycle.Relayed()})
+	action := d.lifecycle.Apply(now, loomstream.Finished{Attempt: d.attemptID, Tokens: d.lifecycle.Relayed()})
+	if _, ok := action.(loomstream.Complete); ok {
+		d.w.EndStream()
+	}
+	return action
 }
--- a/loomgate/request.go
+++ b/loomgate/request.go
@@ -64,7 +64,8 @@
 }
 
 // Responder writes the answer to one request. The first call is WriteAnswer,
-// StartStream or WriteError, or Abort if the caller has left.
+// StartStream or WriteError, or Abort if the caller has left. A stream is complete
+// only if EndStream is called; otherwise it is aborted when Gate.Serve returns.
 type Responder interface {
 	// WriteAnswer writes a complete answer.
 	WriteAnswer(r *loomupstream.Reply, body []byte) error
@@ -72,6 +73,8 @@
 	StartStream(r *loomupstream.Reply)
 	// WriteEvent writes one event of a streamed answer and flushes it.
 	WriteEvent(raw []byte) error
+	// EndStream marks the streamed answer as complete.
+	EndStream()
 	// WriteError writes an error, or aborts the answer if it has started.
 	WriteError(requestID string, err *loomerror.Error)
 	// Abort ends the answer in such a way that the caller cannot take it for a
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -53,7 +53,9 @@
 	// two events so far.
 	lastEventAt  time.Time
 	longestPause time.Duration
-	started      bool
+	// streamStatus is the status of the streamed answer, once its head has been
+	// written. The answer can only continue with that status.
+	streamStatus int
 	firstAt      time.Time
 	// status and framing are those of the response to the last attempt. They are
 	// zero if it got none.
--- a/loomstream/lifecycle.go
+++ b/loomstream/lifecycle.go
@@ -73,7 +73,8 @@
 	Tokens  int
 }
 
-// Failed reports that the upstream ran an attempt and answered with an error.
+// Failed reports that the upstream answered an attempt with an error, and may have
+// run it.
 type Failed struct {
 	Attempt string
 }
@@ -342,17 +343,21 @@
 }
 
 // failed requests another attempt where that is allowed, and otherwise completes
-// the request with the error of the upstream.
+// the request with the error of the upstream. An answer that has begun can't end
+// with that error; its attempt counts as broken.
 func (l *Lifecycle) failed(now time.Time, e Failed) Action {
 	if e.Attempt != l.attempt || l.state == Answered || l.state == Queued {
 		return Wait{}
 	}
 	l.state = Sent
-	if len(l.answer) == 0 && l.mayRunAgain() && l.attempts < MaxAttempts && l.budget.Withdraw(now) {
+	if len(l.answer) > 0 {
+		return l.broken(now, Broken{Attempt: e.Attempt})
+	}
+	if l.mayRunAgain() && l.attempts < MaxAttempts && l.budget.Withdraw(now) {
 		return Retry{After: l.backoff.Pause(l.attempts)}
 	}
 	l.state = Answered
-	return Complete{Tokens: len(l.answer)}
+	return Complete{}
 }
 
 // mayRunAgain records that the attempt may have run, and reports whether another
--- a/loomstream/lifecycle_test.go
+++ b/loomstream/lifecycle_test.go
@@ -42,6 +42,9 @@
 		{"change of a relayed token fails", true, []loomstream.Event{dispatched, first, loomstream.Token{Attempt: "a", Version: 1, Offset: 0, Value: 8}}, loomstream.Fail{}, loomerror.NotRunFalse},
 		{"abandoned attempt", true, []loomstream.Event{dispatched, loomstream.Dispatched{Attempt: "b"}, first}, loomstream.Wait{}, loomerror.NotRunUnknown},
 		{"complete", true, []loomstream.Event{dispatched, first, loomstream.Finished{Attempt: "a", Tokens: 1}}, loomstream.Complete{Tokens: 1}, loomerror.NotRunFalse},
+		{"error is the answer", false, []loomstream.Event{dispatched, delivered, loomstream.Failed{Attempt: "a"}}, loomstream.Complete{}, loomerror.NotRunUnknown},
+		{"error after tokens fails", false, []loomstream.Event{dispatched, first, loomstream.Failed{Attempt: "a"}}, loomstream.Fail{}, loomerror.NotRunFalse},
+		{"continuation with an error is retried", true, []loomstream.Event{dispatched, first, loomstream.Broken{Attempt: "a"}, loomstream.Dispatched{Attempt: "b"}, loomstream.Failed{Attempt: "b"}}, loomstream.Retry{}, loomerror.NotRunFalse},
 		{"caller gone", true, []loomstream.Event{dispatched, delivered, loomstream.CallerGone{}}, loomstream.Cancel{Attempt: "a"}, loomerror.NotRunUnknown},
 	}
 	for _, tt := range tests {
@@ -61,10 +64,11 @@
 	}
 }
 
-// TestGuarantees checks three guarantees for random sequences of events: a request
+// TestGuarantees checks four guarantees for random sequences of events: a request
 // that is not idempotent is not sent again once an attempt may have run, the
-// relayed tokens are a prefix of the answer, and NotRunTrue is reported only if
-// no attempt may have run.
+// relayed tokens are a prefix of the answer, an answer that has begun completes
+// only with all its tokens, and NotRunTrue is reported only if no attempt may have
+// run.
 func TestGuarantees(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		isIdempotent := rapid.Bool().Draw(t, "repeatable")
@@ -93,7 +97,7 @@
 				continue
 			}
 			var e loomstream.Event
-			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
 			case 0:
 				e = loomstream.Delivered{Attempt: id}
 				sent = sent || id == attempt
@@ -113,6 +117,10 @@
 				e = loomstream.Finished{Attempt: id, Tokens: len(answer)}
 				sent = sent || id == attempt
 				mayHaveRun = true
+			case 4:
+				e = loomstream.Failed{Attempt: id}
+				sent = sent || id == attempt
+				mayHaveRun = true
 			default:
 				unsent[id] = unsent[id] || (id == attempt && !sent)
 				e = loomstream.Broken{Attempt: id, Resumable: rapid.Bool().Draw(t, "resumable")}
@@ -123,6 +131,9 @@
 			case loomstream.Retry:
 				dispatch()
 			case loomstream.Complete:
+				if _, ok := e.(loomstream.Failed); ok && len(relayed) == 0 {
+					return
+				}
 				assert.DeepEqual(t, relayed, answer)
 				return
 			case loomstream.Fail:
