Relay a continued stream only from the event after the last one

What callers would see: events that come twice or are missing, within one answer that ends as complete.

Cause: when a stream is continued at another upstream, the gate told Lifecycle the offset that it expected, so that the check of offsets could never fail, and relayed whatever came. An upstream that ignores the resume position starts again at its first event. A stream whose events have no IDs was sent again as a whole.

Now loomstream.Sequence checks IDs: they must increase, and the first event of a continuation must be the next one. Otherwise the attempt is broken off before anything of it is relayed. A stream that has begun can't be continued after an event without ID. Comments of a continuation are left out.

--- a/loomgate/relay.go
+++ b/loomgate/relay.go
@@ -28,7 +28,7 @@
 	if reply.RequestID != d.req.RequestID || !reply.Stamped {
 		d.cause = "answer lacks the upstream's stamp or the ID of this request"
 		d.gate.fleet.RecordFailure(now, d.upstream.ID)
-		return d.lifecycle.Apply(now, loomstream.Broken{Attempt: d.attemptID})
+		return d.breakAttempt(now)
 	}
 	d.updateVersion(now, reply.Version)
 	if d.streamStatus != 0 && reply.Status != d.streamStatus {
@@ -160,6 +160,8 @@
 // relayStream relays the events of a stream as they arrive, each only once it
 // is complete.
 func (d *dispatch) relayStream(ctx context.Context, reply *loomupstream.Reply) loomstream.Action {
+	isContinuation := d.streamStatus != 0
+	d.sequence.Resume()
 	events := loomstream.NewEventReader(reply.Body)
 	for {
 		event, err := events.Next()
@@ -171,28 +173,51 @@
 			d.gate.metrics.streamEnded(d.req.group.Name, streamEndCut)
 			return d.handleAttemptError(ctx, &loomupstream.SendError{Delivered: true, Cause: err})
 		}
-		d.gate.fleet.RecordReceived(now, d.upstream.ID)
-		d.recordFirstByte(now)
-		d.recordEvent(now)
-		offset := d.lifecycle.Relayed()
-		action := d.lifecycle.Apply(now, loomstream.Token{Attempt: d.attemptID, Version: d.version, Offset: offset})
-		if _, ok := action.(loomstream.Relay); !ok {
-			return action
-		}
-		if d.streamStatus == 0 {
-			d.streamStatus = reply.Status
-			d.w.StartStream(reply)
+		if event.IsComment() && isContinuation {
+			// Comments are part of the first upstream's body only.
+			continue
 		}
-		if err := d.w.WriteEvent(event.Raw); err != nil {
-			d.cause = "the caller's connection broke: " + err.Error()
-			return d.abandon(ctx, now)
+		if err := d.checkOrder(event); err != nil {
+			d.cause = err.Error()
+			d.gate.metrics.streamEnded(d.req.group.Name, streamEndOther)
+			d.gate.fleet.RecordFailure(now, d.upstream.ID)
+			return d.breakAttempt(now)
 		}
-		if event.ID != "" {
-			d.lastEventID = event.ID
+		if action, ok := d.relayEvent(ctx, now, reply, event); !ok {
+			return action
 		}
 	}
 }
 
+// checkOrder returns an error if the event doesn't follow the last one.
+func (d *dispatch) checkOrder(event loomstream.EventRecord) error {
+	if event.IsComment() {
+		return nil
+	}
+	return d.sequence.Add(event.ID)
+}
+
+// relayEvent passes an event on to the caller. It returns false with the next action
+// if the attempt is over.
+func (d *dispatch) relayEvent(ctx context.Context, now time.Time, reply *loomupstream.Reply, event loomstream.EventRecord) (loomstream.Action, bool) {
+	d.gate.fleet.RecordReceived(now, d.upstream.ID)
+	d.recordFirstByte(now)
+	d.recordEvent(now)
+	action := d.lifecycle.Apply(now, loomstream.Token{Attempt: d.attemptID, Version: d.version, Offset: d.lifecycle.Relayed()})
+	if _, ok := action.(loomstream.Relay); !ok {
+		return action, false
+	}
+	if d.streamStatus == 0 {
+		d.streamStatus = reply.Status
+		d.w.StartStream(reply)
+	}
+	if err := d.w.WriteEvent(event.Raw); err != nil {
+		d.cause = "the caller's connection broke: " + err.Error()
+		return d.abandon(ctx, now), false
+	}
+	return nil, true
+}
+
 // recordEvent records the pause before an event of a stream.
 func (d *dispatch) recordEvent(now time.Time) {
 	if !d.lastEventAt.IsZero() {
@@ -211,7 +236,7 @@
 	d.gate.metrics.streamEnded(d.req.group.Name, end)
 	if d.lifecycle.Relayed() == 0 {
 		d.cause = "stream ended before its first event"
-		return d.lifecycle.Apply(now, loomstream.Broken{Attempt: d.attemptID})
+		return d.breakAttempt(now)
 	}
 	d.gate.fleet.RecordSuccess(d.upstream.ID)
 	action := d.lifecycle.Apply(now, loomstream.Finished{Attempt: d.attemptID, Tokens: d.lifecycle.Relayed()})
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -47,9 +47,9 @@
 	// answer, or empty.
 	resumedAfter string
 
-	// lastEventID is the ID of the last event that was relayed.
-	lastEventID string
-	// lastEventAt is when it arrived, and longestPause the longest time between
+	// sequence checks the events that are relayed.
+	sequence loomstream.Sequence
+	// lastEventAt is when the last event arrived, and longestPause the longest time between
 	// two events so far.
 	lastEventAt  time.Time
 	longestPause time.Duration
@@ -79,7 +79,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
-	d := &dispatch{placementQuery: newPlacementQuery(g, r), req: r, w: w}
+	d := &dispatch{placementQuery: newPlacementQuery(g, r), req: r, w: w, sequence: loomstream.NewSequence(r.ResumeAfter)}
 	d.lifecycle = loomstream.NewLifecycle(r.isRepeatable(), g.retries.forGroup(r.group.Name), loomstream.NewBackoff(g.newRand())).WithMaxRuns(r.route.MaxAttempts)
 	if parts := in.Prompt.Parts; len(parts) > 0 {
 		d.isLastPartReusable = g.partReuse.Record(r.route.Name, parts[len(parts)-1].ID)
@@ -204,10 +204,7 @@
 		TimeLeft:    r.deadline.Sub(now),
 		Upstream:    d.upstream.ID,
 		Account:     r.account.Name,
-		ResumeAfter: d.lastEventID,
-	}
-	if d.lastEventID == "" {
-		s.ResumeAfter = r.ResumeAfter
+		ResumeAfter: d.sequence.LastID(),
 	}
 	if !r.HasPrompt {
 		return s
@@ -241,7 +238,13 @@
 		d.gate.fleet.Unreachable(now, d.upstream.ID)
 	}
 	d.gate.fleet.RecordFailure(now, d.upstream.ID)
-	return d.lifecycle.Apply(now, loomstream.Broken{Attempt: d.attemptID})
+	return d.breakAttempt(now)
+}
+
+// breakAttempt ends an attempt that has brought no complete answer. A stream that has
+// begun can only be continued after an event with an ID.
+func (d *dispatch) breakAttempt(now time.Time) loomstream.Action {
+	return d.lifecycle.Apply(now, loomstream.Broken{Attempt: d.attemptID, Final: d.streamStatus != 0 && d.sequence.LastID() == ""})
 }
 
 // abandon ends a request whose caller has left or whose deadline has passed.
--- a/loomstream/events.go
+++ b/loomstream/events.go
@@ -20,6 +20,17 @@
 	ID string
 }
 
+// IsComment reports whether the record has no field, only comments.
+func (r EventRecord) IsComment() bool {
+	for line := range bytes.Lines(r.Raw) {
+		text := bytes.TrimRight(line, "\r\n")
+		if len(text) > 0 && text[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // EventReader splits a text/event-stream into events. It returns only complete
 // events, so that a relay never forwards part of an event when the stream breaks.
 type EventReader struct {
--- a/loomstream/events_test.go
+++ b/loomstream/events_test.go
@@ -57,3 +57,18 @@
 		assert.Assert(t, strings.HasPrefix(stream, relayed), "events must be unmodified")
 	})
 }
+
+func TestIsComment(t *testing.T) {
+	tests := []struct {
+		raw  string
+		want bool
+	}{
+		{": keep-alive\n\n", true},
+		{"\r\n", true},
+		{"data: a\n\n", false},
+		{": keep-alive\ndata: a\n\n", false},
+	}
+	for _, tt := range tests {
+		assert.Equal(t, loomstream.EventRecord{Raw: []byte(tt.raw)}.IsComment(), tt.want, "%q", tt.raw)
+	}
+}
--- a/loomstream/lifecycle.go
+++ b/loomstream/lifecycle.go
@@ -86,6 +86,8 @@
 	// Resumable is true if the upstream may still run the attempt, so that the
 	// answer can be resumed.
 	Resumable bool
+	// Final is true if no other attempt can continue the answer.
+	Final bool
 }
 
 // CallerGone reports that the caller has disconnected.
@@ -336,7 +338,7 @@
 		l.resumes++
 		return Resume{Attempt: l.attempt, Offset: len(l.answer)}
 	}
-	if !l.mayRunAgain() {
+	if !l.mayRunAgain() || e.Final {
 		return l.lost()
 	}
 	return l.retry(now, loomerror.New(loomerror.UpstreamFailed, "connection to the upstream lost before the answer, after %d of %d attempts", l.attempts, MaxAttempts))
--- a/loomstream/lifecycle_test.go
+++ b/loomstream/lifecycle_test.go
@@ -36,6 +36,7 @@
 		{"lost after sending fails", false, []loomstream.Event{dispatched, delivered, loomstream.Broken{Attempt: "a"}}, loomstream.Fail{}, loomerror.NotRunUnknown},
 		{"idempotent request is retried", true, []loomstream.Event{dispatched, delivered, loomstream.Broken{Attempt: "a"}}, loomstream.Retry{}, loomerror.NotRunUnknown},
 		{"broken stream is resumed", true, []loomstream.Event{dispatched, delivered, first, loomstream.Broken{Attempt: "a", Resumable: true}}, loomstream.Resume{Attempt: "a", Offset: 1}, loomerror.NotRunFalse},
+		{"stream that can't be continued fails", true, []loomstream.Event{dispatched, first, loomstream.Broken{Attempt: "a", Final: true}}, loomstream.Fail{}, loomerror.NotRunFalse},
 		{"gap is resumed", true, []loomstream.Event{dispatched, first, loomstream.Token{Attempt: "a", Version: 1, Offset: 2}}, loomstream.Resume{Attempt: "a", Offset: 1}, loomerror.NotRunFalse},
 		{"missing tokens are resumed", true, []loomstream.Event{dispatched, first, loomstream.Finished{Attempt: "a", Tokens: 2}}, loomstream.Resume{Attempt: "a", Offset: 1}, loomerror.NotRunFalse},
 		{"change of version fails", true, []loomstream.Event{dispatched, first, loomstream.Token{Attempt: "a", Version: 2, Offset: 1}}, loomstream.Fail{}, loomerror.NotRunFalse},
--- /dev/null
+++ b/loomstream/sequence.go
@@ -0,0 +1,59 @@
+package loomstream
+
+import (
+	"strconv"
+
+	"github.com/juju/errors"
+)
+
+// Sequence checks the order of a stream's events by their IDs, across all attempts.
+// IDs that are integers must increase, and the first event of a further attempt
+// must be the next one if all IDs so far were consecutive. Other IDs can't be
+// ordered; they must differ from the one before. It is not safe for concurrent use.
+type Sequence struct {
+	// lastID is the ID of the last event, or empty if that event had none.
+	lastID string
+	// hasGap is set once the IDs are known not to be consecutive integers.
+	hasGap bool
+	// isResumed is set until the first event of a further attempt.
+	isResumed bool
+}
+
+// NewSequence returns the sequence of a stream that begins after the event with an
+// ID, or at its first event if the ID is empty.
+func NewSequence(after string) Sequence {
+	// What came before, and how far apart its IDs were, is not known.
+	return Sequence{lastID: after, hasGap: after != "", isResumed: after != ""}
+}
+
+// LastID returns the ID of the last event, after which the stream can be resumed. It
+// is empty if that event had none.
+func (s *Sequence) LastID() string {
+	return s.lastID
+}
+
+// Resume begins a further attempt, which must continue after the last event.
+func (s *Sequence) Resume() {
+	s.isResumed = s.lastID != ""
+}
+
+// Add adds the ID of the next event, which may be empty. The error says which event
+// was expected; the sequence is then unchanged.
+func (s *Sequence) Add(id string) error {
+	next, err := strconv.ParseInt(id, 10, 64)
+	isInteger := err == nil
+	last, err := strconv.ParseInt(s.lastID, 10, 64)
+	areIntegers := isInteger && err == nil
+	isNext := areIntegers && next == last+1
+	switch {
+	case s.lastID == "":
+		isNext = isInteger
+	case id == s.lastID, areIntegers && next < last:
+		return errors.NotValidf("event %q after event %q", id, s.lastID)
+	case s.isResumed && (id == "" || !s.hasGap && !isNext):
+		return errors.NotValidf("event %q as the first one of a stream that was resumed after event %q", id, s.lastID)
+	}
+	s.hasGap = s.hasGap || !isNext
+	s.lastID, s.isResumed = id, false
+	return nil
+}
--- /dev/null
+++ b/loomstream/sequence_test.go
@@ -0,0 +1,55 @@
+package loomstream_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"swiftloom/loomstream"
+)
+
+func TestSequence(t *testing.T) {
+	tests := []struct {
+		name string
+		// after is the ID of the event after which the caller resumes the stream.
+		after string
+		// first holds the IDs of the first attempt, and second those of another
+		// attempt that resumes the stream.
+		first, second []string
+		// rejected is the index in second of the ID that is an error, or -1.
+		rejected int
+		lastID   string
+	}{
+		{"continued", "", []string{"1", "2"}, []string{"3", "4"}, -1, "4"},
+		{"nothing follows", "", []string{"1", "2"}, nil, -1, "2"},
+		{"from the first event on", "", []string{"1", "2"}, []string{"1", "2", "3"}, 0, "2"},
+		{"from the last event on", "", []string{"1", "2"}, []string{"2", "3"}, 0, "2"},
+		{"event missing", "", []string{"1", "2"}, []string{"4"}, 0, "2"},
+		{"event without ID", "", []string{"1", "2"}, []string{""}, 0, "2"},
+		{"IDs with gaps", "", []string{"10", "20"}, []string{"30", "25"}, 1, "30"},
+		{"repeats within an attempt", "", []string{"1"}, []string{"2", "2"}, 1, "2"},
+		{"other IDs", "", []string{"a", "b"}, []string{"c", "c"}, 1, "c"},
+		{"no IDs", "", []string{"", ""}, []string{""}, -1, ""},
+		{"resumed by the caller", "7", nil, []string{"8", "9"}, -1, "9"},
+		{"resumed by the caller, from the first event on", "7", nil, []string{"1"}, 0, "7"},
+		{"resumed by the caller, then again", "7", []string{"8"}, []string{"8"}, 0, "8"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := loomstream.NewSequence(tt.after)
+			for _, id := range tt.first {
+				assert.NilError(t, s.Add(id))
+			}
+			s.Resume()
+			rejected := -1
+			for i, id := range tt.second {
+				if err := s.Add(id); err != nil {
+					rejected = i
+					break
+				}
+			}
+			assert.Equal(t, rejected, tt.rejected)
+			assert.Equal(t, s.LastID(), tt.lastID)
+		})
+	}
+}
