Don't take a continuation without events for the end of a stream

What callers would see: a stream with a proper end that lacks its last events. A stream that is continued at another upstream ended as complete if that upstream answered 200 with nothing in it: handleStreamEnd asked whether the whole request had brought an event, not whether this attempt had. Now such an attempt is broken, as it is for a first attempt.

An upstream that was cut between its last event and its end can't be told from that, so such a stream is now broken off visibly although its events were whole.

The case 'no event' of TestContinuationThatRepeatsEventsIsNotRelayed failed before.

--- a/loomgate/relay.go
+++ b/loomgate/relay.go
@@ -161,13 +161,14 @@
 // is complete.
 func (d *dispatch) relayStream(ctx context.Context, reply *loomupstream.Reply) loomstream.Action {
 	isContinuation := d.streamStatus != 0
+	relayedBefore := d.lifecycle.Relayed()
 	d.sequence.Resume()
 	events := loomstream.NewEventReader(reply.Body)
 	for {
 		event, err := events.Next()
 		now := time.Now()
 		if errors.Is(err, io.EOF) {
-			return d.handleStreamEnd(now, reply.Framing)
+			return d.handleStreamEnd(now, reply.Framing, d.lifecycle.Relayed()-relayedBefore)
 		}
 		if err != nil {
 			d.gate.metrics.streamEnded(d.req.group.Name, streamEndCut)
@@ -226,15 +227,16 @@
 	d.lastEventAt = now
 }
 
-// handleStreamEnd handles a stream that ended after a complete event, or before
-// the first one.
-func (d *dispatch) handleStreamEnd(now time.Time, framing loomupstream.Framing) loomstream.Action {
+// handleStreamEnd handles a stream that ended after a complete event, or before the
+// first one. An attempt that brought no event doesn't show that the stream is whole,
+// even if it was to continue the stream.
+func (d *dispatch) handleStreamEnd(now time.Time, framing loomupstream.Framing, events int) loomstream.Action {
 	end := streamEndFramed
 	if framing == loomupstream.FramingUntilClose {
 		end = streamEndUntilClose
 	}
 	d.gate.metrics.streamEnded(d.req.group.Name, end)
-	if d.lifecycle.Relayed() == 0 {
+	if events == 0 {
 		d.cause = "stream ended before its first event"
 		return d.breakAttempt(now)
 	}
