--- a/loomgate/place_test.go
+++ b/loomgate/place_test.go
@@ -89,6 +89,7 @@
 			switch {
 			case w.failure != nil:
 				failed.Add(1)
+				t.Logf("request r%d failed: %v", n, w.failure)
 			case w.firstAfter <= objective:
 				onTime.Add(1)
 			}
