Test that a service response that was cut short isn't returned as the whole one

Services.Do reads at most 8 MiB of a response body and drops the rest. The caller gets status 200 with the first 8 MiB, framed as a whole answer, and nothing says that it isn't one; the attempt counts as successful.

The cases 'larger than allowed' fail, with a declared length and in chunks: status 200 with 8388608 bytes. The other seven pass: a body that ends before its length, between two chunks, within one, or within the headers is an error.

--- /dev/null
+++ b/loomupstream/service_test.go
@@ -0,0 +1,64 @@
+package loomupstream_test
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"swiftloom/loomupstream"
+)
+
+// maxBodyBytes is the largest response body that the client accepts.
+const maxBodyBytes = 8 << 20
+
+// TestServiceResponseCutShortIsNotAnAnswer guards against a part of a response
+// body that is returned as the whole one.
+func TestServiceResponseCutShortIsNotAnAnswer(t *testing.T) {
+	tests := []struct {
+		name string
+		// head is the status line and the headers, and body what the service
+		// sends before it closes the connection.
+		head    string
+		body    []byte
+		isWhole bool
+	}{
+		{"whole, with length", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", []byte("abcd"), true},
+		{"whole, in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", []byte("4\r\nabcd\r\n0\r\n\r\n"), true},
+		{"less than the length", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", []byte("abcd"), false},
+		{"cut between two chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", []byte("4\r\nabcd\r\n"), false},
+		{"cut within a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", []byte("5\r\nabcd"), false},
+		{"cut within the headers", "HTTP/1.1 200 OK\r\nContent-Le", nil, false},
+		{"as large as allowed", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", maxBodyBytes), bytes.Repeat([]byte("x"), maxBodyBytes), true},
+		{"larger than allowed, with length", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", maxBodyBytes+1), bytes.Repeat([]byte("x"), maxBodyBytes+1), false},
+		{"larger than allowed, in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", fmt.Appendf(nil, "%x\r\n%s\r\n0\r\n\r\n", maxBodyBytes+1, strings.Repeat("x", maxBodyBytes+1)), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = conn.Write(append([]byte(tt.head), tt.body...))
+				_ = conn.Close()
+			}))
+			defer server.Close()
+			client := loomupstream.NewServices(nil)
+			defer client.Close()
+			outcome, err := client.Do(t.Context(), server.Listener.Addr().String(), loomupstream.Call{RequestID: "r", Path: "jobs"})
+			assert.Assert(t, outcome.Delivered)
+			if tt.isWhole {
+				assert.NilError(t, err)
+				assert.Equal(t, outcome.Status, http.StatusOK)
+				return
+			}
+			assert.Assert(t, err != nil, "status %d with %d bytes", outcome.Status, len(outcome.Body))
+			assert.Equal(t, outcome.Status, 0)
+		})
+	}
+}
