Fail calls whose service response is larger than the limit

A response body of more than 8 MiB was cut at that size and passed on with the status of the service, so that callers took a part for the whole answer. Do now returns ErrTooLarge. The attempt counts as one that may have run: callers get outcome_unknown, or an error after retries if they allowed them. The service isn't reported as unreachable for it.

--- a/loominstance/services.go
+++ b/loominstance/services.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -183,7 +184,7 @@
 		n.markLeaving(now, m)
 		return nil, lifecycle.Apply(now, loomstream.Refused{Attempt: attempt})
 	}
-	if err != nil && ctx.Err() == nil {
+	if err != nil && ctx.Err() == nil && !errors.Is(err, loomupstream.ErrTooLarge) {
 		n.tracker.Apply(now, loommember.Unanswered{ID: m.ID})
 	}
 	if err != nil || outcome.Status >= minFailureStatus {
--- a/loomupstream/service.go
+++ b/loomupstream/service.go
@@ -23,11 +23,15 @@
 	// maxIdlePerUpstream is the largest number of unused connections that are
 	// kept open to one service.
 	maxIdlePerUpstream = 64
-	// maxBodyBytes is the number of bytes of a response that are read; the rest
-	// is dropped.
+	// maxBodyBytes is the size of the largest response body. A larger one is an
+	// error, since a part of it can't be told from the whole.
 	maxBodyBytes = 8 << 20
 )
 
+// ErrTooLarge is returned by Do for a response body of more than maxBodyBytes. It
+// is no failure of the connection.
+var ErrTooLarge = errors.New("service response too large")
+
 // Call is one call to a plain service, sent as an HTTP POST.
 type Call struct {
 	RequestID string
@@ -99,7 +103,10 @@
 		return Outcome{Delivered: delivered.Load()}, errors.Annotate(err, "call service")
 	}
 	defer func() { _ = w.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(w.Body, maxBodyBytes))
+	body, err := io.ReadAll(io.LimitReader(w.Body, maxBodyBytes+1))
+	if err == nil && len(body) > maxBodyBytes {
+		err = ErrTooLarge
+	}
 	if err != nil {
 		return Outcome{Delivered: true}, errors.Annotate(err, "read service response")
 	}
