Test that a stored claim that can't be decoded isn't granted again

Batcher.Done drops rows that it can't decode, and decide takes a key without a row for one that was inserted. A claim whose stored value is cut, empty or written in another form is therefore granted a second time: a request with this idempotency key that may have run, or has an answer, runs again. Callers see a second effect and no error.

All four cases fail with Granted in place of InDoubt.

--- a/loomclaim/batcher_test.go
+++ b/loomclaim/batcher_test.go
@@ -1,6 +1,7 @@
 package loomclaim_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -159,3 +160,37 @@
 		}
 	})
 }
+
+// TestUnreadableClaimIsNotGrantedAgain guards against a stored claim that is cut
+// or unreadable and counts as absent.
+func TestUnreadableClaimIsNotGrantedAgain(t *testing.T) {
+	whole, err := json.Marshal(loomclaim.Row{Attempt: "other", Digest: 1, At: start, Done: true, Answer: []byte("answer")})
+	assert.NilError(t, err)
+	tests := []struct {
+		name  string
+		value []byte
+	}{
+		{"cut", whole[:len(whole)/2]},
+		{"empty", nil},
+		{"other encoding", []byte("\x0a\x05other")},
+		{"other type of a field", []byte(`{"attempt":"other","digest":"1"}`)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var table loomstandin.Table
+			key := loomclaim.Key{ClientAccount: "a", Key: "k"}
+			table.Transact(&loompb.TransactRequest{Writes: []*loompb.Write{{Key: key.RowKey(), Value: tt.value}}})
+			batcher := loomclaim.NewBatcher()
+			decided := make(chan loomclaim.Decision, 2)
+			batcher.Submit(start, loomclaim.Request{Key: key, Attempt: "mine", Digest: 1}, decided)
+			batcher.Submit(start, loomclaim.Request{Key: key, Attempt: "second", Digest: 1}, decided)
+			batch, ok := batcher.Next(start)
+			assert.Assert(t, ok)
+			batcher.Done(start, batch, table.Transact(batch.Request))
+			for range 2 {
+				d := <-decided
+				assert.Equal(t, d.Outcome, loomclaim.InDoubt, d.Attempt)
+			}
+		})
+	}
+}
