Don't grant a claim whose stored row can't be decoded

A row that can't be decoded was taken for no row at all, so that the claim was granted and the request could run a second time under its idempotency key. It is now in doubt: callers get outcome_unknown, as for any other attempt whose answer isn't known.

TestUnreadableClaimIsNotGrantedAgain failed in all four cases before and passes; the tests of loominstance and loomtrial pass twice.

--- a/loomclaim/batcher.go
+++ b/loomclaim/batcher.go
@@ -40,8 +40,8 @@
 	// Answered means that an attempt has run and its answer is stored.
 	Answered
 	// InDoubt means that an attempt may have run and no answer of it is
-	// known: it was not settled within RunLimit, its answer was not stored, or
-	// the ticket is not known any more.
+	// known: it was not settled within RunLimit, its answer was not stored, its
+	// row can't be decoded, or the ticket is not known any more.
 	InDoubt
 	// Mismatch means that the key was used for a request with another digest.
 	Mismatch
@@ -61,6 +61,9 @@
 	Done bool `json:"done,omitempty"`
 	// Answer is empty until Done is set, and when the answer exceeded MaxAnswer.
 	Answer []byte `json:"answer,omitempty"`
+	// isUnreadable is set if the stored value could not be decoded. The other
+	// fields are then empty.
+	isUnreadable bool
 }
 
 // Key is the idempotency key of an account.
@@ -221,9 +224,11 @@
 	b.mu.Unlock()
 	existing := make(map[string]Row)
 	for _, row := range reply.GetRows() {
-		if r, err := DecodeRow(row.GetValue()); err == nil {
-			existing[row.GetKey()] = r
+		r, err := DecodeRow(row.GetValue())
+		if err != nil {
+			r = Row{isUnreadable: true}
 		}
+		existing[row.GetKey()] = r
 	}
 	first := make(map[string]Request)
 	for _, c := range batch.claims {
@@ -268,6 +273,8 @@
 // was lost.
 func ExistingOutcome(now time.Time, row Row, r Request) Outcome {
 	switch {
+	case row.isUnreadable:
+		return InDoubt
 	case row.Attempt == r.Attempt && !row.Done:
 		return Granted
 	case row.Digest != r.Digest:
