List a store's blocks again if the home table changed during a listing

A first listing in flight while the home table was replaced counted as the complete listing of the new shards, since both have cursor zero. Blocks that were stored before were then not known at their new home: prompts were computed again instead of imported, and the blocks were never freed. A reset now marks the request in flight as out of date.

TestListingOfFormerShardsIsNotTakenForComplete failed in one of two cases before and passes, with -race too.

--- a/loominstance/stores.go
+++ b/loominstance/stores.go
@@ -53,9 +53,12 @@
 	// listing.
 	incarnation uint64
 	listCursor  uint64
-	listedAt    time.Time
-	used        uint64
-	capacity    uint64
+	// isRequestCurrent is unset if the home table has changed since the latest
+	// request, whose reply may then lack shards.
+	isRequestCurrent bool
+	listedAt         time.Time
+	used             uint64
+	capacity         uint64
 }
 
 // stores holds the stores that are in the view.
@@ -112,6 +115,7 @@
 	for _, st := range s.all() {
 		st.mu.Lock()
 		st.listCursor = 0
+		st.isRequestCurrent = false
 		st.mu.Unlock()
 	}
 }
@@ -212,6 +216,7 @@
 func (st *store) listRequest(now time.Time) *loompb.ListRequest {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.isRequestCurrent = true
 	due := st.listCursor == 0 || now.Sub(st.listedAt) > storeListInterval
 	return &loompb.ListRequest{After: st.listCursor, ShardCount: loomhome.ShardCount, LoadOnly: !due}
 }
@@ -229,7 +234,7 @@
 	switch {
 	case restarted && after > 0:
 		st.listCursor = 0
-	case st.listCursor == after && !request.GetLoadOnly():
+	case st.isRequestCurrent && !request.GetLoadOnly():
 		st.listCursor = max(reply.GetLast(), 1)
 		st.listedAt = now
 	}
