Test that only the engine's end of the answer completes a completion

TestEndOfStreamIsNotEndOfAnswer runs eleven scripts of an engine through the dispatch: streams that end regularly or with an error before the end of the answer, an end of another attempt, an end that counts fewer or more tokens, and refused resumptions.

--- /dev/null
+++ b/loominstance/dispatch_end_test.go
@@ -0,0 +1,126 @@
+package loominstance
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"gotest.tools/v3/assert"
+
+	"swiftloom/loomerror"
+	"swiftloom/loompb"
+	"swiftloom/loomroute"
+	"swiftloom/loomstream"
+	"swiftloom/loomupstream"
+)
+
+// scriptedEngine is an engine whose answers are given in advance, one for each
+// call of Generate. Its other methods must not be called.
+type scriptedEngine struct {
+	loomupstream.Engine
+	answers []*scriptedAnswer
+}
+
+// Generate implements loomupstream.Engine.
+func (e *scriptedEngine) Generate(context.Context, *loompb.GenerateRequest) (loomupstream.Answer, error) {
+	a := e.answers[0]
+	e.answers = e.answers[1:]
+	return a, nil
+}
+
+// scriptedAnswer returns its events and then err.
+type scriptedAnswer struct {
+	events []*loompb.GenerateEvent
+	err    error
+}
+
+// Recv implements loomupstream.Answer.
+func (a *scriptedAnswer) Recv() (*loompb.GenerateEvent, error) {
+	if len(a.events) == 0 {
+		return nil, a.err
+	}
+	e := a.events[0]
+	a.events = a.events[1:]
+	return e, nil
+}
+
+// Delivered implements loomupstream.Answer.
+func (a *scriptedAnswer) Delivered() bool {
+	return true
+}
+
+func tokenEvent(attempt string, offset uint32) *loompb.GenerateEvent {
+	return &loompb.GenerateEvent{AttemptId: attempt, Event: &loompb.GenerateEvent_Token{Token: &loompb.AnswerToken{Offset: offset, Token: offset}}}
+}
+
+func finishedEvent(attempt string, tokens uint32) *loompb.GenerateEvent {
+	return &loompb.GenerateEvent{AttemptId: attempt, Event: &loompb.GenerateEvent_Finished{Finished: &loompb.Finished{AnswerTokens: tokens}}}
+}
+
+func refusedEvent(attempt string, reason loompb.RefusalReason) *loompb.GenerateEvent {
+	return &loompb.GenerateEvent{AttemptId: attempt, Event: &loompb.GenerateEvent_Refused{Refused: &loompb.Refused{Reason: reason}}}
+}
+
+// runScript makes one attempt at an engine with the given answers, without any
+// retries, and returns the number of relayed tokens and the error, if any.
+func runScript(t *testing.T, answers ...*scriptedAnswer) (int, error) {
+	engine := &scriptedEngine{answers: answers}
+	n := &Instance{
+		metrics: newMetrics(),
+		fleet:   loomroute.NewFleet(),
+		engines: &engines{conns: map[string]loomupstream.Engine{"": engine}},
+	}
+	defer n.metrics.close()
+	d := &dispatch{instance: n, prompt: &prompt{}, attemptID: "a", hasFirstToken: true}
+	d.lifecycle = loomstream.NewLifecycle(false, loomstream.NewRetryBudgetOf(0, 0), loomstream.NewBackoff(rand.New(rand.NewPCG(1, 1))))
+	d.lifecycle.Apply(time.Now(), loomstream.Dispatched{Attempt: "a"})
+	d.openStream(t.Context(), engine, false)
+	for tokens := 0; ; tokens++ {
+		_, hasMore, err := d.nextToken(t.Context())
+		if err != nil || !hasMore {
+			d.cancel()
+			return tokens, err
+		}
+	}
+}
+
+// TestEndOfStreamIsNotEndOfAnswer guards against a completion that counts as whole
+// although the engine has not sent its end.
+func TestEndOfStreamIsNotEndOfAnswer(t *testing.T) {
+	lost := status.Error(codes.Unavailable, "connection lost")
+	script := func(err error, events ...*loompb.GenerateEvent) *scriptedAnswer {
+		return &scriptedAnswer{events: events, err: err}
+	}
+	tests := []struct {
+		name    string
+		answers []*scriptedAnswer
+		tokens  int
+		isWhole bool
+	}{
+		{"whole", []*scriptedAnswer{script(io.EOF, tokenEvent("a", 0), finishedEvent("a", 1))}, 1, true},
+		{"stream ends without the end of the answer", []*scriptedAnswer{script(io.EOF, tokenEvent("a", 0)), script(io.EOF), script(io.EOF)}, 1, false},
+		{"stream ends before the first token", []*scriptedAnswer{script(io.EOF), script(io.EOF), script(io.EOF)}, 0, false},
+		{"connection lost", []*scriptedAnswer{script(lost, tokenEvent("a", 0)), script(lost), script(lost)}, 1, false},
+		{"resumed to the end", []*scriptedAnswer{script(lost, tokenEvent("a", 0)), script(io.EOF, tokenEvent("a", 1), finishedEvent("a", 2))}, 2, true},
+		{"end of another attempt", []*scriptedAnswer{script(lost, tokenEvent("a", 0), finishedEvent("b", 1)), script(lost), script(lost)}, 1, false},
+		{"end that counts only the resumed tokens", []*scriptedAnswer{script(lost, tokenEvent("a", 0), tokenEvent("a", 1)), script(io.EOF, tokenEvent("a", 2), finishedEvent("a", 1))}, 3, false},
+		{"end with more tokens than were sent", []*scriptedAnswer{script(io.EOF, tokenEvent("a", 0), finishedEvent("a", 2)), script(io.EOF), script(io.EOF)}, 1, false},
+		{"event without content", []*scriptedAnswer{script(io.EOF, tokenEvent("a", 0), &loompb.GenerateEvent{AttemptId: "a"}), script(io.EOF), script(io.EOF)}, 1, false},
+		{"resumption of an unknown run", []*scriptedAnswer{script(lost, tokenEvent("a", 0)), script(io.EOF, refusedEvent("a", loompb.RefusalReason_REFUSAL_REASON_UNKNOWN_RUN))}, 1, false},
+		{"resumption refused", []*scriptedAnswer{script(lost, tokenEvent("a", 0)), script(io.EOF, refusedEvent("a", loompb.RefusalReason_REFUSAL_REASON_OVERLOADED))}, 1, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			tokens, err := runScript(t, tt.answers...)
+			assert.Equal(t, tokens, tt.tokens)
+			assert.Equal(t, err == nil, tt.isWhole, "%v", err)
+			if err != nil {
+				assert.Assert(t, loomerror.From(err).NotRun() != loomerror.NotRunTrue)
+			}
+		})
+	}
+}
