Test that a refusal to resume isn't taken for a refused attempt

If a stream ends before its first token, the run is resumed at its engine. Any refusal but unknown_run is then applied as Refused, the upstream's statement that the attempt did not run, although the attempt was delivered and may still run. Callers see not_run: true, and with retries left a request that must not be repeated is sent again. The stand-in engine answers every resumption it can't serve with unknown_run, so trials don't show it; engine.proto doesn't rule out the other reasons.

Three of four cases fail with not_run true in place of unknown.

--- a/loominstance/dispatch_end_test.go
+++ b/loominstance/dispatch_end_test.go
@@ -124,3 +124,22 @@
 		})
 	}
 }
+
+// TestRefusedResumptionIsNotARefusedAttempt guards against a refusal to resume a
+// run that counts as a promise that the run did not take place.
+func TestRefusedResumptionIsNotARefusedAttempt(t *testing.T) {
+	for _, reason := range []loompb.RefusalReason{
+		loompb.RefusalReason_REFUSAL_REASON_UNSPECIFIED,
+		loompb.RefusalReason_REFUSAL_REASON_VERSION,
+		loompb.RefusalReason_REFUSAL_REASON_OVERLOADED,
+		loompb.RefusalReason_REFUSAL_REASON_UNKNOWN_RUN,
+	} {
+		t.Run(reason.String(), func(t *testing.T) {
+			first := &scriptedAnswer{err: io.EOF}
+			second := &scriptedAnswer{events: []*loompb.GenerateEvent{refusedEvent("a", reason)}, err: io.EOF}
+			tokens, err := runScript(t, first, second)
+			assert.Equal(t, tokens, 0)
+			assert.Equal(t, loomerror.From(err).NotRun(), loomerror.NotRunUnknown, "%v", err)
+		})
+	}
+}
