Don't take a refusal to resume for a refused attempt

A refusal of any reason but unknown_run to resume a run was applied as the statement that the attempt did not run. Callers could see not_run: true for a request that ran, and a request that must not be repeated could be sent again. Every refusal of a resumption now counts as a broken attempt, as unknown_run did already.

--- a/loominstance/dispatch.go
+++ b/loominstance/dispatch.go
@@ -52,7 +52,9 @@
 	loadTicket    loomroute.Ticket
 	tried         []string
 	hasFirstToken bool
-	reservations  []linkReservation
+	// isResumed is set if the current attempt was opened again to resume its run.
+	isResumed    bool
+	reservations []linkReservation
 	// finishImport wakes requests that wait for this import. It is nil when
 	// this request is not importing.
 	finishImport func()
@@ -166,6 +168,7 @@
 func (d *dispatch) openStream(ctx context.Context, client loomupstream.Engine, resume bool) {
 	call, cancel := context.WithCancel(ctx)
 	d.cancel = cancel
+	d.isResumed = resume
 	answer, err := client.Generate(call, d.generateRequest(resume))
 	if err != nil {
 		answer = failedAnswer{err: err}
@@ -349,8 +352,8 @@
 }
 
 // refusalEvent converts a refusal to a lifecycle event. When the engine refuses
-// to resume because it no longer knows the run, the event is Broken and not
-// Refused, since the attempt did run.
+// to resume a run, the event is Broken and not Refused, since the attempt was
+// delivered before and may have run.
 func (d *dispatch) refusalEvent(now time.Time, id string, r *loompb.Refused) loomstream.Event {
 	switch r.GetReason() {
 	case loompb.RefusalReason_REFUSAL_REASON_UNKNOWN_RUN:
@@ -359,6 +362,9 @@
 		d.instance.markLeaving(now, d.engine.member.Member)
 	default:
 	}
+	if d.isResumed {
+		return loomstream.Broken{Attempt: id}
+	}
 	return loomstream.Refused{Attempt: id}
 }
 
