Count a streamed answer in the load tool as complete only after [DONE]

Prober.FirstToken reported a time for streams that ended between the usage and [DONE], with or without an error.

--- a/loomload/client.go
+++ b/loomload/client.go
@@ -34,8 +34,8 @@
 type reply struct {
 	requestID string
 	status    int
-	// isComplete is set if the answer was received to its end: the usage of a
-	// prompt, or the receipt of a service call.
+	// isComplete is set if the answer was received to its end: the usage and the
+	// final [DONE] of a prompt, or the receipt of a service call.
 	isComplete bool
 	// text is the generated text, or the job of a receipt.
 	text        string
@@ -133,6 +133,7 @@
 // not complete.
 func (r reply) readStream(body io.Reader, started time.Time) (reply, error) {
 	var text strings.Builder
+	hasUsage := false
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(make([]byte, 0, 4096), 4<<20)
 	for scanner.Scan() {
@@ -142,6 +143,7 @@
 		}
 		if data == "[DONE]" {
 			r.text = text.String()
+			r.isComplete = hasUsage
 			return r, nil
 		}
 		var chunk streamChunk
@@ -160,7 +162,7 @@
 			text.WriteString(choice.Text)
 		}
 		if chunk.Usage != nil {
-			r.isComplete = true
+			hasUsage = true
 			r.tokens = chunk.Usage.CompletionTokens
 			r.cached = chunk.Usage.CachedTokens
 		}
