Read the catalogue until a page without rows

A page with fewer rows than the limit was taken for the last one, so that a platform with shorter pages would have left a starting instance with a part of the catalogue at the newest revision, and operators with a part of the audit trail. Reading the entries and the history costs one more read each; Refresh is as before, since the next one continues. History fails on a record that doesn't advance the revision instead of reading it again.

TestShortPageIsNotTheLastOne failed for pages of 1 to 4 rows before and passes.

--- a/loomcatalogue/replica.go
+++ b/loomcatalogue/replica.go
@@ -20,7 +20,8 @@
 	auditPrefix = "catalogue/audit/"
 	editPrefix  = "catalogue/edit/"
 	entryPrefix = "catalogue/entry/"
-	// readBatchRows is the maximum number of rows of one read.
+	// readBatchRows is the maximum number of rows of one read. The platform may
+	// return fewer although more follow, so only a read without rows is the last.
 	readBatchRows = 500
 	// maxCommitAttempts is the number of times that a write is sent while its
 	// outcome is unknown, and commitRetryDelay the delay between two of them.
@@ -145,6 +146,7 @@
 		if err := r.ApplyRecords(now, records); err != nil {
 			return err
 		}
+		// The next refresh reads the records that follow a page that is not full.
 		if len(records) < readBatchRows {
 			return nil
 		}
@@ -166,13 +168,13 @@
 		if err != nil {
 			return errors.Annotate(err, "read catalogue entries")
 		}
+		if len(reply.GetRows()) == 0 {
+			break
+		}
 		for _, row := range reply.GetRows() {
 			after = row.GetKey()
 			doc.Entries = append(doc.Entries, Change{ID: entryID(row.GetKey()), Spec: row.GetValue()})
 		}
-		if len(reply.GetRows()) < readBatchRows {
-			break
-		}
 	}
 	head, _, err := r.readHead(ctx)
 	if err != nil {
@@ -247,11 +249,15 @@
 		if err != nil {
 			return nil, loomerror.Wrap(loomerror.PlatformUnavailable, err, "read the audit trail after revision %d", after)
 		}
-		all = append(all, records...)
-		if len(records) < readBatchRows {
+		if len(records) == 0 {
 			return all, nil
 		}
-		after = records[len(records)-1].Revision
+		all = append(all, records...)
+		last := records[len(records)-1].Revision
+		if last <= after {
+			return nil, errors.NotValidf("audit record with revision %d after revision %d", last, after)
+		}
+		after = last
 	}
 }
 
