Report text after the JSON of a catalogue file as a fault

The end of the first JSON value was taken for the end of the file, so that operators lost the entries of a second document without an error.

TestTextAfterJSONIsNotIgnored failed in three of seven cases before and passes.

--- a/loomcatalogue/file.go
+++ b/loomcatalogue/file.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
 	"reflect"
 	"strconv"
 	"strings"
 
+	"github.com/juju/errors"
 	"gopkg.in/ini.v1"
 
 	"swiftloom/loomsettings"
@@ -45,7 +47,13 @@
 	}
 	d := json.NewDecoder(bytes.NewReader(text))
 	d.DisallowUnknownFields()
-	if err := d.Decode(target); err != nil {
+	err := d.Decode(target)
+	if err == nil {
+		if _, next := d.Token(); next != io.EOF {
+			err = errors.New("text after the end of the catalogue")
+		}
+	}
+	if err != nil {
 		line := 1 + bytes.Count(text[:min(int(d.InputOffset()), len(text))], []byte("\n"))
 		return nil, loomsettings.Faults{{File: file, Line: line, Message: err.Error()}}
 	}
