Don't follow redirects of plain services

A redirect led to a request that wasn't counted as an attempt and whose response was taken for that of the call. Callers now get the status of the redirect with its body; its Location header isn't passed on, like all headers of a service but the content type.

--- a/loomupstream/service.go
+++ b/loomupstream/service.go
@@ -73,7 +73,11 @@
 			return d(ctx, address)
 		}
 	}
-	return &Services{client: &http.Client{Transport: transport}}
+	return &Services{client: &http.Client{
+		Transport: transport,
+		// A redirected call would be an attempt that the caller of Do does not count.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
 }
 
 // Close closes idle connections.
