--- a/loominstance/dispatch_end_test.go
+++ b/loominstance/dispatch_end_test.go
@@ -107,6 +107,7 @@
 		{"connection lost", []*scriptedAnswer{script(lost, tokenEvent("a", 0)), script(lost), script(lost)}, 1, false},
 		{"resumed to the end", []*scriptedAnswer{script(lost, tokenEvent("a", 0)), script(io.EOF, tokenEvent("a", 1), finishedEvent("a", 2))}, 2, true},
 		{"end of another attempt", []*scriptedAnswer{script(lost, tokenEvent("a", 0), finishedEvent("b", 1)), script(lost), script(lost)}, 1, false},
+		{"token of another attempt", []*scriptedAnswer{script(io.EOF, tokenEvent("a", 0), tokenEvent("b", 1), finishedEvent("a", 2)), script(io.EOF), script(io.EOF)}, 1, false},
 		{"end that counts only the resumed tokens", []*scriptedAnswer{script(lost, tokenEvent("a", 0), tokenEvent("a", 1)), script(io.EOF, tokenEvent("a", 2), finishedEvent("a", 1))}, 3, false},
 		{"end with more tokens than were sent", []*scriptedAnswer{script(io.EOF, tokenEvent("a", 0), finishedEvent("a", 2)), script(io.EOF), script(io.EOF)}, 1, false},
 		{"event without content", []*scriptedAnswer{script(io.EOF, tokenEvent("a", 0), &loompb.GenerateEvent{AttemptId: "a"}), script(io.EOF), script(io.EOF)}, 1, false},
