Answer a cut request to the stand-in service with status 400

A request body that ended early was answered with an empty response of status 200, although the job did not run.

TestCutRequestIsNotAnsweredAsRun failed in two of three cases before and passes.

--- a/loomstandin/service.go
+++ b/loomstandin/service.go
@@ -170,6 +170,7 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxServiceBodyBytes))
 	if err != nil {
+		http.Error(w, `{"message":"the request body could not be read"}`, http.StatusBadRequest)
 		return
 	}
 	var receipt ServiceReceipt
