--- a/loominstance/services.go
+++ b/loominstance/services.go
@@ -4,13 +4,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"slices"
 	"time"
 
+	"github.com/juju/errors"
+
 	"swiftloom/gen/services"
 	"swiftloom/loomcatalogue"
 	"swiftloom/loomerror"
