Ignore events of a refused attempt in the state machine

After Refused, token and finished still accepted events of that attempt: Finished with zero tokens returned Complete, so that an empty answer would count as whole. Both callers send the next attempt at once, so neither reaches this order today. TestRefusedAttemptDoesNotAnswer failed in two of four cases.

--- a/loomstream/lifecycle.go
+++ b/loomstream/lifecycle.go
@@ -283,7 +283,7 @@
 // token relays a token at the end of the answer. A token that was already relayed
 // must have the same value, and a gap is resumed as if the connection had ended.
 func (l *Lifecycle) token(now time.Time, e Token) Action {
-	if e.Attempt != l.attempt || l.state == Answered {
+	if e.Attempt != l.attempt || l.state == Answered || l.state == Queued {
 		return Wait{}
 	}
 	l.state = Sent
@@ -307,7 +307,7 @@
 // finished completes the request if all tokens of the answer were relayed, and
 // otherwise resumes the answer as if the connection had ended.
 func (l *Lifecycle) finished(now time.Time, e Finished) Action {
-	if e.Attempt != l.attempt || l.state == Answered {
+	if e.Attempt != l.attempt || l.state == Answered || l.state == Queued {
 		return Wait{}
 	}
 	l.state = Sent
