Don't take the rows of a restarted peer for a list

An instance that asks a peer for newer rows may reach it after it has started again and before it has read any. The empty answer, of version zero, counted as the list of upstreams: the instance was ready and knew none, until the store answered. When all instances start together, each can meet such peers. TestRowsOfARestartedPeerAreNoList failed before.

--- a/loomgate/exchange.go
+++ b/loomgate/exchange.go
@@ -244,6 +244,10 @@
 		p.gate.log.Warn("peer_rows_failed", "peer", peer.id, "topic", t.String(), "cause", err.Error())
 		return
 	}
+	if reply.GetVersion() == 0 {
+		// The peer has started again and has no list itself.
+		return
+	}
 	page := Page{Version: reply.GetVersion()}
 	for _, row := range reply.GetRows() {
 		page.Rows = append(page.Rows, Row{Key: row.GetKey(), Value: row.GetValue(), Version: row.GetVersion(), Deleted: row.GetDeleted()})
