Don't count comments as events of a stream

A stream of nothing but comments or blank lines ended as complete, because each of them counted as an event; a comment also made the position unknown after which a cut stream is continued.

--- a/loomgate/relay.go
+++ b/loomgate/relay.go
@@ -174,11 +174,18 @@
 			d.gate.metrics.streamEnded(d.req.group.Name, streamEndCut)
 			return d.handleAttemptError(ctx, &loomupstream.SendError{Delivered: true, Cause: err})
 		}
-		if event.IsComment() && isContinuation {
+		d.gate.fleet.RecordReceived(now, d.upstream.ID)
+		if event.IsComment() {
 			// Comments are part of the first upstream's body only.
+			if isContinuation {
+				continue
+			}
+			if err := d.writeRecord(reply, event); err != nil {
+				return d.abandon(ctx, now)
+			}
 			continue
 		}
-		if err := d.checkOrder(event); err != nil {
+		if err := d.sequence.Add(event.ID); err != nil {
 			d.cause = err.Error()
 			d.gate.metrics.streamEnded(d.req.group.Name, streamEndOther)
 			d.gate.fleet.RecordFailure(now, d.upstream.ID)
@@ -190,33 +197,33 @@
 	}
 }
 
-// checkOrder returns an error if the event doesn't follow the last one.
-func (d *dispatch) checkOrder(event loomstream.EventRecord) error {
-	if event.IsComment() {
-		return nil
-	}
-	return d.sequence.Add(event.ID)
-}
-
 // relayEvent passes an event on to the caller. It returns false with the next action
 // if the attempt is over.
 func (d *dispatch) relayEvent(ctx context.Context, now time.Time, reply *loomupstream.Reply, event loomstream.EventRecord) (loomstream.Action, bool) {
-	d.gate.fleet.RecordReceived(now, d.upstream.ID)
 	d.recordFirstByte(now)
 	d.recordEvent(now)
 	action := d.lifecycle.Apply(now, loomstream.Token{Attempt: d.attemptID, Version: d.version, Offset: d.lifecycle.Relayed()})
 	if _, ok := action.(loomstream.Relay); !ok {
 		return action, false
 	}
+	if err := d.writeRecord(reply, event); err != nil {
+		return d.abandon(ctx, now), false
+	}
+	return nil, true
+}
+
+// writeRecord writes an event or a comment to the caller, after the head of the
+// answer if it is the first.
+func (d *dispatch) writeRecord(reply *loomupstream.Reply, record loomstream.EventRecord) error {
 	if d.streamStatus == 0 {
 		d.streamStatus = reply.Status
 		d.w.StartStream(reply)
 	}
-	if err := d.w.WriteEvent(event.Raw); err != nil {
+	if err := d.w.WriteEvent(record.Raw); err != nil {
 		d.cause = "the caller's connection broke: " + err.Error()
-		return d.abandon(ctx, now), false
+		return err
 	}
-	return nil, true
+	return nil
 }
 
 // recordEvent records the pause before an event of a stream.
