Hold comments back until the event that follows them

A comment at the beginning of a stream started the response to the caller, so that an attempt that brought nothing else could no longer be made again, and a stream of comments alone was broken off after them. The reader of events now returns comments with the event that follows, and those at the end with the end.

--- a/loomgate/relay.go
+++ b/loomgate/relay.go
@@ -167,63 +167,49 @@
 	for {
 		event, err := events.Next()
 		now := time.Now()
+		if isContinuation {
+			// The caller is receiving the body of another upstream.
+			event.Comments = nil
+		}
 		if errors.Is(err, io.EOF) {
-			return d.handleStreamEnd(now, reply.Framing, d.lifecycle.Relayed()-relayedBefore)
+			return d.handleStreamEnd(now, reply.Framing, d.lifecycle.Relayed()-relayedBefore, event.Comments)
 		}
 		if err != nil {
 			d.gate.metrics.streamEnded(d.req.group.Name, streamEndCut)
 			return d.handleAttemptError(ctx, &loomupstream.SendError{Delivered: true, Cause: err})
 		}
 		d.gate.fleet.RecordReceived(now, d.upstream.ID)
-		if event.IsComment() {
-			// Comments are part of the first upstream's body only.
-			if isContinuation {
-				continue
-			}
-			if err := d.writeRecord(reply, event); err != nil {
-				return d.abandon(ctx, now)
-			}
-			continue
-		}
 		if err := d.sequence.Add(event.ID); err != nil {
 			d.cause = err.Error()
 			d.gate.metrics.streamEnded(d.req.group.Name, streamEndOther)
 			d.gate.fleet.RecordFailure(now, d.upstream.ID)
 			return d.breakAttempt(now)
 		}
-		if action, ok := d.relayEvent(ctx, now, reply, event); !ok {
+		if action, ok := d.relayEvent(ctx, now, reply, append(event.Comments, event.Raw...)); !ok {
 			return action
 		}
 	}
 }
 
-// relayEvent passes an event on to the caller. It returns false with the next action
-// if the attempt is over.
-func (d *dispatch) relayEvent(ctx context.Context, now time.Time, reply *loomupstream.Reply, event loomstream.EventRecord) (loomstream.Action, bool) {
+// relayEvent passes the text of an event on to the caller, after the head of the
+// answer if it is the first one. It returns false with the next action if the attempt
+// is over.
+func (d *dispatch) relayEvent(ctx context.Context, now time.Time, reply *loomupstream.Reply, raw []byte) (loomstream.Action, bool) {
 	d.recordFirstByte(now)
 	d.recordEvent(now)
 	action := d.lifecycle.Apply(now, loomstream.Token{Attempt: d.attemptID, Version: d.version, Offset: d.lifecycle.Relayed()})
 	if _, ok := action.(loomstream.Relay); !ok {
 		return action, false
 	}
-	if err := d.writeRecord(reply, event); err != nil {
-		return d.abandon(ctx, now), false
-	}
-	return nil, true
-}
-
-// writeRecord writes an event or a comment to the caller, after the head of the
-// answer if it is the first.
-func (d *dispatch) writeRecord(reply *loomupstream.Reply, record loomstream.EventRecord) error {
 	if d.streamStatus == 0 {
 		d.streamStatus = reply.Status
 		d.w.StartStream(reply)
 	}
-	if err := d.w.WriteEvent(record.Raw); err != nil {
+	if err := d.w.WriteEvent(raw); err != nil {
 		d.cause = "the caller's connection broke: " + err.Error()
-		return err
+		return d.abandon(ctx, now), false
 	}
-	return nil
+	return nil, true
 }
 
 // recordEvent records the pause before an event of a stream.
@@ -236,8 +222,8 @@
 
 // handleStreamEnd handles a stream that ended after a complete event, or before the
 // first one. An attempt that brought no event doesn't show that the stream is whole,
-// even if it was to continue the stream.
-func (d *dispatch) handleStreamEnd(now time.Time, framing loomupstream.Framing, events int) loomstream.Action {
+// even if it was to continue the stream. The comments are those after the last event.
+func (d *dispatch) handleStreamEnd(now time.Time, framing loomupstream.Framing, events int, comments []byte) loomstream.Action {
 	end := streamEndFramed
 	if framing == loomupstream.FramingUntilClose {
 		end = streamEndUntilClose
@@ -249,8 +235,14 @@
 	}
 	d.gate.fleet.RecordSuccess(d.upstream.ID)
 	action := d.lifecycle.Apply(now, loomstream.Finished{Attempt: d.attemptID, Tokens: d.lifecycle.Relayed()})
-	if _, ok := action.(loomstream.Complete); ok {
-		d.w.EndStream()
+	if _, ok := action.(loomstream.Complete); !ok {
+		return action
+	}
+	if len(comments) > 0 {
+		if err := d.w.WriteEvent(comments); err != nil {
+			d.cause = "the caller's connection broke: " + err.Error()
+		}
 	}
+	d.w.EndStream()
 	return action
 }
--- a/loomstream/events.go
+++ b/loomstream/events.go
@@ -13,6 +13,8 @@
 
 // EventRecord is one event of an event stream.
 type EventRecord struct {
+	// Comments is the text of the comments and blank lines before the event.
+	Comments []byte
 	// Raw is the unmodified text of the event, including the blank line that
 	// ends it.
 	Raw []byte
@@ -20,17 +22,6 @@
 	ID string
 }
 
-// IsComment reports whether the record has no field, only comments.
-func (r EventRecord) IsComment() bool {
-	for line := range bytes.Lines(r.Raw) {
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) > 0 && text[0] != ':' {
-			return false
-		}
-	}
-	return true
-}
-
 // EventReader splits a text/event-stream into events. It returns only complete
 // events, so that a relay never forwards part of an event when the stream breaks.
 type EventReader struct {
@@ -47,9 +38,11 @@
 }
 
 // Next returns the next event. The error is io.EOF if the stream has ended after a
-// complete event, and io.ErrUnexpectedEOF if it has ended within an event.
+// complete event; the record then holds the comments that followed that event. It is
+// io.ErrUnexpectedEOF if the stream has ended within an event.
 func (e *EventReader) Next() (EventRecord, error) {
 	var record EventRecord
+	hasField := false
 	for {
 		line, err := e.r.ReadBytes('\n')
 		record.Raw = append(record.Raw, line...)
@@ -57,14 +50,20 @@
 			if errors.Is(err, io.EOF) && len(record.Raw) > 0 {
 				return EventRecord{}, io.ErrUnexpectedEOF
 			}
-			return EventRecord{}, err
+			return record, err
 		}
-		if len(record.Raw) > maxEventBytes {
-			return EventRecord{}, errors.NotValidf("event of %d or more bytes (maximum %d)", len(record.Raw), maxEventBytes)
+		if len(record.Comments)+len(record.Raw) > maxEventBytes {
+			return EventRecord{}, errors.NotValidf("event of %d or more bytes (maximum %d)", len(record.Comments)+len(record.Raw), maxEventBytes)
 		}
 		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
+		switch {
+		case len(text) == 0 && hasField:
 			return record, nil
+		case len(text) == 0:
+			record.Comments = append(record.Comments, record.Raw...)
+			record.Raw = nil
+		case text[0] != ':':
+			hasField = true
 		}
 		if name, value, _ := bytes.Cut(text, []byte(":")); string(name) == "id" {
 			record.ID = string(bytes.TrimPrefix(value, []byte(" ")))
--- a/loomstream/events_test.go
+++ b/loomstream/events_test.go
@@ -22,6 +22,8 @@
 		{"one", "id: 1\ndata: a\n\n", []loomstream.EventRecord{{Raw: []byte("id: 1\ndata: a\n\n"), ID: "1"}}, io.EOF},
 		{"CRLF and no space after the colon", "id:2\r\ndata: a\r\n\r\n", []loomstream.EventRecord{{Raw: []byte("id:2\r\ndata: a\r\n\r\n"), ID: "2"}}, io.EOF},
 		{"no id", "data: id: 3\n\n", []loomstream.EventRecord{{Raw: []byte("data: id: 3\n\n")}}, io.EOF},
+		{"comments before an event", ": a\n\n\n: b\ndata: c\n\n", []loomstream.EventRecord{{Comments: []byte(": a\n\n\n"), Raw: []byte(": b\ndata: c\n\n")}}, io.EOF},
+		{"truncated within a comment", "id: 1\n\n: a\n", []loomstream.EventRecord{{Raw: []byte("id: 1\n\n"), ID: "1"}}, io.ErrUnexpectedEOF},
 		{"truncated within a line", "id: 1\n\nid: 2\nda", []loomstream.EventRecord{{Raw: []byte("id: 1\n\n"), ID: "1"}}, io.ErrUnexpectedEOF},
 		{"truncated before the blank line", "id: 1\ndata: a\n", nil, io.ErrUnexpectedEOF},
 	}
@@ -58,17 +60,11 @@
 	})
 }
 
-func TestIsComment(t *testing.T) {
-	tests := []struct {
-		raw  string
-		want bool
-	}{
-		{": keep-alive\n\n", true},
-		{"\r\n", true},
-		{"data: a\n\n", false},
-		{": keep-alive\ndata: a\n\n", false},
-	}
-	for _, tt := range tests {
-		assert.Equal(t, loomstream.EventRecord{Raw: []byte(tt.raw)}.IsComment(), tt.want, "%q", tt.raw)
-	}
+func TestEventReaderTrailingComments(t *testing.T) {
+	r := loomstream.NewEventReader(strings.NewReader("id: 1\n\n: a\n\n\n"))
+	_, err := r.Next()
+	assert.NilError(t, err)
+	record, err := r.Next()
+	assert.Equal(t, err, io.EOF)
+	assert.DeepEqual(t, record, loomstream.EventRecord{Comments: []byte(": a\n\n\n")})
 }
