Don't count blocks without ID and data as events

A block with a retry field alone counted as an event without ID, after which a cut stream can't be continued, although the caller had received no event. Such blocks are now held back like comments.

--- a/loomstream/events.go
+++ b/loomstream/events.go
@@ -13,7 +13,8 @@
 
 // EventRecord is one event of an event stream.
 type EventRecord struct {
-	// Comments is the text of the comments and blank lines before the event.
+	// Comments is the text before the event that belongs to none: comments, blank
+	// lines and blocks without an ID and data.
 	Comments []byte
 	// Raw is the unmodified text of the event, including the blank line that
 	// ends it.
@@ -42,7 +43,7 @@
 // io.ErrUnexpectedEOF if the stream has ended within an event.
 func (e *EventReader) Next() (EventRecord, error) {
 	var record EventRecord
-	hasField := false
+	isEvent := false
 	for {
 		line, err := e.r.ReadBytes('\n')
 		record.Raw = append(record.Raw, line...)
@@ -57,16 +58,18 @@
 		}
 		text := bytes.TrimRight(line, "\r\n")
 		switch {
-		case len(text) == 0 && hasField:
+		case len(text) == 0 && isEvent:
 			return record, nil
 		case len(text) == 0:
 			record.Comments = append(record.Comments, record.Raw...)
 			record.Raw = nil
-		case text[0] != ':':
-			hasField = true
 		}
-		if name, value, _ := bytes.Cut(text, []byte(":")); string(name) == "id" {
+		switch name, value, _ := bytes.Cut(text, []byte(":")); string(name) {
+		case "id":
 			record.ID = string(bytes.TrimPrefix(value, []byte(" ")))
+			isEvent = true
+		case "data":
+			isEvent = true
 		}
 	}
 }
--- a/loomstream/events_test.go
+++ b/loomstream/events_test.go
@@ -23,6 +23,7 @@
 		{"CRLF and no space after the colon", "id:2\r\ndata: a\r\n\r\n", []loomstream.EventRecord{{Raw: []byte("id:2\r\ndata: a\r\n\r\n"), ID: "2"}}, io.EOF},
 		{"no id", "data: id: 3\n\n", []loomstream.EventRecord{{Raw: []byte("data: id: 3\n\n")}}, io.EOF},
 		{"comments before an event", ": a\n\n\n: b\ndata: c\n\n", []loomstream.EventRecord{{Comments: []byte(": a\n\n\n"), Raw: []byte(": b\ndata: c\n\n")}}, io.EOF},
+		{"retry field before an event", "retry: 9\n\ndata: c\n\n", []loomstream.EventRecord{{Comments: []byte("retry: 9\n\n"), Raw: []byte("data: c\n\n")}}, io.EOF},
 		{"truncated within a comment", "id: 1\n\n: a\n", []loomstream.EventRecord{{Raw: []byte("id: 1\n\n"), ID: "1"}}, io.ErrUnexpectedEOF},
 		{"truncated within a line", "id: 1\n\nid: 2\nda", []loomstream.EventRecord{{Raw: []byte("id: 1\n\n"), ID: "1"}}, io.ErrUnexpectedEOF},
 		{"truncated before the blank line", "id: 1\ndata: a\n", nil, io.ErrUnexpectedEOF},
