Check a stream that the caller resumes like any other

The caller's position made Sequence take the IDs for not consecutive, so that a gap where the gate continued such a stream went unnoticed; an answer whose first block has no ID was refused; and so was a stream from its first event on, on a route that can't be resumed. Now the position counts only on resumable routes and only as the ID before the first one, and a continuation needs IDs that are integers, since others can't be checked.

--- a/loomgate/relay.go
+++ b/loomgate/relay.go
@@ -162,7 +162,9 @@
 func (d *dispatch) relayStream(ctx context.Context, reply *loomupstream.Reply) loomstream.Action {
 	isContinuation := d.streamStatus != 0
 	relayedBefore := d.lifecycle.Relayed()
-	d.sequence.Resume()
+	if isContinuation {
+		d.sequence.Resume()
+	}
 	events := loomstream.NewEventReader(reply.Body)
 	for {
 		event, err := events.Next()
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -79,7 +79,10 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
-	d := &dispatch{placementQuery: newPlacementQuery(g, r), req: r, w: w, sequence: loomstream.NewSequence(r.ResumeAfter)}
+	d := &dispatch{placementQuery: newPlacementQuery(g, r), req: r, w: w}
+	if r.isRepeatable() {
+		d.sequence = loomstream.NewSequence(r.ResumeAfter)
+	}
 	d.lifecycle = loomstream.NewLifecycle(r.isRepeatable(), g.retries.forGroup(r.group.Name), loomstream.NewBackoff(g.newRand())).WithMaxRuns(r.route.MaxAttempts)
 	if parts := in.Prompt.Parts; len(parts) > 0 {
 		d.isLastPartReusable = g.partReuse.Record(r.route.Name, parts[len(parts)-1].ID)
@@ -242,9 +245,9 @@
 }
 
 // breakAttempt ends an attempt that has brought no complete answer. A stream that has
-// begun can only be continued after an event with an ID.
+// begun can only be continued after an event whose ID allows it.
 func (d *dispatch) breakAttempt(now time.Time) loomstream.Action {
-	return d.lifecycle.Apply(now, loomstream.Broken{Attempt: d.attemptID, Final: d.streamStatus != 0 && d.sequence.LastID() == ""})
+	return d.lifecycle.Apply(now, loomstream.Broken{Attempt: d.attemptID, Final: d.streamStatus != 0 && !d.sequence.CanResume()})
 }
 
 // abandon ends a request whose caller has left or whose deadline has passed.
--- a/loomstream/sequence.go
+++ b/loomstream/sequence.go
@@ -22,8 +22,7 @@
 // NewSequence returns the sequence of a stream that begins after the event with an
 // ID, or at its first event if the ID is empty.
 func NewSequence(after string) Sequence {
-	// What came before, and how far apart its IDs were, is not known.
-	return Sequence{lastID: after, hasGap: after != "", isResumed: after != ""}
+	return Sequence{lastID: after}
 }
 
 // LastID returns the ID of the last event, after which the stream can be resumed. It
@@ -32,6 +31,13 @@
 	return s.lastID
 }
 
+// CanResume reports whether a further attempt can be checked to continue after the
+// last event, which needs an ID that is an integer.
+func (s *Sequence) CanResume() bool {
+	_, err := strconv.ParseInt(s.lastID, 10, 64)
+	return err == nil
+}
+
 // Resume begins a further attempt, which must continue after the last event.
 func (s *Sequence) Resume() {
 	s.isResumed = s.lastID != ""
@@ -50,7 +56,7 @@
 		isNext = isInteger
 	case id == s.lastID, areIntegers && next < last:
 		return errors.NotValidf("event %q after event %q", id, s.lastID)
-	case s.isResumed && (id == "" || !s.hasGap && !isNext):
+	case s.isResumed && (!areIntegers || !s.hasGap && !isNext):
 		return errors.NotValidf("event %q as the first one of a stream that was resumed after event %q", id, s.lastID)
 	}
 	s.hasGap = s.hasGap || !isNext
