Don't judge where a stream begins that the caller resumes

A runner that ignores a caller's position was broken off and the request sent again, so that 60 requests with a position beyond the end used up the retries of all callers (TestPositionOfOneCallerUsesUpNoRetries failed). The caller gets what the runner answers, as before; only what the gate itself continues is checked.

--- a/loomstream/sequence.go
+++ b/loomstream/sequence.go
@@ -13,14 +13,17 @@
 type Sequence struct {
 	// lastID is the ID of the last event, or empty if that event had none.
 	lastID string
+	// hasEvents is set once an event was added.
+	hasEvents bool
 	// hasGap is set once the IDs are known not to be consecutive integers.
 	hasGap bool
 	// isResumed is set until the first event of a further attempt.
 	isResumed bool
 }
 
-// NewSequence returns the sequence of a stream that begins after the event with an
-// ID, or at its first event if the ID is empty.
+// NewSequence returns the sequence of a stream that the caller resumes after the event
+// with an ID, or begins if the ID is empty. Where the first event lies is between the
+// caller and the upstream; it isn't checked.
 func NewSequence(after string) Sequence {
 	return Sequence{lastID: after}
 }
@@ -40,7 +43,7 @@
 
 // Resume begins a further attempt, which must continue after the last event.
 func (s *Sequence) Resume() {
-	s.isResumed = s.lastID != ""
+	s.isResumed = s.hasEvents
 }
 
 // Add adds the ID of the next event, which may be empty. The error says which event
@@ -52,7 +55,7 @@
 	areIntegers := isInteger && err == nil
 	isNext := areIntegers && next == last+1
 	switch {
-	case s.lastID == "":
+	case !s.hasEvents, s.lastID == "":
 		isNext = isInteger
 	case id == s.lastID, areIntegers && next < last:
 		return errors.NotValidf("event %q after event %q", id, s.lastID)
@@ -60,6 +63,6 @@
 		return errors.NotValidf("event %q as the first one of a stream that was resumed after event %q", id, s.lastID)
 	}
 	s.hasGap = s.hasGap || !isNext
-	s.lastID, s.isResumed = id, false
+	s.lastID, s.hasEvents, s.isResumed = id, true, false
 	return nil
 }
