Answer HEAD on routes of streams

An answer to HEAD has no events, so it counted as a broken stream and callers got outcome_unknown; on a resumable route it was sent twice. TestHeadOfStreamIsAnswered failed before.

--- a/loomgate/relay.go
+++ b/loomgate/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"strconv"
 	"time"
 
@@ -34,7 +35,7 @@
 	if d.streamStatus != 0 && reply.Status != d.streamStatus {
 		return d.handleFailedContinuation(now, reply)
 	}
-	if d.req.route.Kind == loomcatalogue.Streaming && isSuccess(reply) {
+	if d.req.route.Kind == loomcatalogue.Streaming && isSuccess(reply) && d.req.Method != http.MethodHead {
 		return d.relayStream(ctx, reply)
 	}
 	return d.relayBuffered(ctx, reply)
@@ -95,7 +96,7 @@
 func (d *dispatch) relayBuffered(ctx context.Context, reply *loomupstream.Reply) loomstream.Action {
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedAnswer+1))
 	now := time.Now()
-	if err == nil && (len(body) > maxBufferedAnswer || (reply.Length >= 0 && int64(len(body)) != reply.Length && d.req.Method != "HEAD")) {
+	if err == nil && (len(body) > maxBufferedAnswer || (reply.Length >= 0 && int64(len(body)) != reply.Length && d.req.Method != http.MethodHead)) {
 		err = errors.NotValidf("answer of %d bytes with declared length %d and limit %d", len(body), reply.Length, maxBufferedAnswer)
 	}
 	if err != nil {
