Don't believe a refusal that belongs to another request

What callers would see: a request that may run once runs twice, or is answered as not run although it runs. handleReply looked at the promise of a response before its request ID, so a stray second answer to the request before it on the connection, if it was a refusal, counted as the refusal of this one. A refusal without ID is still believed. TestRefusalOfAnotherRequestIsNotBelieved failed in the case 'other ID'.

--- a/loomgate/relay.go
+++ b/loomgate/relay.go
@@ -22,11 +22,12 @@
 	if reply.Leaving {
 		d.gate.log.Debug("upstream_closes", "upstream", d.upstream.ID, "request_id", d.req.RequestID)
 	}
-	if reply.NotRun {
+	isOther := reply.RequestID != d.req.RequestID
+	if reply.NotRun && (!isOther || reply.RequestID == "") {
 		return d.handleRefusal(ctx, now, reply)
 	}
 	d.lifecycle.Apply(now, loomstream.Delivered{Attempt: d.attemptID})
-	if reply.RequestID != d.req.RequestID || !reply.Stamped {
+	if isOther || !reply.Stamped {
 		d.cause = "answer lacks the upstream's stamp or the ID of this request"
 		d.gate.fleet.RecordFailure(now, d.upstream.ID)
 		return d.breakAttempt(now)
