--- a/loomgate/relay.go
+++ b/loomgate/relay.go
@@ -136,8 +136,8 @@
 type streamEnd int
 
 // The ends of streams. streamEndUntilClose is a proper end of a body that ends with
-// its connection. streamEndOther is the answer to a continuation that is not a
-// stream.
+// its connection. streamEndOther is a stream that the gate breaks off: a continuation
+// with another status, or an event out of order.
 const (
 	streamEndFramed streamEnd = iota
 	streamEndUntilClose
