--- a/loomgate/relay.go
+++ b/loomgate/relay.go
@@ -22,12 +22,12 @@
 	if reply.Leaving {
 		d.gate.log.Debug("upstream_closes", "upstream", d.upstream.ID, "request_id", d.req.RequestID)
 	}
-	isOther := reply.RequestID != d.req.RequestID
-	if reply.NotRun && (!isOther || reply.RequestID == "") {
+	isOwn := reply.RequestID == d.req.RequestID
+	if reply.NotRun && (isOwn || reply.RequestID == "") {
 		return d.handleRefusal(ctx, now, reply)
 	}
 	d.lifecycle.Apply(now, loomstream.Delivered{Attempt: d.attemptID})
-	if isOther || !reply.Stamped {
+	if !isOwn || !reply.Stamped {
 		d.cause = "answer lacks the upstream's stamp or the ID of this request"
 		d.gate.fleet.RecordFailure(now, d.upstream.ID)
 		return d.breakAttempt(now)
@@ -189,7 +189,7 @@
 			d.gate.fleet.RecordFailure(now, d.upstream.ID)
 			return d.breakAttempt(now)
 		}
-		if action, ok := d.relayEvent(ctx, now, reply, append(event.Comments, event.Raw...)); !ok {
+		if action, ok := d.relayEvent(ctx, now, reply, event.Text()); !ok {
 			return action
 		}
 	}
@@ -198,7 +198,7 @@
 // relayEvent passes the text of an event on to the caller, after the head of the
 // answer if it is the first one. It returns false with the next action if the attempt
 // is over.
-func (d *dispatch) relayEvent(ctx context.Context, now time.Time, reply *loomupstream.Reply, raw []byte) (loomstream.Action, bool) {
+func (d *dispatch) relayEvent(ctx context.Context, now time.Time, reply *loomupstream.Reply, text []byte) (loomstream.Action, bool) {
 	d.recordFirstByte(now)
 	d.recordEvent(now)
 	action := d.lifecycle.Apply(now, loomstream.Token{Attempt: d.attemptID, Version: d.version, Offset: d.lifecycle.Relayed()})
@@ -209,7 +209,7 @@
 		d.streamStatus = reply.Status
 		d.w.StartStream(reply)
 	}
-	if err := d.w.WriteEvent(raw); err != nil {
+	if err := d.w.WriteEvent(text); err != nil {
 		d.cause = "the caller's connection broke: " + err.Error()
 		return d.abandon(ctx, now), false
 	}
--- a/loomstream/events.go
+++ b/loomstream/events.go
@@ -23,6 +23,14 @@
 	ID string
 }
 
+// Text returns the unmodified text of the event with the comments before it.
+func (r EventRecord) Text() []byte {
+	if len(r.Comments) == 0 {
+		return r.Raw
+	}
+	return append(r.Comments, r.Raw...)
+}
+
 // EventReader splits a text/event-stream into events. It returns only complete
 // events, so that a relay never forwards part of an event when the stream breaks.
 type EventReader struct {
