--- a/loomlog/explain.go
+++ b/loomlog/explain.go
@@ -230,6 +230,8 @@
 		return "the caller left " + phase(l)
 	case strings.Contains(cause, "deadline exceeded"):
 		return "the time had passed " + phase(l)
+	case strings.HasPrefix(cause, `event "`):
+		return "the upstream sent events out of order"
 	case strings.Contains(cause, "EOF"), strings.Contains(cause, "reset"), strings.Contains(cause, "timed out"):
 		return "the connection to the upstream broke"
 	default:
--- a/loomlog/explain_test.go
+++ b/loomlog/explain_test.go
@@ -31,6 +31,8 @@
 		{"left in line, without a cause", `outcome=canceled attempts=0 first_ms=-1 cause=""`, "the caller left while the request waited in line"},
 		{"left midway, seen at a write", `outcome=canceled attempts=1 first_ms=67 cause="the caller's connection broke: reset"`, "the caller left midway"},
 		{"broken", `attempts=1 first_ms=80 cause="unexpected EOF"`, "the connection to the upstream broke"},
+		{"out of order", `attempts=2 first_ms=80 cause="event \"4\" as the first one of a stream that was resumed after event \"2\" not valid"`, "the upstream sent events out of order"},
+		{"other status", `attempts=2 first_ms=80 cause="continuation of a stream with status 200 was answered with status 500"`, "continuation of a stream with status 200 was answered with status 500"},
 		{"unreachable", `attempts=1 first_ms=-1 cause="dial tcp 10.0.0.1:80: i/o timeout"`, "the upstream could not be reached"},
 	}
 	for _, tt := range tests {
