Don't take the end of a killed service's connection for the end of its answer

The completions API had the same fault as the gate: a plain service's answer without length and chunks was passed on, and stored under its idempotency key, as far as it had come when the service was killed.

The case 'until close, of a killed service' of TestServiceResponseCutShortIsNotAnAnswer failed before.

--- a/loomupstream/runner.go
+++ b/loomupstream/runner.go
@@ -75,33 +75,6 @@
 	Leaving bool
 }
 
-// Framing is the way in which a response marks the end of its body.
-type Framing int
-
-// The framings. A body that ends with its connection is also cut without a trace
-// when the upstream's process is killed, because the operating system then closes
-// the connection in the same way.
-const (
-	FramingUnknown Framing = iota
-	FramingLength
-	FramingChunked
-	FramingUntilClose
-)
-
-// String returns the name of the framing in lower case.
-func (f Framing) String() string {
-	switch f {
-	case FramingLength:
-		return "length"
-	case FramingChunked:
-		return "chunked"
-	case FramingUntilClose:
-		return "until_close"
-	default:
-		return "unknown"
-	}
-}
-
 // Order instructs an upstream to load weights.
 type Order struct {
 	Upstream string
--- a/loomupstream/service.go
+++ b/loomupstream/service.go
@@ -56,24 +56,29 @@
 // Services is an HTTP client for plain services. It is safe for concurrent use.
 type Services struct {
 	client *http.Client
+	dial   loomplatform.Dialer
 }
 
 // NewServices returns a client that opens connections with d, or over TCP when d is
 // nil.
 func NewServices(d loomplatform.Dialer) *Services {
+	if d == nil {
+		dialer := &net.Dialer{Timeout: dialTimeout}
+		d = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		return d(ctx, address)
+	}
 	transport := &http.Transport{
 		MaxIdleConnsPerHost: maxIdlePerUpstream,
 		IdleConnTimeout:     idleTimeout,
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-	}
-	if d != nil {
-		transport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) {
-			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-			defer cancel()
-			return d(ctx, address)
-		}
+		DialContext:         func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
 	}
-	return &Services{client: &http.Client{
+	return &Services{dial: dial, client: &http.Client{
 		Transport: transport,
 		// A redirected call would be an attempt that the caller of Do does not count.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -107,7 +112,7 @@
 		return Outcome{Delivered: delivered.Load()}, errors.Annotate(err, "call service")
 	}
 	defer func() { _ = w.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(w.Body, maxBodyBytes+1))
+	body, err := io.ReadAll(io.LimitReader(NewBody(ctx, w, s.dial, address), maxBodyBytes+1))
 	if err == nil && len(body) > maxBodyBytes {
 		err = ErrTooLarge
 	}
--- a/loomupstream/service_test.go
+++ b/loomupstream/service_test.go
@@ -23,23 +23,31 @@
 		name string
 		// head is the status line and the headers, and body what the service
 		// sends before it closes the connection.
-		head    string
-		body    []byte
-		isWhole bool
+		head string
+		body []byte
+		// isKilled is set if the service is gone when its connection ends.
+		isKilled bool
+		isWhole  bool
 	}{
-		{"whole, with length", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", []byte("abcd"), true},
-		{"whole, in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", []byte("4\r\nabcd\r\n0\r\n\r\n"), true},
-		{"less than the length", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", []byte("abcd"), false},
-		{"cut between two chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", []byte("4\r\nabcd\r\n"), false},
-		{"cut within a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", []byte("5\r\nabcd"), false},
-		{"cut within the headers", "HTTP/1.1 200 OK\r\nContent-Le", nil, false},
-		{"as large as allowed", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", maxBodyBytes), bytes.Repeat([]byte("x"), maxBodyBytes), true},
-		{"larger than allowed, with length", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", maxBodyBytes+1), bytes.Repeat([]byte("x"), maxBodyBytes+1), false},
-		{"larger than allowed, in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", fmt.Appendf(nil, "%x\r\n%s\r\n0\r\n\r\n", maxBodyBytes+1, strings.Repeat("x", maxBodyBytes+1)), false},
+		{"whole, with length", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n", []byte("abcd"), false, true},
+		{"whole, in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", []byte("4\r\nabcd\r\n0\r\n\r\n"), false, true},
+		{"less than the length", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", []byte("abcd"), false, false},
+		{"cut between two chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", []byte("4\r\nabcd\r\n"), false, false},
+		{"cut within a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", []byte("5\r\nabcd"), false, false},
+		{"cut within the headers", "HTTP/1.1 200 OK\r\nContent-Le", nil, false, false},
+		{"until close", "HTTP/1.1 200 OK\r\n\r\n", []byte("abcd"), false, true},
+		{"until close, of a killed service", "HTTP/1.1 200 OK\r\n\r\n", []byte("ab"), true, false},
+		{"as large as allowed", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", maxBodyBytes), bytes.Repeat([]byte("x"), maxBodyBytes), false, true},
+		{"larger than allowed, with length", fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", maxBodyBytes+1), bytes.Repeat([]byte("x"), maxBodyBytes+1), false, false},
+		{"larger than allowed, in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", fmt.Appendf(nil, "%x\r\n%s\r\n0\r\n\r\n", maxBodyBytes+1, strings.Repeat("x", maxBodyBytes+1)), false, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			var server *httptest.Server
+			server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if tt.isKilled {
+					_ = server.Listener.Close()
+				}
 				conn, _, err := http.NewResponseController(w).Hijack()
 				if err != nil {
 					return
