--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -49,8 +49,8 @@
 
 	// sequence checks the events that are relayed.
 	sequence loomstream.Sequence
-	// lastEventAt is when the last event arrived, and longestPause the longest time between
-	// two events so far.
+	// lastEventAt is when the last event arrived, and longestPause the longest
+	// time between two events so far.
 	lastEventAt  time.Time
 	longestPause time.Duration
 	// streamStatus is the status of the streamed answer, once its head has been
