Keep the limit that an upstream names over all instances

What was seen: an upstream that named 3.1 to 4.1 requests a second got 45 to 50 in 4 s.

Cause: newReply dropped the field, and no decision had a bound that all instances share; no instance alone had sent more than the limit.

Each instance keeps a loomlimit.SharedRate for each upstream and tells its peers in every exchange what it has heard, how long ago, and what it has sent in the last 4 s. The instances that choose upstreams (all, or the coordinators) have equal parts; a request is sent only if the part and the reported total allow it. Others of the group are preferred; if all are at their limits, a request waits in the queue by rank, or is refused at once if it would wait too long. A limit ejects nothing and uses no retries.

--- a/loomgate/choose.go
+++ b/loomgate/choose.go
@@ -30,9 +30,46 @@
 	defaultMemoryTokens = 100_000
 )
 
-// candidates returns the upstreams that may take the next attempt. Upstreams
-// that were already tried are included only if there are no others.
-func (q *placementQuery) candidates(now time.Time) []loomroute.Candidate {
+// candidateSet holds the upstreams that may take the next attempt.
+type candidateSet struct {
+	// fresh were not tried yet, tried were, and held may get no request now because
+	// of their limits.
+	fresh, tried, held []loomroute.Candidate
+	// delay is how long requests to the held ones have to wait.
+	delay limitDelay
+	// versions holds the version of the weights of each.
+	versions map[string]uint64
+}
+
+// add adds a candidate with the delay for its limit.
+func (s *candidateSet) add(c loomroute.Candidate, isTried bool, delay limitDelay) {
+	switch {
+	case delay.wait > 0:
+		s.held = append(s.held, c)
+		s.delay = s.delay.join(delay)
+	case isTried:
+		s.tried = append(s.tried, c)
+	default:
+		s.fresh = append(s.fresh, c)
+	}
+}
+
+// best returns the candidates to choose from, and for how long a request to them is
+// held. Upstreams that were tried are among them only if there are no fresh ones. A
+// request is held for a limit only if all other upstreams are unreachable.
+func (s *candidateSet) best() ([]loomroute.Candidate, limitDelay) {
+	open := s.fresh
+	if len(open) == 0 {
+		open = s.tried
+	}
+	if len(open) == 0 || (allSuspect(open) && !allSuspect(s.held)) {
+		return s.held, s.delay
+	}
+	return open, limitDelay{}
+}
+
+// candidates returns the upstreams that may take the next attempt.
+func (q *placementQuery) candidates(now time.Time) candidateSet {
 	upstreams := q.gate.usableUpstreams(now, q.group.Name)
 	ids := make([]string, 0, len(upstreams))
 	for _, u := range upstreams {
@@ -42,26 +79,17 @@
 	for _, id := range q.gate.fleet.Ejected(now, ids) {
 		ejected[id] = true
 	}
-	var fresh, tried []loomroute.Candidate
-	versions := make(map[string]uint64, len(upstreams))
+	set := candidateSet{versions: make(map[string]uint64, len(upstreams))}
 	for _, u := range upstreams {
-		versions[u.ID] = u.Version(q.prompt.Model)
+		set.versions[u.ID] = u.Version(q.prompt.Model)
 		if q.hasExpiredWeights(now, u) {
 			continue
 		}
 		c := q.candidate(now, u)
 		c.Suspect = ejected[u.ID] || q.gate.fleet.IsSuspect(now, u.ID) || slices.Contains(q.suspectIDs, u.ID)
-		if slices.Contains(q.triedIDs, u.ID) {
-			tried = append(tried, c)
-			continue
-		}
-		fresh = append(fresh, c)
-	}
-	if len(fresh) == 0 {
-		fresh = tried
+		set.add(c, slices.Contains(q.triedIDs, u.ID), q.gate.limits.delay(now, u))
 	}
-	q.setStoredTokens(fresh, versions)
-	return fresh
+	return set
 }
 
 // hasExpiredWeights reports whether the weights of an upstream could expire
--- a/loomgate/coordinators.go
+++ b/loomgate/coordinators.go
@@ -184,6 +184,12 @@
 	return slices.DeleteFunc(near, func(id string) bool { return slices.Contains(failing, id) })
 }
 
+// meanInstances returns the mean number of instances for which one
+// coordinator chooses, itself included.
+func (c *coordinators) meanInstances() int {
+	return max(len(c.gate.peers.liveInstances())/max(len(c.all()), 1), 1)
+}
+
 // all returns the sorted IDs of all coordinators, or nil if there are none.
 func (c *coordinators) all() []string {
 	var ids []string
--- a/loomgate/events.go
+++ b/loomgate/events.go
@@ -17,6 +17,8 @@
 		"incarnation", d.upstream.Incarnation,
 		"coordinator", d.coordinator,
 		"wait_ms", d.wait.Milliseconds(),
+		"held_ms", d.held.Milliseconds(),
+		"held_upstreams", d.heldUpstreams,
 		"expected_ms", d.choice.Expected.Milliseconds(),
 		"recompute", d.choice.Recompute,
 		"import", d.choice.Import,
@@ -74,6 +76,7 @@
 		"events", d.lifecycle.Relayed(),
 		"pause_ms", d.longestPause.Milliseconds(),
 		"waited_ms", queueTime(d).Milliseconds(),
+		"held_ms", (d.held + d.heldFor(now)).Milliseconds(),
 		"message", messageOf(failure),
 		"cause", d.cause)
 }
--- a/loomgate/exchange.go
+++ b/loomgate/exchange.go
@@ -96,6 +96,7 @@
 		Samples:          samples,
 		Queued:           p.reportedWork(),
 		Weights:          g.rollout.loadingReports(time.Now()),
+		Limits:           g.limits.reports(time.Now()),
 	}
 	for _, l := range p.reportedLoads() {
 		r.Loads = append(r.Loads, &loompb.UpstreamLoad{UpstreamId: l.ID, Outstanding: uint32(l.Outstanding), PendingTokens: uint32(l.Tokens), MemoryTokens: uint32(l.Memory)})
@@ -179,6 +180,7 @@
 	if failedBefore >= maxFailedRounds {
 		p.gate.log.Info("dependency_regained", "dependency", "peer", "peer", peer.id)
 	}
+	p.gate.limits.apply(time.Now(), peer.id, reply.GetLimits())
 	p.syncRows(ctx, peer, reply)
 }
 
@@ -279,12 +281,14 @@
 		g.prefill.forGroup(sample.GetGroup()).Observe(sample.GetUpstreamId(), int(sample.GetTokens()), time.Duration(sample.GetMicros())*time.Microsecond)
 	}
 	g.rollout.applyPeerReports(now, r.GetWeights())
+	g.limits.apply(now, r.GetFrom(), r.GetLimits())
 	return &loompb.ExchangeReply{
 		CatalogueVersion: g.view.catalogueVersion.Load(),
 		UpstreamsVersion: g.view.upstreamsVersion.Load(),
 		UpstreamsAgeMs:   uint32(min(max(g.view.upstreamsAge(now).Milliseconds(), 0), math.MaxUint32)),
 
 		IsPlatformFailing: g.view.isPlatformFailing(now),
+		Limits:            g.limits.reports(now),
 	}, nil
 }
 
@@ -305,13 +309,10 @@
 // cacheCapacityOf returns the estimated cache capacity of an upstream in
 // tokens.
 func (g *Gate) cacheCapacityOf(upstream string) int {
-	for name, upstreams := range *g.view.groupsSnapshot.Load() {
-		for _, u := range upstreams {
-			if u.ID == upstream {
-				group, _ := g.view.routing().Group(name)
-				return cacheCapacity(group.Engine)
-			}
-		}
+	u, ok := g.view.upstream(upstream)
+	if !ok {
+		return defaultMemoryTokens
 	}
-	return defaultMemoryTokens
+	group, _ := g.view.routing().Group(u.Group)
+	return cacheCapacity(group.Engine)
 }
--- a/loomgate/gate.go
+++ b/loomgate/gate.go
@@ -73,6 +73,7 @@
 	rollout   *rollout
 	stores    *storeWatcher
 	queues    *queues
+	limits    *upstreamLimits
 	// coordinators decides which instances choose upstreams for others.
 	coordinators *coordinators
 	prefill      prefillModels
@@ -113,6 +114,7 @@
 	g.rollout = newRollout(g)
 	g.stores = newStoreWatcher(g)
 	g.queues = newQueues(g)
+	g.limits = newUpstreamLimits(g)
 	return g, nil
 }
 
--- a/loomgate/kvcache.go
+++ b/loomgate/kvcache.go
@@ -10,14 +10,14 @@
 )
 
 // setStoredTokens sets how many leading tokens each candidate may fetch: those
-// that stores hold for the version of its weights, or that another candidate
-// with the same version caches.
-func (q *placementQuery) setStoredTokens(candidates []loomroute.Candidate, versions map[string]uint64) {
+// that stores hold for the version of its weights, or that one of the sources with
+// the same version caches.
+func (q *placementQuery) setStoredTokens(candidates, sources []loomroute.Candidate, versions map[string]uint64) {
 	if !q.hasPrompt {
 		return
 	}
 	stored := make(map[uint64]int)
-	for _, c := range candidates {
+	for _, c := range sources {
 		v := versions[c.ID]
 		if _, ok := stored[v]; !ok {
 			stored[v] = q.storedTokens(v)
--- /dev/null
+++ b/loomgate/limits.go
@@ -0,0 +1,268 @@
+package loomgate
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"swiftloom/loomlimit"
+	"swiftloom/loommember"
+	"swiftloom/loompb"
+	"swiftloom/loomupstream"
+)
+
+const (
+	// withdrawnTTL is how long the withdrawal of a limit is passed on to peers.
+	withdrawnTTL = 10 * time.Second
+	// unlistedLimitTTL is how long the limit of an upstream is kept that is not
+	// listed. Its entry may return after an outage of the platform.
+	unlistedLimitTTL = time.Minute
+)
+
+// upstreamLimits keeps the limits that upstreams name on the requests from all
+// instances together. Instances tell each other which limits they have heard of and
+// how much they send. Each entry has a lock of its own.
+type upstreamLimits struct {
+	gate  *Gate
+	parts limitParts
+
+	mu sync.RWMutex
+	// byID is keyed by upstream ID.
+	byID map[string]*upstreamLimit
+}
+
+// upstreamLimit is the limit of one upstream.
+type upstreamLimit struct {
+	upstream string
+
+	mu            sync.Mutex
+	incarnation   uint64
+	failureDomain string
+	rate          loomlimit.SharedRate
+	// sharedAt is when the part of this instance was last determined.
+	sharedAt time.Time
+	// listedAt is when the upstream was last known to be listed.
+	listedAt time.Time
+}
+
+func newUpstreamLimits(g *Gate) *upstreamLimits {
+	return &upstreamLimits{gate: g, parts: limitParts{gate: g}, byID: make(map[string]*upstreamLimit)}
+}
+
+// entry returns the entry of an upstream and creates it on first use.
+func (l *upstreamLimits) entry(u loommember.Upstream) *upstreamLimit {
+	l.mu.RLock()
+	e, ok := l.byID[u.ID]
+	l.mu.RUnlock()
+	if ok {
+		return e
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e, ok = l.byID[u.ID]; !ok {
+		e = &upstreamLimit{upstream: u.ID, incarnation: u.Incarnation, failureDomain: u.FailureDomain}
+		l.byID[u.ID] = e
+	}
+	return e
+}
+
+// setIncarnation clears the state of an earlier incarnation. It returns false if
+// incarnation is older than the known one. The caller holds mu.
+func (e *upstreamLimit) setIncarnation(incarnation uint64) bool {
+	if incarnation > e.incarnation {
+		e.incarnation = incarnation
+		e.rate = loomlimit.SharedRate{}
+		e.sharedAt = time.Time{}
+	}
+	return incarnation == e.incarnation
+}
+
+// hear applies what an answer of an upstream says about its limit. A refusal can name
+// a limit but not withdraw one.
+func (l *upstreamLimits) hear(now time.Time, u loommember.Upstream, reply *loomupstream.Reply) {
+	limit := reply.Limit
+	if limit.IsUnreadable || (reply.NotRun && !limit.IsNamed) {
+		return
+	}
+	e := l.entry(u)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.setIncarnation(u.Incarnation) || (!limit.IsNamed && e.rate.Statement().HeardAt.IsZero()) {
+		return
+	}
+	s := loomlimit.LimitStatement{IsLimited: limit.IsNamed, Rate: limit.PerSecond, HeardAt: now}
+	before := e.rate.Statement()
+	if e.rate.Hear(now, s) {
+		l.logChange(now, e, before, "")
+	}
+}
+
+// apply applies the limits that a peer has reported. It ignores upstreams that are
+// not listed here.
+func (l *upstreamLimits) apply(now time.Time, peer string, limits []*loompb.UpstreamLimit) {
+	for _, m := range limits {
+		u, ok := l.gate.view.upstream(m.GetUpstreamId())
+		if !ok || m.GetRequestsPerSecond() < 0 || math.IsNaN(m.GetRequestsPerSecond()) {
+			continue
+		}
+		e := l.entry(u)
+		e.mu.Lock()
+		if e.setIncarnation(m.GetIncarnation()) {
+			before := e.rate.Statement()
+			s := loomlimit.LimitStatement{
+				IsLimited: m.GetIsLimited(),
+				Rate:      m.GetRequestsPerSecond(),
+				HeardAt:   now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
+			}
+			if e.rate.HearFromPeer(now, s) {
+				l.logChange(now, e, before, peer)
+			}
+			e.rate.SetPeerSent(now, peer, int(m.GetSent()))
+		}
+		e.mu.Unlock()
+	}
+}
+
+// logChange logs a changed limit, and the peer that reported it or "" if an answer
+// did. The caller holds the entry's lock.
+func (l *upstreamLimits) logChange(now time.Time, e *upstreamLimit, before loomlimit.LimitStatement, peer string) {
+	s := e.rate.Statement()
+	fields := []any{
+		"upstream", e.upstream, "incarnation", e.incarnation, "per_second", s.Rate, "before", before.Rate,
+		"peer", peer, "age_ms", now.Sub(s.HeardAt).Milliseconds(), "sent", e.rate.Sent(now),
+	}
+	if s.IsLimited {
+		l.gate.log.Info("upstream_limit_named", fields...)
+		return
+	}
+	l.gate.log.Info("upstream_limit_withdrawn", fields...)
+}
+
+// refreshShare determines the part of this instance if it is out of date. The caller
+// holds the entry's lock.
+func (l *upstreamLimits) refreshShare(now time.Time, e *upstreamLimit) {
+	if !e.rate.IsLimited() || now.Sub(e.sharedAt) < partMembersInterval {
+		return
+	}
+	e.sharedAt = now
+	e.rate.SetShare(now, l.parts.share(now, e.upstream, e.failureDomain, e.rate.Statement().Rate))
+}
+
+// take counts a request that is about to be sent to an upstream. It returns false if
+// the upstream's limit does not allow one now.
+func (l *upstreamLimits) take(now time.Time, u loommember.Upstream) bool {
+	e := l.entry(u)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.setIncarnation(u.Incarnation)
+	l.refreshShare(now, e)
+	return e.rate.Take(now)
+}
+
+// limitDelay is how long requests are expected to be held for a limit.
+type limitDelay struct {
+	// wait is the time until one may be sent, or zero if none is held, and interval
+	// the mean time between two.
+	wait     time.Duration
+	interval time.Duration
+}
+
+// delay returns how long requests to an upstream are held here.
+func (l *upstreamLimits) delay(now time.Time, u loommember.Upstream) limitDelay {
+	e := l.entry(u)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.rate.IsLimited() {
+		return limitDelay{}
+	}
+	l.refreshShare(now, e)
+	d := limitDelay{wait: e.rate.Wait(now), interval: time.Hour}
+	if rate := e.rate.Rate(); rate > 0 {
+		d.interval = time.Duration(float64(time.Second) / rate)
+	}
+	return d
+}
+
+// join returns the delay of requests that may go to either of two upstreams.
+func (d limitDelay) join(other limitDelay) limitDelay {
+	if d.interval == 0 || other.interval == 0 {
+		return limitDelay{wait: max(d.wait, other.wait), interval: max(d.interval, other.interval)}
+	}
+	perSecond := 1/d.interval.Seconds() + 1/other.interval.Seconds()
+	return limitDelay{wait: min(d.wait, other.wait), interval: time.Duration(float64(time.Second) / perSecond)}
+}
+
+// reports returns what this instance tells its peers.
+func (l *upstreamLimits) reports(now time.Time) []*loompb.UpstreamLimit {
+	var reports []*loompb.UpstreamLimit
+	for _, e := range l.entries() {
+		e.mu.Lock()
+		s := e.rate.Statement()
+		if s.IsLimited || (!s.HeardAt.IsZero() && now.Sub(s.HeardAt) < withdrawnTTL) {
+			reports = append(reports, &loompb.UpstreamLimit{
+				UpstreamId:        e.upstream,
+				Incarnation:       e.incarnation,
+				IsLimited:         s.IsLimited,
+				RequestsPerSecond: s.Rate,
+				AgeMs:             uint32(min(max(now.Sub(s.HeardAt).Milliseconds(), 0), math.MaxUint32)),
+				Sent:              uint32(e.rate.Sent(now)),
+			})
+		}
+		e.mu.Unlock()
+	}
+	return reports
+}
+
+// limitSummary sums the limits of the upstreams of a group.
+type limitSummary struct {
+	// upstreams is the number of upstreams that name a limit, perSecond the sum of
+	// the limits, part that of this instance's parts of them, and sent the rate at
+	// which this instance sends to these upstreams.
+	upstreams             int
+	perSecond, part, sent float64
+}
+
+func (l *upstreamLimits) summary(now time.Time, group string) limitSummary {
+	var sum limitSummary
+	for _, u := range l.gate.usableUpstreams(now, group) {
+		e := l.entry(u)
+		e.mu.Lock()
+		if s := e.rate.Statement(); s.IsLimited {
+			l.refreshShare(now, e)
+			sum.upstreams++
+			sum.perSecond += s.Rate
+			sum.part += e.rate.Rate()
+			sum.sent += float64(e.rate.Sent(now)) / loomlimit.LimitWindow.Seconds()
+		}
+		e.mu.Unlock()
+	}
+	return sum
+}
+
+func (l *upstreamLimits) entries() []*upstreamLimit {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	entries := make([]*upstreamLimit, 0, len(l.byID))
+	for _, e := range l.byID {
+		entries = append(entries, e)
+	}
+	return entries
+}
+
+// retain removes the entries of upstreams that have not been in listed for
+// unlistedLimitTTL.
+func (l *upstreamLimits) retain(now time.Time, listed []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, e := range l.byID {
+		e.mu.Lock()
+		if e.listedAt.IsZero() || slices.Contains(listed, id) {
+			e.listedAt = now
+		}
+		if now.Sub(e.listedAt) > unlistedLimitTTL {
+			delete(l.byID, id)
+		}
+		e.mu.Unlock()
+	}
+}
--- a/loomgate/metrics.go
+++ b/loomgate/metrics.go
@@ -46,6 +46,7 @@
 type groupMetrics struct {
 	scope    tally.Scope
 	answered tally.Counter
+	held     tally.Counter
 	// firstByte and total are keyed by route kind, errors by error kind.
 	// Entries are created on first use and guarded by Metrics.mu.
 	firstByte  map[loomcatalogue.RouteKind]tally.Histogram
@@ -90,6 +91,7 @@
 	g := &groupMetrics{
 		scope:      scope,
 		answered:   scope.Counter("answered_total"),
+		held:       scope.Counter("held_total"),
 		firstByte:  make(map[loomcatalogue.RouteKind]tally.Histogram),
 		total:      make(map[loomcatalogue.RouteKind]tally.Histogram),
 		errors:     make(map[loomerror.Kind]tally.Counter),
@@ -113,6 +115,13 @@
 	c.Inc(1)
 }
 
+// held counts a request that was held for the limits of all suitable upstreams.
+func (m *Metrics) held(group string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.group(group).held.Inc(1)
+}
+
 // streamEnded counts how an upstream's stream ended.
 func (m *Metrics) streamEnded(group string, end streamEnd) {
 	m.mu.Lock()
@@ -199,6 +208,11 @@
 	scope.Gauge("upstreams").Update(float64(len(g.usableUpstreams(now, name))))
 	scope.Gauge("prompt_token_seconds").Update(g.prefill.forGroup(name).TokenTime().Seconds())
 	scope.Gauge("prompt_fixed_seconds").Update(g.prefill.forGroup(name).FixedTime().Seconds())
+	limits := g.limits.summary(now, name)
+	scope.Gauge("limited_upstreams").Update(float64(limits.upstreams))
+	scope.Gauge("limit_per_second").Update(limits.perSecond)
+	scope.Gauge("limit_part_per_second").Update(limits.part)
+	scope.Gauge("limited_sent_per_second").Update(limits.sent)
 	scope.Gauge("line_length").Update(float64(g.queues.length(name)))
 	scope.Gauge("retry_balance").Update(g.retries.forGroup(name).Balance())
 }
--- a/loomgate/place.go
+++ b/loomgate/place.go
@@ -125,7 +125,11 @@
 			cachedTokens:    int(reply.GetCachedTokens()),
 			coordinator:     id,
 			queuedElsewhere: time.Duration(reply.GetQueuedMicros()) * time.Microsecond,
-			hasKVPlan:       reply.GetIsReserved(),
+			limitDelay: limitDelay{
+				wait:     time.Duration(reply.GetHeldMicros()) * time.Microsecond,
+				interval: time.Duration(reply.GetHeldIntervalMicros()) * time.Microsecond,
+			},
+			hasKVPlan: reply.GetIsReserved(),
 		}
 		p.kv = kvPlan{
 			fetch:         reply.GetFetch(),
@@ -184,7 +188,14 @@
 		CachedTokens:   uint32(p.cachedTokens),
 		QueuedMicros:   s.gate.queuedFor(now, r).Microseconds(),
 	}
-	if r.GetOnlyEstimate() || (!r.GetMustStart() && !q.hasCapacity(p)) {
+	if p.limitDelay.wait > 0 {
+		// The requests of all instances that ask here share the limit.
+		p.limitDelay.interval *= time.Duration(s.gate.coordinators.meanInstances())
+		reply.HeldMicros = p.limitDelay.wait.Microseconds()
+		reply.HeldIntervalMicros = p.limitDelay.interval.Microseconds()
+		return reply, nil
+	}
+	if r.GetOnlyEstimate() || (!r.GetMustStart() && !q.hasCapacity(p)) || !s.gate.limits.take(now, p.upstream) {
 		return reply, nil
 	}
 	kv := q.planKV(now, p)
--- a/loomgate/placement.go
+++ b/loomgate/placement.go
@@ -1,6 +1,7 @@
 package loomgate
 
 import (
+	"slices"
 	"time"
 
 	"swiftloom/loomcatalogue"
@@ -58,6 +59,12 @@
 	// coordinator is the ID of the instance that made the choice, or empty if
 	// this instance did.
 	coordinator string
+	// limitDelay is how long the request has to wait because the limits of all
+	// suitable upstreams allow no more now. It is zero if one of them is free.
+	limitDelay limitDelay
+	// heldUpstreams is the number of upstreams that were left out because of their
+	// limits, as far as this instance made the choice.
+	heldUpstreams int
 	// queuedElsewhere is the work ahead of the request at other instances, as the
 	// coordinator knows it.
 	queuedElsewhere time.Duration
@@ -83,7 +90,8 @@
 // choose selects the upstream of the next attempt.
 func (q *placementQuery) choose(now time.Time) (placement, *loomerror.Error) {
 	g := q.gate
-	candidates := q.candidates(now)
+	set := q.candidates(now)
+	candidates, delay := set.best()
 	if len(candidates) == 0 {
 		return placement{}, loomerror.New(loomerror.NoUpstream, "no live upstream in group %q", q.group.Name).WithRetryAfter(defaultRetryAfter)
 	}
@@ -93,7 +101,12 @@
 		// another instance.
 		return placement{}, loomerror.New(loomerror.NoUpstream, "no reachable upstream in group %q after %d attempts", q.group.Name, len(q.triedIDs)).WithRetryAfter(defaultRetryAfter)
 	}
-	p := placement{choice: g.policy.Choose(q.policyRequest(), candidates, g.newRand())}
+	sources := candidates
+	if len(set.held) > 0 && delay.wait == 0 {
+		sources = slices.Concat(candidates, set.held)
+	}
+	q.setStoredTokens(candidates, sources, set.versions)
+	p := placement{limitDelay: delay, heldUpstreams: len(set.held), choice: g.policy.Choose(q.policyRequest(), candidates, g.newRand())}
 	for _, u := range g.usableUpstreams(now, q.group.Name) {
 		if u.ID == p.choice.ID {
 			p.upstream = u
--- a/loomgate/queue.go
+++ b/loomgate/queue.go
@@ -9,6 +9,7 @@
 
 	"swiftloom/loomcatalogue"
 	"swiftloom/loomerror"
+	"swiftloom/loomkernel"
 	"swiftloom/loomlimit"
 	"swiftloom/loompb"
 )
@@ -100,12 +101,16 @@
 	work := time.Duration(d.choice.Recompute) * d.workUnitTime()
 	fixed := d.gate.prefill.forGroup(r.group.Name).FixedTime()
 	start := r.Received
+	until := start.Add(firstEventTimeout(r.route) - work - fixed - abandonMargin)
+	if end := r.deadline.Add(-work - fixed - abandonMargin); end.Before(until) {
+		until = end
+	}
 	return loomlimit.Waiter{
 		ID:      r.RequestID,
 		Rank:    r.rank(),
 		Arrived: start,
 		Due:     start.Add(r.route.LatencyObjective - work - fixed - maxEngineWait),
-		Until:   start.Add(firstEventTimeout(r.route) - work - fixed - abandonMargin),
+		Until:   until,
 		Work:    work,
 	}
 }
@@ -115,9 +120,7 @@
 func (d *dispatch) waitForEngine(ctx context.Context) *loomerror.Error {
 	now := time.Now()
 	if d.streamStatus != 0 {
-		// A stream that resumes at another upstream has already waited in the
-		// queue.
-		return d.place(ctx, now, placeAlways)
+		return d.placeContinuation(ctx, now)
 	}
 	q := d.gate.queues.forGroup(d.req.group.Name)
 	hasTurn := q.hasTurn(now, d.rank)
@@ -128,7 +131,7 @@
 	if err := d.place(ctx, now, mode); err != nil {
 		return err
 	}
-	if hasTurn && d.canStart() {
+	if hasTurn && d.tryStart(now) {
 		return nil
 	}
 	q.mu.Lock()
@@ -160,18 +163,72 @@
 	return !isWaiting || first.Rank > rank
 }
 
-// canStart reports whether the request may be sent to the selected upstream now.
-func (d *dispatch) canStart() bool {
-	if d.coordinator != "" {
-		return d.hasKVPlan
+// tryStart reports whether the request may be sent to the selected upstream now. If
+// so, it is counted against the limit of the upstream.
+func (d *dispatch) tryStart(now time.Time) bool {
+	return d.tryReserve(now, d.hasCapacity(d.placement))
+}
+
+// tryReserve is like tryStart for an upstream with or without capacity.
+func (d *dispatch) tryReserve(now time.Time, hasCapacity bool) bool {
+	if d.limitDelay.wait > 0 && d.heldAt.IsZero() {
+		d.heldAt = now
+		d.gate.metrics.held(d.group.Name)
+	}
+	isReserved := d.hasKVPlan
+	if d.coordinator == "" {
+		isReserved = hasCapacity && d.limitDelay.wait == 0 && d.gate.limits.take(now, d.upstream)
+	}
+	if isReserved {
+		d.held += d.heldFor(now)
+		d.heldAt = time.Time{}
+	}
+	return isReserved
+}
+
+// heldFor returns how long the request has been held for a limit since it was last
+// sent.
+func (d *dispatch) heldFor(now time.Time) time.Duration {
+	if d.heldAt.IsZero() {
+		return 0
+	}
+	return now.Sub(d.heldAt)
+}
+
+// placeContinuation selects the upstream that continues a stream. The stream has
+// waited in the queue before, so it waits only for a limit, for as long as its caller
+// waits for an event.
+func (d *dispatch) placeContinuation(ctx context.Context, now time.Time) *loomerror.Error {
+	until := now.Add(max(minAbandonTime, abandonPauseFactor*d.req.route.EventGapObjective) - abandonMargin)
+	for {
+		if err := d.place(ctx, now, placeAlways); err != nil {
+			return err
+		}
+		if d.tryReserve(now, true) {
+			return nil
+		}
+		interval := queueInterval
+		if d.coordinator != "" {
+			interval = remoteQueueInterval
+		}
+		if now.Add(max(d.limitDelay.wait, interval)).After(until) {
+			return loomerror.New(loomerror.DeadlineUnmeetable, "the limits of all upstreams allow no request within %s", d.limitDelay.wait.Round(time.Millisecond))
+		}
+		if err := loomkernel.Sleep(ctx, interval); err != nil {
+			return loomerror.From(err)
+		}
+		now = time.Now()
 	}
-	return d.hasCapacity(d.placement)
 }
 
 // expectedWait returns how long the request would wait for its turn: the wait
 // at the best engine plus the work ahead of it in the queues of all instances,
-// divided among the engines. The caller holds the queue's lock.
+// divided among the engines. If all engines are at their limits, it is the time until
+// these allow the requests ahead and this one. The caller holds the queue's lock.
 func (d *dispatch) expectedWait(now time.Time, q *groupQueue) time.Duration {
+	if d.limitDelay.wait > 0 {
+		return d.limitDelay.wait + time.Duration(q.waiters.CountAhead(d.rank))*d.limitDelay.interval
+	}
 	engines := max(len(d.gate.usableUpstreams(now, d.req.group.Name)), 1)
 	ahead := q.waiters.WorkAhead(d.rank)
 	switch {
@@ -220,7 +277,7 @@
 		if err := d.place(ctx, now, placeIfFree); err != nil {
 			return err
 		}
-		if d.canStart() {
+		if d.tryStart(now) {
 			return nil
 		}
 	}
--- a/loomgate/relay.go
+++ b/loomgate/relay.go
@@ -23,6 +23,9 @@
 		d.gate.log.Debug("upstream_closes", "upstream", d.upstream.ID, "request_id", d.req.RequestID)
 	}
 	isOwn := reply.RequestID == d.req.RequestID
+	if isOwn {
+		d.hearLimit(now, reply)
+	}
 	if reply.NotRun && (isOwn || reply.RequestID == "") {
 		return d.handleRefusal(ctx, now, reply)
 	}
@@ -42,6 +45,16 @@
 	return d.relayBuffered(ctx, reply)
 }
 
+// hearLimit applies what a response to the current attempt says about the limit of the
+// upstream, if the upstream itself has sent it.
+func (d *dispatch) hearLimit(now time.Time, reply *loomupstream.Reply) {
+	isOther := reply.UpstreamID != "" && reply.UpstreamID != d.upstream.ID
+	if isOther || (!reply.Stamped && !reply.NotRun) {
+		return
+	}
+	d.gate.limits.hear(now, d.upstream, reply)
+}
+
 // handleFailedContinuation handles a response to an attempt that was to continue a
 // stream, but that has another status than the stream. Nothing of the response may
 // reach the caller, who has received the head and some events of the stream.
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -61,6 +61,10 @@
 	// zero if it got none.
 	status  int
 	framing loomupstream.Framing
+	// heldAt is when the request was first held for the limits of upstreams since
+	// its last attempt, and held how long it was before that attempt.
+	heldAt time.Time
+	held   time.Duration
 	// cause says why the last attempt failed.
 	cause string
 }
--- a/loomgate/view.go
+++ b/loomgate/view.go
@@ -95,6 +95,18 @@
 	return (*v.groupsSnapshot.Load())[name]
 }
 
+// upstream returns a usable upstream by its ID.
+func (v *clusterView) upstream(id string) (loommember.Upstream, bool) {
+	for _, upstreams := range *v.groupsSnapshot.Load() {
+		for _, u := range upstreams {
+			if u.ID == id {
+				return u, true
+			}
+		}
+	}
+	return loommember.Upstream{}, false
+}
+
 // upstreamsAge returns the time since the upstream list was last received.
 func (v *clusterView) upstreamsAge(now time.Time) time.Duration {
 	return now.Sub(time.Unix(0, v.upstreamsUpdatedAt.Load()))
@@ -379,6 +391,7 @@
 	}
 	v.groupsSnapshot.Store(&groups)
 	v.gate.fleet.Retain(ids)
+	v.gate.limits.retain(now, ids)
 	v.gate.residency.Retain(ids)
 	for name := range groups {
 		v.gate.prefill.forGroup(name).Retain(ids)
--- a/loomlimit/deadline_queue.go
+++ b/loomlimit/deadline_queue.go
@@ -91,6 +91,18 @@
 	return expired
 }
 
+// CountAhead returns the number of waiting requests of this rank and of lower ones,
+// which a new request of the rank waits for.
+func (q *DeadlineQueue) CountAhead(rank int) int {
+	count := 0
+	for _, w := range q.waiting {
+		if w.Rank <= rank {
+			count++
+		}
+	}
+	return count
+}
+
 // WorkByRank returns the total work of the waiting requests of each rank.
 func (q *DeadlineQueue) WorkByRank() map[int]time.Duration {
 	work := make(map[int]time.Duration)
--- a/loomupstream/runner.go
+++ b/loomupstream/runner.go
@@ -73,6 +73,21 @@
 	Version uint64
 	// Leaving reports that the upstream closes the connection after the response.
 	Leaving bool
+	// Limit is what the response says about the requests that the upstream takes.
+	Limit RequestLimit
+}
+
+// RequestLimit is an upstream's statement about the requests that it takes from all
+// instances together. It is immutable.
+type RequestLimit struct {
+	// IsNamed is false if the response names no limit, which withdraws an earlier
+	// one.
+	IsNamed bool
+	// PerSecond is the limit in requests per second, never negative.
+	PerSecond float64
+	// IsUnreadable reports that the limit could not be read, so that an earlier one
+	// remains in force.
+	IsUnreadable bool
 }
 
 // Order instructs an upstream to load weights.
