Refuse at once what the limits of all upstreams will not serve

Cause: the queue gives the turn to requests that can still meet their objective, so while more arrive than the limits allow, a request that had passed its objective was overtaken until its caller left. The expected wait counted only those ahead of it.

Change: while requests that are held arrive faster than the limits allow, one is queued only if it can start in time for its objective. Otherwise it is refused with the wait as Retry-After.

The test plays cuts, frozen instances, changed limits and large fleets in virtual time; no window has more than is allowed.

--- a/loomgate/exchange_test.go
+++ b/loomgate/exchange_test.go
@@ -10,14 +10,15 @@
 )
 
 // directClient calls another gate of the same process instead of a network. Calls
-// fail while isDown is set.
+// fail while isDown is set or isCut returns true.
 type directClient struct {
 	service *peerService
 	isDown  *atomic.Bool
+	isCut   func() bool
 }
 
 func (c directClient) err() error {
-	if c.isDown != nil && c.isDown.Load() {
+	if (c.isDown != nil && c.isDown.Load()) || (c.isCut != nil && c.isCut()) {
 		return errDown
 	}
 	return nil
@@ -50,6 +51,11 @@
 // connect makes gates peers of each other that exchange their state until ctx ends.
 // It returns, for each gate, the switch that makes calls to it fail.
 func connect(ctx context.Context, gates []*Gate) map[string]*atomic.Bool {
+	return connectCut(ctx, gates, func(*Gate, *Gate) bool { return false })
+}
+
+// connectCut is like connect for gates that can be cut off from each other.
+func connectCut(ctx context.Context, gates []*Gate, isCut func(from, to *Gate) bool) map[string]*atomic.Bool {
 	isDown := make(map[string]*atomic.Bool)
 	for _, g := range gates {
 		isDown[g.settings.ID] = &atomic.Bool{}
@@ -63,7 +69,7 @@
 			g.peers.byID[s.ID] = &peer{
 				id:     s.ID,
 				row:    instanceRow{FailureDomain: s.FailureDomain, ProcessorCores: s.ProcessorCores},
-				client: directClient{service: &peerService{gate: other}, isDown: isDown[s.ID]},
+				client: directClient{service: &peerService{gate: other}, isDown: isDown[s.ID], isCut: func() bool { return isCut(g, other) }},
 			}
 		}
 	}
--- a/loomgate/queue.go
+++ b/loomgate/queue.go
@@ -59,6 +59,8 @@
 	mu      sync.Mutex
 	waiters loomlimit.DeadlineQueue
 	wakeups map[string]chan struct{}
+	// heldDemand is the rate at which requests arrive that are held for limits.
+	heldDemand loomlimit.Demand
 	// isTicking is set while a goroutine checks the queue periodically.
 	isTicking bool
 }
@@ -137,10 +139,11 @@
 	q.mu.Lock()
 	waiter := d.waiter()
 	expected := d.expectedWait(now, q)
-	if now.Add(expected).After(waiter.Until) {
+	latest := d.latestStart(now, q, waiter)
+	if now.Add(expected).After(latest) {
 		q.mu.Unlock()
 		return loomerror.New(loomerror.DeadlineUnmeetable, "expected wait of %s exceeds the remaining %s",
-			expected.Round(time.Millisecond), waiter.Until.Sub(now).Round(time.Millisecond)).
+			expected.Round(time.Millisecond), latest.Sub(now).Round(time.Millisecond)).
 			WithRetryAfter(min(max(expected-maxEngineWait, minRetryAfter), maxRetryAfter))
 	}
 	wake := make(chan struct{}, 1)
@@ -155,6 +158,22 @@
 	return d.waitTurn(ctx, q, waiter, wake)
 }
 
+// latestStart returns the latest start with which the request is worth queueing. While
+// more requests arrive than the limits of the upstreams allow, one that can't meet its
+// objective is overtaken by those that still can, until its caller leaves. The caller
+// holds the queue's lock.
+func (d *dispatch) latestStart(now time.Time, q *groupQueue, w loomlimit.Waiter) time.Time {
+	if d.limitDelay.wait == 0 {
+		return w.Until
+	}
+	q.heldDemand.Add(now, 1)
+	isOverLimit := q.heldDemand.Rate(now)*d.limitDelay.interval.Seconds() > 1
+	if isOverLimit && w.Due.After(now) && w.Due.Before(w.Until) {
+		return w.Due
+	}
+	return w.Until
+}
+
 // hasTurn reports whether a new request of a rank goes before all that wait.
 func (q *groupQueue) hasTurn(now time.Time, rank int) bool {
 	q.mu.Lock()
