Lend the unused part of an upstream's limit to other instances

Cause: with equal parts, an instance without callers wastes its part.

Change: an instance that needs more than its part asks the others in the exchange for leases of a second; each lends what it has not needed in the last 4 s. Ledger and Allowance, which divide account quotas, do the counting: a lease counts at the lender until it has surely expired, so the rates of all never exceed the limit together.

--- a/loomgate/exchange.go
+++ b/loomgate/exchange.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"swiftloom/loomkernel"
 	"swiftloom/loompb"
 	"swiftloom/loomroute"
@@ -163,6 +165,11 @@
 // exchange makes one call to a peer, and reads the peer's rows if they are
 // newer.
 func (p *peers) exchange(ctx context.Context, peer *peer, r *loompb.ExchangeRequest) {
+	sentAt := time.Now()
+	if leases := p.gate.limits.leaseRequests(sentAt, peer.id); len(leases) > 0 {
+		r = proto.CloneOf(r)
+		r.LeaseRequests = leases
+	}
 	call, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	reply, err := peer.client.Exchange(call, r)
 	cancel()
@@ -181,6 +188,7 @@
 		p.gate.log.Info("dependency_regained", "dependency", "peer", "peer", peer.id)
 	}
 	p.gate.limits.apply(time.Now(), peer.id, reply.GetLimits())
+	p.gate.limits.accept(sentAt, peer.id, reply.GetLeases())
 	p.syncRows(ctx, peer, reply)
 }
 
@@ -289,6 +297,7 @@
 
 		IsPlatformFailing: g.view.isPlatformFailing(now),
 		Limits:            g.limits.reports(now),
+		Leases:            g.limits.lend(now, r.GetFrom(), r.GetLeaseRequests()),
 	}, nil
 }
 
--- a/loomgate/limit_parts.go
+++ b/loomgate/limit_parts.go
@@ -40,17 +40,22 @@
 	aliveAt time.Time
 }
 
-// share returns the part of this instance, between zero and one, of an upstream's
-// limit in requests per second.
-func (p *limitParts) share(now time.Time, upstream, failureDomain string, limit float64) float64 {
-	holders := partHolders(p.current(now), upstream, failureDomain, limit)
+// share returns the part of this instance, between zero and one, of a limit that is
+// divided among holders.
+func (p *limitParts) share(holders []string) float64 {
 	if !slices.Contains(holders, p.gate.settings.ID) {
 		return 0
 	}
 	return 1 / float64(len(holders))
 }
 
-// partHolders returns the instances that have parts of an upstream's limit. Those of
+// holders returns the instances that have parts of an upstream's limit, which is in
+// requests per second.
+func (p *limitParts) holders(now time.Time, upstream, failureDomain string, limit float64) []string {
+	return partHolders(p.current(now), upstream, failureDomain, limit)
+}
+
+// partHolders selects the instances that have parts of an upstream's limit. Those of
 // the upstream's failure domain come first, since they reach it longest.
 func partHolders(members []partMember, upstream, failureDomain string, limit float64) []string {
 	slices.SortFunc(members, func(a, b partMember) int {
--- a/loomgate/limits.go
+++ b/loomgate/limits.go
@@ -40,7 +40,8 @@
 	incarnation   uint64
 	failureDomain string
 	rate          loomlimit.SharedRate
-	// sharedAt is when the part of this instance was last determined.
+	// holders are the instances with parts of the limit, as of sharedAt.
+	holders  []string
 	sharedAt time.Time
 	// listedAt is when the upstream was last known to be listed.
 	listedAt time.Time
@@ -139,14 +140,15 @@
 	l.gate.log.Info("upstream_limit_withdrawn", fields...)
 }
 
-// refreshShare determines the part of this instance if it is out of date. The caller
+// refreshShare determines the parts of the limit if they are out of date. The caller
 // holds the entry's lock.
 func (l *upstreamLimits) refreshShare(now time.Time, e *upstreamLimit) {
 	if !e.rate.IsLimited() || now.Sub(e.sharedAt) < partMembersInterval {
 		return
 	}
 	e.sharedAt = now
-	e.rate.SetShare(now, l.parts.share(now, e.upstream, e.failureDomain, e.rate.Statement().Rate))
+	e.holders = l.parts.holders(now, e.upstream, e.failureDomain, e.rate.Statement().Rate)
+	e.rate.SetShare(now, l.parts.share(e.holders))
 }
 
 // take counts a request that is about to be sent to an upstream. It returns false if
@@ -178,7 +180,7 @@
 	}
 	l.refreshShare(now, e)
 	d := limitDelay{wait: e.rate.Wait(now), interval: time.Hour}
-	if rate := e.rate.Rate(); rate > 0 {
+	if rate := e.rate.Rate(now); rate > 0 {
 		d.interval = time.Duration(float64(time.Second) / rate)
 	}
 	return d
@@ -193,6 +195,65 @@
 	return limitDelay{wait: min(d.wait, other.wait), interval: time.Duration(float64(time.Second) / perSecond)}
 }
 
+// want counts a request that would be sent to an upstream if it named no limit.
+func (l *upstreamLimits) want(now time.Time, u loommember.Upstream) {
+	e := l.entry(u)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rate.Want(now)
+}
+
+// leaseRequests returns the requests for leases on the parts of a peer.
+func (l *upstreamLimits) leaseRequests(now time.Time, peer string) []*loompb.LimitLeaseRequest {
+	var requests []*loompb.LimitLeaseRequest
+	for _, e := range l.entries() {
+		e.mu.Lock()
+		l.refreshShare(now, e)
+		if e.rate.IsLimited() && slices.Contains(e.holders, peer) {
+			if r, ok := e.rate.RequestLease(now, peer, len(e.holders)-1); ok {
+				requests = append(requests, &loompb.LimitLeaseRequest{UpstreamId: e.upstream, Demand: r.Demand, Held: r.Held, Lease: r.Lease})
+			}
+		}
+		e.mu.Unlock()
+	}
+	return requests
+}
+
+// lend grants a peer the leases that it has asked for, as far as this instance does
+// not need its parts.
+func (l *upstreamLimits) lend(now time.Time, peer string, requests []*loompb.LimitLeaseRequest) []*loompb.LimitLease {
+	var leases []*loompb.LimitLease
+	for _, r := range requests {
+		u, ok := l.gate.view.upstream(r.GetUpstreamId())
+		if !ok {
+			continue
+		}
+		e := l.entry(u)
+		e.mu.Lock()
+		if e.rate.IsLimited() {
+			l.refreshShare(now, e)
+			g := e.rate.Lend(now, loomlimit.LeaseRequest{Holder: peer, Demand: r.GetDemand(), Held: r.GetHeld(), Lease: r.GetLease()})
+			leases = append(leases, &loompb.LimitLease{UpstreamId: u.ID, RequestsPerSecond: g.Rate, Lease: g.Lease, DurationMs: uint32(g.For.Milliseconds())})
+		}
+		e.mu.Unlock()
+	}
+	return leases
+}
+
+// accept stores the leases that a peer has granted for a request sent at requestedAt.
+func (l *upstreamLimits) accept(requestedAt time.Time, peer string, leases []*loompb.LimitLease) {
+	for _, m := range leases {
+		u, ok := l.gate.view.upstream(m.GetUpstreamId())
+		if !ok {
+			continue
+		}
+		e := l.entry(u)
+		e.mu.Lock()
+		e.rate.AcceptLease(requestedAt, peer, loomlimit.Grant{Rate: m.GetRequestsPerSecond(), Lease: m.GetLease(), For: time.Duration(m.GetDurationMs()) * time.Millisecond})
+		e.mu.Unlock()
+	}
+}
+
 // reports returns what this instance tells its peers.
 func (l *upstreamLimits) reports(now time.Time) []*loompb.UpstreamLimit {
 	var reports []*loompb.UpstreamLimit
@@ -232,7 +293,7 @@
 			l.refreshShare(now, e)
 			sum.upstreams++
 			sum.perSecond += s.Rate
-			sum.part += e.rate.Rate()
+			sum.part += e.rate.Rate(now)
 			sum.sent += float64(e.rate.Sent(now)) / loomlimit.LimitWindow.Seconds()
 		}
 		e.mu.Unlock()
--- a/loomgate/limits_test.go
+++ b/loomgate/limits_test.go
@@ -285,6 +285,7 @@
 		{"all", small, []limitEvent{nameAt(4*second, 3, 3, 3, 3, 3, 3, 3, 3, 3, 3, 3, 3)}},
 		{"failure domains cut off from each other", small, []limitEvent{nameAt(4*second, 3.4, 4.1), cutAt(7*second, true), cutAt(20*second, false)}},
 		{"named while failure domains are cut off", small, []limitEvent{cutAt(3*second, true), nameAt(4*second, 3.4, 4.1)}},
+		{"callers at two instances", limitPlay{gates: 7, domains: 4, engines: 2, length: 25 * second, meanGap: 25 * time.Millisecond, busy: 2}, []limitEvent{nameAt(4*second, 6, 6)}},
 		{"frozen instances", small, []limitEvent{nameAt(4*second, 3.4, 4.1), freezeAt(8*second, true, "i0", "i1"), freezeAt(13*second, false, "i0", "i1")}},
 		{"large fleet", large, []limitEvent{nameAt(4*second, 3.4, 4.1)}},
 		{"large fleet, failed coordinators", large, []limitEvent{nameAt(4*second, 3.4, 4.1), downAt(8*second, 2)}},
@@ -312,3 +313,20 @@
 		})
 	}
 }
+
+// TestUnusedPartsOfLimitsAreLent guards against limits of which most is wasted because
+// only a few instances have callers.
+func TestUnusedPartsOfLimitsAreLent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit, named, length = 6.0, 4 * time.Second, 25 * time.Second
+		f := limitPlay{
+			gates: 7, domains: 4, engines: 2, length: length, meanGap: 25 * time.Millisecond, busy: 2,
+			events: []limitEvent{nameAt(named, limit, limit)},
+		}.play(t)
+		for id := range f.engines.limits {
+			got := f.engines.countBetween(id, f.start.Add(named+limitGrace), f.start.Add(length))
+			allowed := limit * (length - named - limitGrace).Seconds()
+			assert.Check(t, float64(got) >= allowed*3/4, "%s got %d requests, its limit allows %.0f", id, got, allowed)
+		}
+	})
+}
--- a/loomgate/place.go
+++ b/loomgate/place.go
@@ -219,6 +219,7 @@
 		startTimeout:    time.Duration(r.GetStartTimeoutMs()) * time.Millisecond,
 		triedIDs:        r.GetTriedIds(),
 		suspectIDs:      r.GetSuspectIds(),
+		isWanted:        r.GetIsRepeated(),
 	}
 	var ok bool
 	if q.group, ok = g.view.routing().Group(r.GetGroup()); !ok {
--- a/loomgate/placement.go
+++ b/loomgate/placement.go
@@ -36,6 +36,9 @@
 	// instance that has the request considers unreachable.
 	triedIDs   []string
 	suspectIDs []string
+	// isWanted is set once the demand of the attempt has been counted at the upstream
+	// that it would go to without limits.
+	isWanted bool
 }
 
 // placement is the upstream that was selected for an attempt, and what is
@@ -107,11 +110,13 @@
 	}
 	q.setStoredTokens(candidates, sources, set.versions)
 	p := placement{limitDelay: delay, heldUpstreams: len(set.held), choice: g.policy.Choose(q.policyRequest(), candidates, g.newRand())}
-	for _, u := range g.usableUpstreams(now, q.group.Name) {
+	upstreams := g.usableUpstreams(now, q.group.Name)
+	for _, u := range upstreams {
 		if u.ID == p.choice.ID {
 			p.upstream = u
 		}
 	}
+	q.countDemand(now, upstreams, p, sources)
 	for _, c := range candidates {
 		if c.ID == p.choice.ID {
 			p.wait = c.Wait
@@ -123,6 +128,24 @@
 	return p, nil
 }
 
+// countDemand counts the request at the upstream that it would go to if there were no
+// limits. The candidates include those that limits exclude.
+func (q *placementQuery) countDemand(now time.Time, upstreams []loommember.Upstream, p placement, candidates []loomroute.Candidate) {
+	if q.isWanted {
+		return
+	}
+	q.isWanted = true
+	wanted := p.choice.ID
+	if p.heldUpstreams > 0 && p.limitDelay.wait == 0 {
+		wanted = q.gate.policy.Choose(q.policyRequest(), candidates, q.gate.newRand()).ID
+	}
+	for _, u := range upstreams {
+		if u.ID == wanted {
+			q.gate.limits.want(now, u)
+		}
+	}
+}
+
 // hasCapacity reports whether the wait at the selected upstream is short enough
 // to send the request there now.
 func (q *placementQuery) hasCapacity(p placement) bool {
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -176,6 +176,7 @@
 	d.sentAt = now
 	d.status, d.framing, d.cause = 0, loomupstream.FramingUnknown, ""
 	d.triedIDs = append(d.triedIDs, d.upstream.ID)
+	d.isWanted = false
 	d.ticket = d.gate.fleet.RecordSentWithMemory(now, d.upstream.ID, d.expectedWork(d.choice), d.memoryTokens())
 	d.hasTicket = true
 	d.lifecycle.Apply(now, loomstream.Dispatched{Attempt: d.attemptID, Version: d.version})
--- a/loomlimit/ledger.go
+++ b/loomlimit/ledger.go
@@ -128,6 +128,11 @@
 	return h
 }
 
+// Leased returns the total rate that holders may be using.
+func (l *Ledger) Leased(now time.Time) float64 {
+	return l.leasedToOthers(now, "")
+}
+
 // leasedToOthers returns the total rate that all holders except the named one
 // may be using. It removes holders without a lease whose demand has aged out.
 func (l *Ledger) leasedToOthers(now time.Time, name string) float64 {
--- a/loomlimit/shared_rate_test.go
+++ b/loomlimit/shared_rate_test.go
@@ -10,7 +10,7 @@
 
 var rateStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func TestSentWindow(t *testing.T) {
+func TestRequestWindow(t *testing.T) {
 	tests := []struct {
 		name  string
 		sent  []time.Duration
@@ -25,7 +25,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			var w SentWindow
+			var w RequestWindow
 			for _, at := range tt.sent {
 				w.Add(rateStart.Add(at))
 			}
@@ -69,8 +69,9 @@
 }
 
 // TestSharedRatesStayBelowLimit checks that instances that share a limit, each with
-// any demand, send at most one request each beyond it in any window, whatever they
-// know of each other.
+// any demand, never have rates beyond it together, and send at most one request each
+// more than it allows in any window, whatever they know of each other. Answers
+// to requests for leases are late or lost.
 func TestSharedRatesStayBelowLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 9).Draw(t, "instances")
@@ -79,6 +80,7 @@
 		rates := make([]SharedRate, n)
 		demands := make([]float64, n)
 		var arrivals []time.Time
+		var late []lateLease
 		const step = 20 * time.Millisecond
 		for i := range rates {
 			demands[i] = rapid.Float64Range(0, 1).Draw(t, "demand")
@@ -92,6 +94,7 @@
 					r.SetShare(now, 1/float64(n))
 				}
 				if rapid.Float64Range(0, 1).Draw(t, "draw") < demands[i] {
+					r.Want(now)
 					hasRoom := r.Wait(now) == 0
 					isTaken := r.Take(now)
 					assert.Equal(t, hasRoom, isTaken)
@@ -101,8 +104,25 @@
 				}
 				if !areCut {
 					rates[(i+1)%n].SetPeerSent(now, string(rune('a'+i)), r.Sent(now))
+					j := rapid.IntRange(0, n-1).Draw(t, "lender")
+					if request, ok := r.RequestLease(now, string(rune('a'+j)), n-1); ok && i != j {
+						request.Holder = string(rune('a' + i))
+						late = append(late, lateLease{now, i, j, rates[j].Lend(now, request)})
+					}
+				}
+			}
+			for len(late) > 0 && rapid.Bool().Draw(t, "an answer arrives") {
+				l := late[0]
+				late = late[1:]
+				if rapid.Bool().Draw(t, "it is not lost") {
+					rates[l.holder].AcceptLease(l.requestedAt, string(rune('a'+l.lender)), l.grant)
 				}
 			}
+			sum := 0.0
+			for i := range rates {
+				sum += rates[i].Rate(now)
+			}
+			assert.Assert(t, sum <= limit*1.001, "rates of %.2f a second, limit %.2f", sum, limit)
 		}
 		most := limit*LimitWindow.Seconds() + float64(n)
 		first := 0
@@ -118,6 +138,13 @@
 	})
 }
 
+// lateLease is a grant that has not reached its holder.
+type lateLease struct {
+	requestedAt    time.Time
+	holder, lender int
+	grant          Grant
+}
+
 func TestSharedRateGivesItsPart(t *testing.T) {
 	var r SharedRate
 	r.Hear(rateStart, LimitStatement{IsLimited: true, Rate: 8, HeardAt: rateStart})
