Keep the connections that an upstream accepts over all instances

What callers saw: the upstream resets connections beyond the number that it accepts, and a request that must not be repeated ends with an unknown outcome.

Cause: the number (max_conns) came with the catalogue and no decision used it; each instance opens as many connections as it has requests.

Change: an upstream at which the requests in flight, as all instances report them, use more than half of four fifths of the number gets requests only from instances below an equal part. Others are preferred; if there are none, the request waits in the queue or is refused as not run.

--- a/loomgate/choose.go
+++ b/loomgate/choose.go
@@ -87,7 +87,8 @@
 		}
 		c := q.candidate(now, u)
 		c.Suspect = ejected[u.ID] || q.gate.fleet.IsSuspect(now, u.ID) || slices.Contains(q.suspectIDs, u.ID)
-		set.add(c, slices.Contains(q.triedIDs, u.ID), q.gate.limits.delay(now, u))
+		delay := q.gate.limits.delay(now, u).atLeast(q.connectionDelay(now, u.ID, c.Outstanding))
+		set.add(c, slices.Contains(q.triedIDs, u.ID), delay)
 	}
 	return set
 }
--- a/loomgate/limits.go
+++ b/loomgate/limits.go
@@ -186,10 +186,16 @@
 	return d
 }
 
-// join returns the delay of requests that may go to either of two upstreams.
+// atLeast returns the delay of requests that are held for two reasons.
+func (d limitDelay) atLeast(other limitDelay) limitDelay {
+	return limitDelay{wait: max(d.wait, other.wait), interval: max(d.interval, other.interval)}
+}
+
+// join returns the delay of requests that may go to either of two upstreams. The zero
+// value stands for no upstream.
 func (d limitDelay) join(other limitDelay) limitDelay {
 	if d.interval == 0 || other.interval == 0 {
-		return limitDelay{wait: max(d.wait, other.wait), interval: max(d.interval, other.interval)}
+		return d.atLeast(other)
 	}
 	perSecond := 1/d.interval.Seconds() + 1/other.interval.Seconds()
 	return limitDelay{wait: min(d.wait, other.wait), interval: time.Duration(float64(time.Second) / perSecond)}
--- a/loomroute/fleet.go
+++ b/loomroute/fleet.go
@@ -213,6 +213,36 @@
 	return sum
 }
 
+// Outstanding returns the number of requests of this instance and of its peers, without
+// those in except, that are in flight at an upstream.
+func (f *Fleet) Outstanding(now time.Time, id string, except []string) int {
+	s := f.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.upstreams[id]
+	if !ok {
+		return 0
+	}
+	return l.combined(now, except).Outstanding
+}
+
+// MeanAge returns the mean time since the requests of this instance were sent that are
+// in flight at an upstream, or zero if there are none.
+func (f *Fleet) MeanAge(now time.Time, id string) time.Duration {
+	s := f.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.upstreams[id]
+	if !ok || len(l.inFlight) == 0 {
+		return 0
+	}
+	var sum time.Duration
+	for _, w := range l.inFlight {
+		sum += now.Sub(w.at)
+	}
+	return sum / time.Duration(len(l.inFlight))
+}
+
 // inFlightWork is a request that was sent to an upstream and has not ended.
 type inFlightWork struct {
 	at     time.Time
