Don't wait for a full engine while others have capacity for longer than expected

What callers saw: a request was refused after 2.2 s of waiting while 16 of 20 engines had no work (TestFailedCoordinatorsCutNoRequests/all, now and then).

Cause: the queue asks for the best engine again and again. Where one that caches the prompt is full in this instance's view, it stays the best: the time that the request has waited already doesn't count, and an instance that hears nothing of the load of others takes the wait for constant. Traced with a print of the view in a failing run: wait of the selected engine 510 ms, throughout, of 16 others 0.

Change: a request that has waited for longer than expected goes to an engine that has capacity now, if there is one; coordinators are told.

--- a/loomgate/place.go
+++ b/loomgate/place.go
@@ -76,6 +76,7 @@
 		OnlyEstimate:    mode == placeNever,
 		MustStart:       mode == placeAlways,
 		IsRepeated:      d.isPartRecorded,
+		NeedsCapacity:   d.needsCapacity,
 	}
 	if !d.hasPrompt {
 		return r
@@ -220,6 +221,7 @@
 		triedIDs:        r.GetTriedIds(),
 		suspectIDs:      r.GetSuspectIds(),
 		isWanted:        r.GetIsRepeated(),
+		needsCapacity:   r.GetNeedsCapacity(),
 	}
 	var ok bool
 	if q.group, ok = g.view.routing().Group(r.GetGroup()); !ok {
--- a/loomgate/place_test.go
+++ b/loomgate/place_test.go
@@ -149,3 +149,21 @@
 		})
 	}
 }
+
+// TestRequestLeavesEngineThatStaysFull guards against a request that waits until its
+// caller leaves for the engine that caches its prompt, while another one is idle.
+func TestRequestLeavesEngineThatStaysFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		model := newModelEngines(2, 50_000)
+		g := newModelGate(t, "a", model, pauseObjective)
+		prompt := modelPrompt{Output: 50, Parts: []PromptPart{{ID: "session", Tokens: 20_000}, {ID: "request", Tokens: 1500}}}
+		g.residency.RecordPrompt("e0", modelSalt("m", 1), prompt.Parts[:1], 50_000)
+		// A prompt that e0 never begins to answer.
+		unit := g.prefill.forGroup("engines").TokenTime()
+		stuck := g.fleet.RecordSent(time.Now(), "e0", int((maxUrgentEngineWait+10*time.Millisecond)/unit))
+		defer g.fleet.Done(stuck)
+		w := serveModel(t.Context(), t, g, "report", "r", prompt)
+		assert.Assert(t, w.failure == nil, "refused after %s: %v", time.Since(w.received), w.failure)
+		assert.Assert(t, model.engines["e1"].readTokens > 0, "the idle engine must serve the request")
+	})
+}
--- a/loomgate/queue.go
+++ b/loomgate/queue.go
@@ -158,7 +158,7 @@
 	}
 	q.startTicker(interval)
 	q.mu.Unlock()
-	return d.waitTurn(ctx, q, waiter, wake)
+	return d.waitTurn(ctx, q, waiter, wake, now.Add(max(expected, d.maxWait())))
 }
 
 // latestStart returns the latest start with which the request is worth queueing. While
@@ -282,8 +282,9 @@
 }
 
 // waitTurn waits until the request has its turn and an engine has capacity for
-// it.
-func (d *dispatch) waitTurn(ctx context.Context, q *groupQueue, waiter loomlimit.Waiter, wake chan struct{}) *loomerror.Error {
+// it. After expectedAt it no longer waits for an engine that caches its prompt while
+// others have capacity.
+func (d *dispatch) waitTurn(ctx context.Context, q *groupQueue, waiter loomlimit.Waiter, wake chan struct{}, expectedAt time.Time) *loomerror.Error {
 	defer q.remove(waiter.ID)
 	for {
 		select {
@@ -296,6 +297,7 @@
 			return loomerror.New(loomerror.DeadlineUnmeetable, "no engine had capacity within %s", now.Sub(waiter.Arrived).Round(time.Millisecond)).
 				WithRetryAfter(minRetryAfter)
 		}
+		d.needsCapacity = now.After(expectedAt)
 		if err := d.place(ctx, now, placeIfFree); err != nil {
 			return err
 		}
