--- a/loomlog/explain.go
+++ b/loomlog/explain.go
@@ -220,16 +220,8 @@
 	switch {
 	case strings.Contains(cause, "the caller's connection broke"), cause == "" && l.Get("outcome") == "canceled":
 		return "the caller left " + phase(l)
-	case cause == "" && l.Int("attempts") == 0 && (l.Int("held_ms") > 0 || strings.Contains(l.Get("message"), limitsMessage)):
-		return "all upstreams were at their limits"
-	case cause == "" && l.Int("attempts") == 0:
-		return "no upstream had room or lived"
-	case cause == "" && l.Get("outcome") == "answered":
-		return fmt.Sprintf("the upstream answered %s", l.Get("status"))
-	case cause == "" && l.Int("first_ms") < 0:
-		return "the upstream had not begun to answer"
 	case cause == "":
-		return "the answer was under way"
+		return reasonWithoutCause(l)
 	case strings.Contains(cause, "dial tcp"):
 		return "the upstream could not be reached"
 	case strings.Contains(cause, "context canceled"):
@@ -245,6 +237,24 @@
 	}
 }
 
+// reasonWithoutCause returns the reason for the end of a request of which no attempt
+// has failed.
+func reasonWithoutCause(l Line) string {
+	isLimited := l.Int("held_ms") > 0 || strings.Contains(l.Get("message"), limitsMessage)
+	switch {
+	case l.Int("attempts") == 0 && isLimited:
+		return "all upstreams were at their limits"
+	case l.Int("attempts") == 0:
+		return "no upstream had room or lived"
+	case l.Get("outcome") == "answered":
+		return fmt.Sprintf("the upstream answered %s", l.Get("status"))
+	case l.Int("first_ms") < 0:
+		return "the upstream had not begun to answer"
+	default:
+		return "the answer was under way"
+	}
+}
+
 // phase returns the stage that a request had reached when it ended.
 func phase(l Line) string {
 	switch {
