Order what the platform's store says by its epoch first

What callers would see: after the store has returned from an older copy, no change of the catalogue and no new upstream takes effect until its versions pass those before.

What is missing from the copy counts as removed by an outage.

--- a/loomgate/gate_test.go
+++ b/loomgate/gate_test.go
@@ -24,6 +24,7 @@
 	mu      sync.Mutex
 	rows    map[string]*loompb.Row
 	version uint64
+	epoch   uint64
 	down    bool
 }
 
@@ -49,6 +50,13 @@
 	return Page{}, errDown
 }
 
+// Epoch implements Source.
+func (s *fakeSource) Epoch() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.epoch
+}
+
 // Transact implements loomplatform.Table.
 func (s *fakeSource) Transact(_ context.Context, r *loompb.TransactRequest) (*loompb.TransactReply, error) {
 	s.mu.Lock()
--- a/loomgate/source.go
+++ b/loomgate/source.go
@@ -44,7 +44,8 @@
 type Row struct {
 	Key   string
 	Value []byte
-	// Version increases with each change of any row.
+	// Version is the loomplatform.Position of the row, which increases with each change
+	// of any row, and when the platform's table returns from an older copy.
 	Version uint64
 	Deleted bool
 }
@@ -52,7 +53,7 @@
 // Page is a result of the platform: changes in order, or all rows of a topic.
 type Page struct {
 	Rows []Row
-	// Version is the version after which the next call continues.
+	// Version is the loomplatform.Position after which the next call continues.
 	Version uint64
 }
 
@@ -66,6 +67,9 @@
 	Changes(ctx context.Context, t Topic, after uint64, wait time.Duration) (Page, error)
 	// Snapshot returns all rows of a topic.
 	Snapshot(ctx context.Context, t Topic) (Page, error)
+	// Epoch returns the newest epoch of the platform's table that a call has shown. It
+	// rises when the table returns from an older copy.
+	Epoch() uint64
 	// Decode decodes a row. The change is nil if the row holds nothing that an
 	// instance uses.
 	Decode(t Topic, r Row) (Change, error)
--- a/loomgate/view.go
+++ b/loomgate/view.go
@@ -12,6 +12,7 @@
 
 	"swiftloom/loomcatalogue"
 	"swiftloom/loommember"
+	"swiftloom/loomplatform"
 	"swiftloom/loomroute"
 )
 
@@ -180,6 +181,9 @@
 			v.gate.log.Warn("history_lost", "topic", t.String(), "version", v.version(t).Load())
 			full = true
 			pause = 0
+			if v.gate.source.Epoch() != loomplatform.PositionEpoch(v.version(t).Load()) {
+				pause = v.gate.randomDuration(epochSpread)
+			}
 		case err != nil:
 			if !failing {
 				v.gate.log.Warn("dependency_lost", "dependency", "platform", "topic", t.String(), "cause", err.Error())
@@ -277,6 +281,7 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.applyEpoch(now, t, known.Load(), page.Version)
 	changed := false
 	present := make(map[string]bool, len(page.Rows))
 	for _, row := range page.Rows {
@@ -306,6 +311,28 @@
 	v.upstreamsLoaded.Store(true)
 }
 
+// epochSpread is the time over which instances spread their reads after the platform's
+// table has returned from an older copy.
+const epochSpread = 400 * time.Millisecond
+
+// applyEpoch logs that the platform's table has returned from an older copy, if a topic
+// shows a later epoch than before. Entries that upstreams have yet to write again count as
+// removed by an outage. The caller holds mu.
+func (v *clusterView) applyEpoch(now time.Time, t Topic, before, position uint64) {
+	epoch, old := loomplatform.PositionEpoch(position), loomplatform.PositionEpoch(before)
+	if epoch == old || before == 0 {
+		return
+	}
+	v.directory.Outage(now)
+	v.gate.log.Warn("store_epoch_rose", "topic", t.String(), "epoch", epoch, "before", old, "version", loomplatform.PositionVersion(position))
+}
+
+// epoch returns the newest epoch of the platform's table that this instance has heard of,
+// from the platform or from a peer.
+func (v *clusterView) epoch() uint64 {
+	return max(v.gate.source.Epoch(), loomplatform.PositionEpoch(v.catalogueVersion.Load()), loomplatform.PositionEpoch(v.upstreamsVersion.Load()))
+}
+
 // removeAbsent removes the upstreams that are missing from a full snapshot. The
 // caller holds mu.
 func (v *clusterView) removeAbsent(now time.Time, present map[string]bool, version uint64) bool {
@@ -446,6 +473,13 @@
 	return xxhash.Sum64String(text)
 }
 
+// randomDuration returns a random duration between zero and d.
+func (g *Gate) randomDuration(d time.Duration) time.Duration {
+	g.randomMu.Lock()
+	defer g.randomMu.Unlock()
+	return time.Duration(g.random.Int64N(int64(d) + 1))
+}
+
 // jitter returns a random duration between 0.8 and 1.2 times d.
 func (g *Gate) jitter(d time.Duration) time.Duration {
 	g.randomMu.Lock()
--- a/loomlog/site_events.go
+++ b/loomlog/site_events.go
@@ -34,6 +34,7 @@
 	{"upstream_leaving", "an upstream was seen to leave", "%d upstreams were seen to leave", "upstream"},
 	{"store_restarted", "a store for kept state was started again", "%d stores for kept state were started again", "address"},
 	{"upstream_limit_named", "an upstream named a limit", "%d upstreams named limits", "upstream"},
+	{"store_epoch_rose", "the platform's store returned from an older copy", "the platform's store returned from an older copy, %d times", "epoch"},
 	{"catalogue_changed", "a new revision came into force", "%d revisions came into force", "revision"},
 }
 
