Write the row of an instance again when the store has lost it

Cause: an instance announced itself once. After the store had returned from a copy that is older than its row, instances that started later could not find it; and an older row of a peer in the copy replaced a newer one.

Change: after the first read of an epoch the row is written again by compare and set, unless a later incarnation has written it. In that read, rows of earlier incarnations are ignored.

--- a/loomgate/peers.go
+++ b/loomgate/peers.go
@@ -56,6 +56,8 @@
 	// hasRows is closed once the instance rows have been read.
 	hasRows     chan struct{}
 	hasRowsOnce sync.Once
+	// own is the platform's row of this instance. Only watchInstances uses it.
+	own ownRow
 }
 
 // peer is another instance and the connection to it.
@@ -114,26 +116,6 @@
 	return nil
 }
 
-// announce writes the row of this instance once, so that others can find it.
-func (p *peers) announce(ctx context.Context) {
-	s := p.gate.settings
-	value, err := json.Marshal(instanceRow{Address: s.PeerAddress, FailureDomain: s.FailureDomain, Incarnation: p.gate.incarnation, ProcessorCores: s.ProcessorCores})
-	if err != nil {
-		p.gate.log.Error("announce_failed", "cause", err.Error())
-		return
-	}
-	r := &loompb.TransactRequest{Writes: []*loompb.Write{{Key: instancePrefix + s.ID, Value: value}}}
-	for ctx.Err() == nil {
-		if _, err = p.gate.source.Transact(ctx, r); err == nil {
-			return
-		}
-		p.gate.log.Warn("announce_failed", "cause", err.Error())
-		if loomkernel.Sleep(ctx, p.gate.jitter(platformRetryInterval)) != nil {
-			return
-		}
-	}
-}
-
 // watchInstances reads a snapshot of the instance rows and then their changes.
 func (p *peers) watchInstances(ctx context.Context) {
 	full := true
@@ -143,17 +125,28 @@
 		if full {
 			page, err = p.gate.source.Snapshot(ctx, TopicInstances)
 		} else {
-			page, err = p.gate.source.Changes(ctx, TopicInstances, p.version, instancesPollTimeout)
+			wait := instancesPollTimeout
+			if p.own.mayBeLost {
+				wait = instanceRowsInterval
+			}
+			page, err = p.gate.source.Changes(ctx, TopicInstances, p.version, wait)
 		}
 		switch {
 		case err == nil:
+			if full {
+				p.own = ownRow{mayBeLost: p.isNewEpoch(page)}
+			}
 			full = false
 			p.applyPage(page)
+			p.announceAgain(ctx)
 			if loomkernel.Sleep(ctx, p.gate.jitter(p.rowsInterval())) != nil {
 				return
 			}
 		case errors.Is(err, ErrHistoryLost):
 			full = true
+			if p.gate.source.Epoch() != loomplatform.PositionEpoch(p.version) && loomkernel.Sleep(ctx, p.gate.randomDuration(epochSpread)) != nil {
+				return
+			}
 		default:
 			if loomkernel.Sleep(ctx, p.gate.jitter(platformRetryInterval)) != nil {
 				return
@@ -209,13 +202,18 @@
 func (p *peers) applyPage(page Page) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	isNewEpoch := p.isNewEpoch(page)
 	p.version = max(p.version, page.Version)
 	for _, row := range page.Rows {
 		id, ok := instanceIDFromKey(row.Key)
-		if !ok || id == p.gate.settings.ID {
+		if !ok {
+			continue
+		}
+		if id == p.gate.settings.ID {
+			p.own = p.own.with(row)
 			continue
 		}
-		p.applyRow(id, row)
+		p.applyRow(id, row, isNewEpoch)
 	}
 	p.gate.retries.setInstances(len(p.byID) + 1)
 	p.hasRowsOnce.Do(func() { close(p.hasRows) })
@@ -230,8 +228,9 @@
 	return key[len(instancePrefix):], true
 }
 
-// applyRow adds, replaces or removes one peer. The caller holds mu.
-func (p *peers) applyRow(id string, row Row) {
+// applyRow adds, replaces or removes one peer. In a new epoch of the platform's table, an
+// earlier incarnation than the known one comes from an older copy. The caller holds mu.
+func (p *peers) applyRow(id string, row Row, isNewEpoch bool) {
 	old, known := p.byID[id]
 	if row.Deleted {
 		if known {
@@ -246,7 +245,7 @@
 		p.gate.log.Warn("row_unreadable", "topic", "instances", "key", row.Key, "cause", err.Error())
 		return
 	}
-	if known && old.row == r {
+	if known && (old.row == r || (isNewEpoch && r.Incarnation < old.row.Incarnation)) {
 		return
 	}
 	if known {
