Give up the lease for weights when the store returns from an older copy

Cause: the row of the lease could be lost, and another instance take the lease at once with a fencing token that had been used, while the earlier holder went on for 6.5 s.

Tokens stay above those that it knows, and begin at a higher number in each epoch. An instance that did not hold the lease before sends no orders for 10.5 s.

Result: TestRolloutGivesUpLeaseWhenTableReturns, TestRolloutGoesOnAfterTableReturns: before, the second holder ordered at once, and the token was the same.

--- a/loomgate/gate_test.go
+++ b/loomgate/gate_test.go
@@ -331,3 +331,45 @@
 	assert.Assert(t, reconcileUntil(t, b, 6*time.Second, func() bool { return r.orderCount() == 2 }))
 	assert.Assert(t, time.Since(releasedAt) >= b.settings.MinOrderGap, "orders of two holders must be at least MinOrderGap apart")
 }
+
+// returnEmpty makes the source return from a copy that is older than all rows.
+func (s *fakeSource) returnEmpty() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows = make(map[string]*loompb.Row)
+	s.version = 0
+	s.epoch++
+}
+
+// TestRolloutGivesUpLeaseWhenTableReturns guards against two instances that order weights
+// at the same time, and against a fencing token that is used again, after the platform's
+// table has lost the row of the lease.
+func TestRolloutGivesUpLeaseWhenTableReturns(t *testing.T) {
+	s, r := newFakeSource(), &fakeRunner{versions: map[string]uint64{"e1": 1, "e2": 1}}
+	a, b := newRolloutGate(t, "a", s, r), newRolloutGate(t, "b", s, r)
+	assert.Assert(t, reconcileUntil(t, a, time.Second, func() bool { return r.orderCount() == 1 }))
+	token := r.orders[0].Fence
+	b.rollout.reconcile(t.Context())
+	s.returnEmpty()
+	returnedAt := bootTime()
+	b.rollout.reconcile(t.Context())
+	assert.Assert(t, reconcileUntil(t, b, 3*time.Second, func() bool { _, held := b.rollout.lease.Held(bootTime()); return held }), "the row is free")
+	assert.Assert(t, !b.rollout.canOrder(bootTime()), "the earlier holder may still act")
+	assert.Assert(t, !b.rollout.canOrder(returnedAt.Add(a.rollout.orderWindow()+a.settings.MinOrderGap)))
+	next, held := b.rollout.lease.Held(bootTime())
+	assert.Assert(t, held)
+	assert.Assert(t, next > token, "token %d after %d", next, token)
+	a.rollout.followEpoch(bootTime())
+	assert.Assert(t, !a.rollout.canOrder(bootTime()), "the lease of the earlier epoch is over")
+}
+
+// TestRolloutGoesOnAfterTableReturns checks that the holder of the lease takes it again at
+// once when the platform's table has lost the row.
+func TestRolloutGoesOnAfterTableReturns(t *testing.T) {
+	s, r := newFakeSource(), &fakeRunner{versions: map[string]uint64{"e1": 1, "e2": 1}}
+	a := newRolloutGate(t, "a", s, r)
+	assert.Assert(t, reconcileUntil(t, a, time.Second, func() bool { return r.orderCount() == 1 }))
+	s.returnEmpty()
+	assert.Assert(t, reconcileUntil(t, a, 5*time.Second, func() bool { return r.orderCount() == 2 }))
+	assert.Assert(t, r.orders[1].Fence > r.orders[0].Fence)
+}
--- a/loomgate/lease.go
+++ b/loomgate/lease.go
@@ -37,6 +37,34 @@
 	r.gate.log.Info("lease_given_up", "lease", leaseKey)
 }
 
+// tokensPerEpoch is the distance between the fencing tokens of two epochs of the
+// platform's table. A table that returns from an older copy may have lost the row with the
+// latest token.
+const tokensPerEpoch = 1 << 20
+
+// followEpoch gives up the lease when the platform's table has returned from an older copy.
+// The row of the lease may be lost, so another instance may take the lease at once and
+// must not act while an earlier holder still may.
+func (r *rollout) followEpoch(now time.Time) {
+	epoch := r.gate.view.epoch()
+	isFirst := !r.hasEpoch
+	r.hasEpoch = true
+	if epoch <= r.epoch {
+		return
+	}
+	r.epoch = epoch
+	token, wasHeld := r.lease.Held(now)
+	r.lease.Reset(epoch * tokensPerEpoch)
+	r.leaseReadAt = time.Time{}
+	if wasHeld {
+		r.gate.log.Warn("lease_lost", "lease", leaseKey, "token", token)
+		return
+	}
+	if !isFirst {
+		r.noOrdersBefore = now.Add(leaseDuration + orderMargin)
+	}
+}
+
 // ensureLease acquires or renews the lease when due and reports whether orders
 // may be sent now.
 func (r *rollout) ensureLease(ctx context.Context, now time.Time) bool {
--- a/loomgate/rollout.go
+++ b/loomgate/rollout.go
@@ -73,6 +73,10 @@
 	// run.
 	lease  loomlease.Lease
 	holder string
+	// epoch is that of the platform's table in which the lease was last used. It is
+	// unknown until hasEpoch is set.
+	epoch    uint64
+	hasEpoch bool
 	// leaseReadAt is when the lease was last read; zero forces a read.
 	leaseReadAt time.Time
 	// renewedAt is when the write that last renewed the lease was sent.
@@ -172,6 +176,7 @@
 // be updated.
 func (r *rollout) reconcile(ctx context.Context) bool {
 	now := bootTime()
+	r.followEpoch(now)
 	updates := r.pendingUpdates(time.Now())
 	r.dropObsoleteOrders()
 	if len(updates) == 0 {
--- a/loomlease/lease.go
+++ b/loomlease/lease.go
@@ -58,6 +58,8 @@
 	// sent is the row of the latest write, and sentAt when it was sent.
 	sent   Row
 	sentAt time.Time
+	// lastToken is the highest token that this process knows to be in use.
+	lastToken uint64
 }
 
 // New returns a lease that is not held, stored under key. The holder's name must
@@ -66,6 +68,15 @@
 	return Lease{key: key, holder: holder, duration: duration}
 }
 
+// Reset forgets the row, for a table that has returned from an older copy: this process no
+// longer holds the lease, and must read the row before it takes it. Tokens stay above
+// those known so far, and above minToken.
+func (l *Lease) Reset(minToken uint64) {
+	last := max(l.lastToken, l.row.Token, l.sent.Token, minToken)
+	*l = New(l.key, l.holder, l.duration)
+	l.lastToken = last
+}
+
 // Held returns the fencing token and true when this process holds the lease at
 // now. The result holds only for now; callers must not keep it.
 func (l *Lease) Held(now time.Time) (uint64, bool) {
@@ -134,7 +145,7 @@
 func (l *Lease) Write(now time.Time) (*loompb.TransactRequest, error) {
 	next := Row{Holder: l.holder, Token: l.row.Token, Beat: l.row.Beat + 1, Duration: l.duration}
 	if _, held := l.Held(now); !held {
-		next.Token++
+		next.Token = max(next.Token, l.lastToken) + 1
 	}
 	value, err := json.Marshal(next)
 	if err != nil {
--- a/loomlease/lease_test.go
+++ b/loomlease/lease_test.go
@@ -92,3 +92,28 @@
 	assert.NilError(t, err)
 	assert.Assert(t, request == noRequest)
 }
+
+// TestTokensRiseAcrossReset guards against a fencing token that is used twice because the
+// table has lost the row of the lease.
+func TestTokensRiseAcrossReset(t *testing.T) {
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	l := loomlease.New("k", "a", 10*time.Second)
+	take := func() uint64 {
+		t.Helper()
+		assert.NilError(t, l.RecordRead(at, &loompb.Row{Key: "k"}))
+		_, err := l.Write(at)
+		assert.NilError(t, err)
+		assert.NilError(t, l.RecordWrite(at, &loompb.TransactReply{Applied: true, Version: 1}))
+		token, held := l.Held(at)
+		assert.Assert(t, held)
+		return token
+	}
+	first := take()
+	l.Reset(0)
+	_, held := l.Held(at)
+	assert.Assert(t, !held, "a lease of an earlier epoch is held")
+	second := take()
+	assert.Assert(t, second > first, "token %d after %d", second, first)
+	l.Reset(1000)
+	assert.Assert(t, take() > 1000)
+}
