Leave a full engine only for an idle one, and only as a last resort

Cause: sent a request that had waited for longer than expected to any engine with capacity.

Change: only a request that would be refused soon leaves, in time for its whole prompt to be computed, and only for an engine without any work in this instance's view.

TestRequestLeavesEngineThatStaysFull passes, and TestFailedCoordinatorsCutNoRequests/all in 120 of 120 runs.

--- a/loomgate/place.go
+++ b/loomgate/place.go
@@ -76,7 +76,7 @@
 		OnlyEstimate:    mode == placeNever,
 		MustStart:       mode == placeAlways,
 		IsRepeated:      d.isPartRecorded,
-		NeedsCapacity:   d.needsCapacity,
+		PrefersIdle:     d.prefersIdle,
 	}
 	if !d.hasPrompt {
 		return r
@@ -221,7 +221,7 @@
 		triedIDs:        r.GetTriedIds(),
 		suspectIDs:      r.GetSuspectIds(),
 		isWanted:        r.GetIsRepeated(),
-		needsCapacity:   r.GetNeedsCapacity(),
+		prefersIdle:     r.GetPrefersIdle(),
 	}
 	var ok bool
 	if q.group, ok = g.view.routing().Group(r.GetGroup()); !ok {
--- a/loomgate/placement.go
+++ b/loomgate/placement.go
@@ -36,9 +36,9 @@
 	// instance that has the request considers unreachable.
 	triedIDs   []string
 	suspectIDs []string
-	// needsCapacity is set once the request has waited longer for an upstream than was
-	// expected. It then goes to one that has capacity now, if there is one.
-	needsCapacity bool
+	// prefersIdle is set once the request has waited for so long that it would be refused
+	// soon. It then goes to an upstream without any work, if there is one.
+	prefersIdle bool
 	// isWanted is set once the demand of the attempt has been counted at the upstream
 	// that it would go to without limits.
 	isWanted bool
@@ -98,8 +98,8 @@
 	g := q.gate
 	set := q.candidates(now)
 	candidates, delay := set.best()
-	if q.needsCapacity {
-		candidates = q.withCapacity(candidates)
+	if q.prefersIdle {
+		candidates = preferIdle(candidates)
 	}
 	if len(candidates) == 0 {
 		return placement{}, loomerror.New(loomerror.NoUpstream, "no live upstream in group %q", q.group.Name).WithRetryAfter(defaultRetryAfter)
@@ -155,30 +155,25 @@
 // hasCapacity reports whether the wait at the selected upstream is short enough
 // to send the request there now.
 func (q *placementQuery) hasCapacity(p placement) bool {
-	return !q.hasPrompt || q.group.Engine == nil || p.wait <= q.maxWait()
-}
-
-// maxWait returns the longest wait at an engine with which the request is sent there.
-func (q *placementQuery) maxWait() time.Duration {
+	limit := maxEngineWait
 	if q.rank <= maxUrgentRank {
-		return maxUrgentEngineWait
+		limit = maxUrgentEngineWait
 	}
-	return maxEngineWait
+	return !q.hasPrompt || q.group.Engine == nil || p.wait <= limit
 }
 
-// withCapacity returns the reachable candidates that have capacity now, or all if none
-// has.
-func (q *placementQuery) withCapacity(candidates []loomroute.Candidate) []loomroute.Candidate {
-	var free []loomroute.Candidate
+// preferIdle returns the reachable candidates without any work, or all if there are none.
+func preferIdle(candidates []loomroute.Candidate) []loomroute.Candidate {
+	var idle []loomroute.Candidate
 	for _, c := range candidates {
-		if c.Wait <= q.maxWait() && !c.Suspect {
-			free = append(free, c)
+		if c.Outstanding == 0 && !c.Suspect {
+			idle = append(idle, c)
 		}
 	}
-	if len(free) == 0 {
+	if len(idle) == 0 {
 		return candidates
 	}
-	return free
+	return idle
 }
 
 // expectedWork returns the expected work of an attempt: the number of prompt
--- a/loomgate/queue.go
+++ b/loomgate/queue.go
@@ -158,7 +158,19 @@
 	}
 	q.startTicker(interval)
 	q.mu.Unlock()
-	return d.waitTurn(ctx, q, waiter, wake, now.Add(max(expected, d.maxWait())))
+	return d.waitTurn(ctx, q, waiter, wake)
+}
+
+// lastResortMargin is how long before a request would be refused it goes to any idle
+// engine.
+const lastResortMargin = 100 * time.Millisecond
+
+// lastResortAt returns when a waiting request no longer waits for an engine that caches its
+// prompt while others are idle: the latest time at which one of these can still
+// compute the whole prompt before the caller leaves.
+func (d *dispatch) lastResortAt(w loomlimit.Waiter) time.Time {
+	whole := time.Duration(d.prompt.Tokens) * d.workUnitTime()
+	return w.Until.Add(w.Work - max(whole, w.Work) - lastResortMargin)
 }
 
 // latestStart returns the latest start with which the request is worth queueing. While
@@ -282,9 +294,8 @@
 }
 
 // waitTurn waits until the request has its turn and an engine has capacity for
-// it. After expectedAt it no longer waits for an engine that caches its prompt while
-// others have capacity.
-func (d *dispatch) waitTurn(ctx context.Context, q *groupQueue, waiter loomlimit.Waiter, wake chan struct{}, expectedAt time.Time) *loomerror.Error {
+// it.
+func (d *dispatch) waitTurn(ctx context.Context, q *groupQueue, waiter loomlimit.Waiter, wake chan struct{}) *loomerror.Error {
 	defer q.remove(waiter.ID)
 	for {
 		select {
@@ -297,7 +308,7 @@
 			return loomerror.New(loomerror.DeadlineUnmeetable, "no engine had capacity within %s", now.Sub(waiter.Arrived).Round(time.Millisecond)).
 				WithRetryAfter(minRetryAfter)
 		}
-		d.needsCapacity = now.After(expectedAt)
+		d.prefersIdle = now.After(d.lastResortAt(waiter))
 		if err := d.place(ctx, now, placeIfFree); err != nil {
 			return err
 		}
