--- a/loomgate/connections.go
+++ b/loomgate/connections.go
@@ -1,9 +1,6 @@
 package loomgate
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// connectionShare is the share of the connections that an upstream accepts that
@@ -35,15 +32,3 @@
 	interval := max(durationPerAge*q.gate.fleet.MeanAge(now, upstream)/time.Duration(max(own, 1)), queueInterval)
 	return limitDelay{wait: interval, interval: interval}
 }
-
-// ids returns the instances that choose upstreams, including those that have been
-// silent for less than partTTL.
-func (p *limitParts) ids(now time.Time) []string {
-	members := p.current(now)
-	ids := make([]string, 0, len(members))
-	for _, m := range members {
-		ids = append(ids, m.id)
-	}
-	slices.Sort(ids)
-	return ids
-}
--- a/loomgate/limit_parts.go
+++ b/loomgate/limit_parts.go
@@ -114,3 +114,15 @@
 		}
 	}
 }
+
+// ids returns the instances that choose upstreams, including those that have been
+// silent for less than partTTL.
+func (p *limitParts) ids(now time.Time) []string {
+	members := p.current(now)
+	ids := make([]string, 0, len(members))
+	for _, m := range members {
+		ids = append(ids, m.id)
+	}
+	slices.Sort(ids)
+	return ids
+}
--- a/loomgate/limits_test.go
+++ b/loomgate/limits_test.go
@@ -16,6 +16,7 @@
 	"swiftloom/loomcatalogue"
 	"swiftloom/loomerror"
 	"swiftloom/loomlimit"
+	"swiftloom/loompb"
 	"swiftloom/loomupstream"
 )
 
@@ -330,3 +331,51 @@
 		}
 	})
 }
+
+// TestWithdrawnLimitEnds checks that an upstream gets work as before once it no longer
+// names a limit, also from instances that have sent it nothing meanwhile.
+func TestWithdrawnLimitEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit, named, withdrawn, length = 2.0, 4 * time.Second, 9 * time.Second, 25 * time.Second
+		f := limitPlay{
+			gates: 7, domains: 4, engines: 4, length: length, meanGap: 20 * time.Millisecond,
+			events: []limitEvent{nameAt(named, limit), nameAt(withdrawn, -1)},
+		}.play(t)
+		limited := f.engines.countBetween("e0", f.start.Add(named+limitGrace), f.start.Add(withdrawn))
+		free := f.engines.countBetween("e0", f.start.Add(withdrawn+limitGrace), f.start.Add(length))
+		limitedRate, freeRate := float64(limited)/(withdrawn-named-limitGrace).Seconds(), float64(free)/(length-withdrawn-limitGrace).Seconds()
+		assert.Check(t, limitedRate <= 1.5*limit, "%.1f requests a second with a limit of %.0f", limitedRate, limit)
+		assert.Check(t, freeRate > limit, "%.1f requests a second after the limit of %.0f was withdrawn", freeRate, limit)
+		for _, g := range f.gates {
+			assert.Check(t, g.limits.summary(time.Now(), "engines").upstreams == 0, "%s still knows a limit", g.settings.ID)
+		}
+	})
+}
+
+// TestLimitBelongsToIncarnation guards against the limit of an earlier incarnation of an
+// upstream that counts for the present one, and against the reverse.
+func TestLimitBelongsToIncarnation(t *testing.T) {
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	g := newTestGate(t, "a", newFakeSource(), &fakeRunner{})
+	g.view.apply(at, TopicUpstreams, page(1, row("e1", "up 1", 1)), true)
+	u, ok := g.view.upstream("e1")
+	assert.Assert(t, ok)
+	limitOf := func() float64 { return g.limits.summary(at, "engines").perSecond }
+	report := func(incarnation uint64, limit float64, ageMs uint32) {
+		g.limits.apply(at, "b", []*loompb.UpstreamLimit{{UpstreamId: "e1", Incarnation: incarnation, IsLimited: true, RequestsPerSecond: limit, AgeMs: ageMs}})
+	}
+	u.Incarnation = 1
+	g.limits.hear(at, u, &loomupstream.Reply{Limit: loomupstream.RequestLimit{IsNamed: true, PerSecond: 5}})
+	assert.Equal(t, limitOf(), 5.0)
+	u.Incarnation = 2
+	g.limits.hear(at, u, &loomupstream.Reply{})
+	assert.Equal(t, limitOf(), 0.0, "the limit of the earlier incarnation")
+	report(1, 5, 0)
+	assert.Equal(t, limitOf(), 0.0, "a peer's word on the earlier incarnation")
+	report(2, 3, 100)
+	assert.Equal(t, limitOf(), 3.0, "a peer's word on the present incarnation")
+	g.limits.hear(at, u, &loomupstream.Reply{NotRun: true})
+	assert.Equal(t, limitOf(), 3.0, "a refusal does not withdraw a limit")
+	g.limits.hear(at, u, &loomupstream.Reply{Limit: loomupstream.RequestLimit{IsUnreadable: true}})
+	assert.Equal(t, limitOf(), 3.0, "an unreadable limit changes nothing")
+}
--- a/loomlimit/shared_rate.go
+++ b/loomlimit/shared_rate.go
@@ -32,12 +32,11 @@
 	return other.IsLimited && (!s.IsLimited || s.Rate > other.Rate)
 }
 
-// SharedRate is one instance's view of an upstream's limit, and its part of it.
-// The parts of all instances add up to the limit. An instance leases what it does not
-// need of its part to others. A request is sent only if the
-// instance's own rate and, as far as peers have reported, the limit of all
-// instances allow it. A SharedRate is not safe for concurrent use. The zero value has
-// no limit.
+// SharedRate is one instance's view of an upstream's limit, and its part of it. The parts
+// of all instances add up to the limit. An instance leases what it does not need of its
+// part to others. A request is sent only if the instance's own rate and, as far as peers
+// have reported, the limit of all instances allow it. A SharedRate is not safe for
+// concurrent use. The zero value has no limit.
 type SharedRate struct {
 	statement LimitStatement
 	// share is the instance's part of the limit, between zero and one.
