Log until when a removed upstream may get requests

The logs of the incident could not show why an instance still used an upstream after it had logged the removal. upstream_removed now says how long the upstream stays usable and how long ago a call to the platform last failed; removals that are found by comparing a full read are logged too (they were silent); upstream_expired and the failed_ms of dependency_regained show the end. The logic is unchanged.

--- a/loomgate/view.go
+++ b/loomgate/view.go
@@ -194,7 +194,8 @@
 			pause = v.gate.jitter(platformRetryInterval)
 		default:
 			if failing {
-				v.gate.log.Info("dependency_regained", "dependency", "platform", "topic", t.String(), "version", v.version(t).Load())
+				v.gate.log.Info("dependency_regained", "dependency", "platform", "topic", t.String(), "version", v.version(t).Load(),
+					"failed_ms", v.sinceFailure(time.Now()).Milliseconds())
 			}
 			failing = false
 			full = false
@@ -219,7 +220,13 @@
 
 // isPlatformFailing reports whether a call to the platform failed shortly before.
 func (v *clusterView) isPlatformFailing(now time.Time) bool {
-	return now.Sub(time.Unix(0, v.failedAt.Load())) < 2*platformRetryInterval
+	return v.sinceFailure(now) < 2*platformRetryInterval
+}
+
+// sinceFailure returns the time since a call to the platform last failed, or since the
+// Unix epoch if none has.
+func (v *clusterView) sinceFailure(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, v.failedAt.Load()))
 }
 
 // sleep waits for d. A change of the catalogue that a peer reports ends the
@@ -304,7 +311,7 @@
 		return
 	}
 	v.upstreamsUpdatedAt.Store(now.UnixNano())
-	changed = v.directory.RemoveExpired(now) || changed
+	changed = v.removeExpired(now) || changed
 	if changed || !v.upstreamsLoaded.Load() {
 		v.publish(now)
 	}
@@ -339,7 +346,7 @@
 	changed := false
 	for _, id := range v.directory.Listed() {
 		if !present[id] {
-			changed = v.directory.Remove(now, id, version) || changed
+			changed = v.removeUpstream(now, UpstreamRemoved{ID: id, Version: version}) || changed
 			delete(v.rows[TopicUpstreams], id)
 		}
 	}
@@ -370,14 +377,23 @@
 	case UpstreamListed:
 		return v.applyUpstream(now, c)
 	case UpstreamRemoved:
-		if v.directory.Remove(now, c.ID, c.Version) {
-			v.gate.log.Info("upstream_removed", "upstream", c.ID, "row_version", c.Version)
-			return true
-		}
+		return v.removeUpstream(now, c)
 	}
 	return false
 }
 
+// removeUpstream applies the removal of an upstream's entry and reports whether the set
+// of listed upstreams changed. The caller holds mu.
+func (v *clusterView) removeUpstream(now time.Time, c UpstreamRemoved) bool {
+	usableUntil, removed := v.directory.Remove(now, c.ID, c.Version)
+	if !removed {
+		return false
+	}
+	v.gate.log.Info("upstream_removed", "upstream", c.ID, "row_version", c.Version,
+		"usable_ms", usableUntil.Sub(now).Milliseconds(), "failed_ms", v.sinceFailure(now).Milliseconds())
+	return true
+}
+
 // applyRouting replaces the routing if the new revision is higher.
 func (v *clusterView) applyRouting(r loomcatalogue.Routing, version uint64) {
 	old := v.routing()
@@ -453,11 +469,21 @@
 func (v *clusterView) evictExpired(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.directory.RemoveExpired(now) {
+	if v.removeExpired(now) {
 		v.publish(now)
 	}
 }
 
+// removeExpired deletes removed upstreams that are no longer usable and reports whether
+// there were any. The caller holds mu.
+func (v *clusterView) removeExpired(now time.Time) bool {
+	expired := v.directory.RemoveExpired(now)
+	for _, id := range expired {
+		v.gate.log.Info("upstream_expired", "upstream", id)
+	}
+	return len(expired) > 0
+}
+
 // snapshot returns the cached rows of a topic, for a peer.
 func (v *clusterView) snapshot(t Topic) Page {
 	v.mu.Lock()
--- a/loommember/upstream.go
+++ b/loommember/upstream.go
@@ -139,13 +139,14 @@
 		a.FailureDomain == b.FailureDomain && a.Slots == b.Slots && slices.Equal(a.Weights, b.Weights)
 }
 
-// Remove records that an entry was removed from the list, and reports whether it
-// was listed until now. Around an outage of the platform the entry may have expired
-// although its upstream is alive, so the upstream stays usable for removalGrace.
-func (d *Directory) Remove(now time.Time, id string, version uint64) bool {
+// Remove records that an entry was removed from the list, and reports until when the
+// upstream stays usable and whether it was listed until now. Around an outage of the
+// platform the entry may have expired although its upstream is alive, so the upstream
+// stays usable for removalGrace.
+func (d *Directory) Remove(now time.Time, id string, version uint64) (usableUntil time.Time, removed bool) {
 	e, known := d.entries[id]
 	if !known || version < e.version || e.removed {
-		return false
+		return time.Time{}, false
 	}
 	e.version = version
 	e.removed = true
@@ -153,7 +154,7 @@
 	if now.Before(d.outageUntil) && !e.leaving {
 		e.unusableAt = now.Add(removalGrace)
 	}
-	return true
+	return e.unusableAt, true
 }
 
 // Outage records that the platform was unreachable at now. Entries that are
@@ -199,14 +200,14 @@
 }
 
 // RemoveExpired deletes removed entries that are no longer usable, and old
-// leaving marks of upstreams without an entry. It reports whether an entry was
-// deleted.
-func (d *Directory) RemoveExpired(now time.Time) bool {
-	changed := false
+// leaving marks of upstreams without an entry. It returns the IDs of the deleted
+// entries.
+func (d *Directory) RemoveExpired(now time.Time) []string {
+	var expired []string
 	for id, e := range d.entries {
 		if e.removed && !now.Before(e.unusableAt) {
 			delete(d.entries, id)
-			changed = true
+			expired = append(expired, id)
 		}
 	}
 	for id, mark := range d.leaving {
@@ -214,7 +215,8 @@
 			delete(d.leaving, id)
 		}
 	}
-	return changed
+	slices.Sort(expired)
+	return expired
 }
 
 // Get returns an upstream, or false when it is unknown or must not receive
