Count the age of the upstream list from when it was current

A list counted as new when its response was handled: the time of the call, and the age that a peer's or a coordinator's list had already, were lost. The age now starts when the platform was asked, travels with the rows through peers, and is measured on the monotonic clock.

--- a/loomgate/exchange.go
+++ b/loomgate/exchange.go
@@ -189,7 +189,7 @@
 	}
 	p.gate.limits.apply(time.Now(), peer.id, reply.GetLimits())
 	p.gate.limits.accept(sentAt, peer.id, reply.GetLeases())
-	p.syncRows(ctx, peer, reply)
+	p.syncRows(ctx, peer, sentAt, reply)
 }
 
 // recordFailure records a failed call to a peer.
@@ -212,7 +212,7 @@
 // syncRows reads the rows of a peer that has newer versions. The upstream list
 // is read only if this instance's list is older than maxUpstreamsAge, or, from a
 // coordinator, than upstreamsPollInterval.
-func (p *peers) syncRows(ctx context.Context, peer *peer, reply *loompb.ExchangeReply) {
+func (p *peers) syncRows(ctx context.Context, peer *peer, sentAt time.Time, reply *loompb.ExchangeReply) {
 	view := p.gate.view
 	if reply.GetCatalogueVersion() > view.catalogueVersion.Load() {
 		select {
@@ -237,7 +237,7 @@
 		view.recordOutage(now)
 	}
 	if reply.GetUpstreamsVersion() == view.upstreamsVersion.Load() {
-		view.setUpstreamsAge(now, time.Duration(reply.GetUpstreamsAgeMs())*time.Millisecond)
+		view.confirmUpstreams(sentAt.Add(-time.Duration(reply.GetUpstreamsAgeMs()) * time.Millisecond))
 	}
 }
 
@@ -247,6 +247,7 @@
 
 // fetchRows reads a peer's rows of a topic and applies them as a full snapshot.
 func (p *peers) fetchRows(ctx context.Context, peer *peer, t Topic) {
+	sentAt := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, rowsTimeout)
 	defer cancel()
 	reply, err := peer.client.Rows(ctx, &loompb.RowsRequest{Topic: t.String()})
@@ -258,11 +259,11 @@
 		// The peer has started again and has no list itself.
 		return
 	}
-	page := Page{Version: reply.GetVersion()}
+	page := Page{Version: reply.GetVersion(), AsOf: sentAt.Add(-time.Duration(reply.GetAgeMs()) * time.Millisecond)}
 	for _, row := range reply.GetRows() {
 		page.Rows = append(page.Rows, Row{Key: row.GetKey(), Value: row.GetValue(), Version: row.GetVersion(), Deleted: row.GetDeleted()})
 	}
-	p.gate.log.Info("rows_from_peer", "peer", peer.id, "topic", t.String(), "version", page.Version, "rows", len(page.Rows))
+	p.gate.log.Info("rows_from_peer", "peer", peer.id, "topic", t.String(), "version", page.Version, "rows", len(page.Rows), "age_ms", reply.GetAgeMs())
 	p.gate.view.apply(time.Now(), t, page, true)
 }
 
@@ -293,7 +294,7 @@
 	return &loompb.ExchangeReply{
 		CatalogueVersion: g.view.catalogueVersion.Load(),
 		UpstreamsVersion: g.view.upstreamsVersion.Load(),
-		UpstreamsAgeMs:   uint32(min(max(g.view.upstreamsAge(now).Milliseconds(), 0), math.MaxUint32)),
+		UpstreamsAgeMs:   ageMillis(now, *g.view.upstreamsAsOf.Load()),
 
 		IsPlatformFailing: g.view.isPlatformFailing(now),
 		Limits:            g.limits.reports(now),
@@ -301,6 +302,11 @@
 	}, nil
 }
 
+// ageMillis returns the time from at to now in milliseconds, as messages hold it.
+func ageMillis(now, at time.Time) uint32 {
+	return uint32(min(max(now.Sub(at).Milliseconds(), 0), math.MaxUint32))
+}
+
 // Rows implements loompb.GatePeerServer.
 func (s *peerService) Rows(_ context.Context, r *loompb.RowsRequest) (*loompb.RowsReply, error) {
 	t := TopicCatalogue
@@ -308,7 +314,7 @@
 		t = TopicUpstreams
 	}
 	page := s.gate.view.snapshot(t)
-	reply := &loompb.RowsReply{Version: page.Version}
+	reply := &loompb.RowsReply{Version: page.Version, AgeMs: ageMillis(time.Now(), page.AsOf)}
 	for _, row := range page.Rows {
 		reply.Rows = append(reply.Rows, &loompb.TopicRow{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted})
 	}
--- a/loomgate/peer_rows_test.go
+++ b/loomgate/peer_rows_test.go
@@ -1,6 +1,7 @@
 package loomgate
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -16,10 +17,49 @@
 	restarted := newTestGate(t, "b", newFakeSource(), &fakeRunner{})
 	p := &peer{id: "b", client: directClient{service: &peerService{gate: restarted}}}
 
-	g.peers.syncRows(t.Context(), p, &loompb.ExchangeReply{CatalogueVersion: 4, UpstreamsVersion: 5})
+	g.peers.syncRows(t.Context(), p, time.Now(), &loompb.ExchangeReply{CatalogueVersion: 4, UpstreamsVersion: 5})
 	assert.Check(t, !g.view.hasUpstreamList(), "an empty upstream list at version %d counts as received", g.view.upstreamsVersion.Load())
 
 	restarted.view.apply(time.Now(), TopicUpstreams, page(6, row("u", "up 1", 6)), true)
-	g.peers.syncRows(t.Context(), p, &loompb.ExchangeReply{CatalogueVersion: 4, UpstreamsVersion: 6})
+	g.peers.syncRows(t.Context(), p, time.Now(), &loompb.ExchangeReply{CatalogueVersion: 4, UpstreamsVersion: 6})
 	assert.Check(t, len(g.view.group(time.Now(), "engines")) == 1)
 }
+
+// TestRowsOfPeerKeepTheirAge guards against an old upstream list that counts as new
+// because it comes from a peer.
+func TestRowsOfPeerKeepTheirAge(t *testing.T) {
+	const age = 1500 * time.Millisecond
+	now := time.Now()
+	g := newTestGate(t, "a", newFakeSource(), &fakeRunner{})
+	other := newTestGate(t, "b", newFakeSource(), &fakeRunner{})
+	other.view.apply(now.Add(-age), TopicUpstreams, page(6, row("u", "up 1", 6)), true)
+	p := &peer{id: "b", client: directClient{service: &peerService{gate: other}}}
+	g.peers.syncRows(t.Context(), p, time.Now(), &loompb.ExchangeReply{UpstreamsVersion: 6})
+	assert.Equal(t, len(g.view.group(now, "engines")), 1)
+	got := g.view.upstreamsAge(time.Now())
+	assert.Check(t, got >= age, "the list is %s old, the peer's was %s old", got, age)
+}
+
+// slowSource is a fakeSource whose reads take some time.
+type slowSource struct {
+	*fakeSource
+
+	delay time.Duration
+}
+
+// Snapshot implements Source.
+func (s slowSource) Snapshot(context.Context, Topic) (Page, error) {
+	time.Sleep(s.delay)
+	return page(6, row("u", "up 1", 6)), nil
+}
+
+// TestListAgeIncludesTheCall guards against a list that counts as current when its
+// response is handled, although an upstream may have left while the call was under way.
+func TestListAgeIncludesTheCall(t *testing.T) {
+	const delay = 200 * time.Millisecond
+	g := newTestGate(t, "a", newFakeSource(), &fakeRunner{})
+	g.source = slowSource{fakeSource: newFakeSource(), delay: delay}
+	assert.NilError(t, g.view.poll(t.Context(), TopicUpstreams, true, 0))
+	got := g.view.upstreamsAge(time.Now())
+	assert.Check(t, got >= delay, "the list is %s old, the call took %s", got, delay)
+}
--- a/loomgate/source.go
+++ b/loomgate/source.go
@@ -55,6 +55,9 @@
 	Rows []Row
 	// Version is the loomplatform.Position after which the next call continues.
 	Version uint64
+	// AsOf is a time at which the platform held these rows, or later ones: when it was
+	// asked for them.
+	AsOf time.Time
 }
 
 // Source provides the platform's table and its topics. Its methods may be
--- a/loomgate/view.go
+++ b/loomgate/view.go
@@ -41,9 +41,9 @@
 	// platform's rows that were applied.
 	catalogueVersion atomic.Uint64
 	upstreamsVersion atomic.Uint64
-	// upstreamsUpdatedAt is when the upstream list was last received, in Unix
-	// nanoseconds.
-	upstreamsUpdatedAt atomic.Int64
+	// upstreamsAsOf is a time at which the upstream list was current. It never
+	// decreases.
+	upstreamsAsOf atomic.Pointer[time.Time]
 	// failedAt is when a call to the platform last failed, in Unix nanoseconds.
 	failedAt atomic.Int64
 	// catalogueChanged wakes the catalogue watch when a peer has a newer
@@ -76,6 +76,7 @@
 	}
 	v.routingSnapshot.Store(&loomcatalogue.Routing{})
 	v.groupsSnapshot.Store(&map[string][]loommember.Upstream{})
+	v.upstreamsAsOf.Store(&time.Time{})
 	return v
 }
 
@@ -108,9 +109,9 @@
 	return loommember.Upstream{}, false
 }
 
-// upstreamsAge returns the time since the upstream list was last received.
+// upstreamsAge returns the time since the upstream list was current.
 func (v *clusterView) upstreamsAge(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, v.upstreamsUpdatedAt.Load()))
+	return now.Sub(*v.upstreamsAsOf.Load())
 }
 
 // targetVersion returns the version that operators set for a model, or zero.
@@ -210,11 +211,12 @@
 	return v.hasUpstreamList() && v.gate.coordinators.hasCoordinator() && v.upstreamsAge(now) < maxUpstreamsAge
 }
 
-// setUpstreamsAge records that the upstream list was up to date age before now.
-func (v *clusterView) setUpstreamsAge(now time.Time, age time.Duration) {
-	at := now.Add(-age).UnixNano()
-	if at > v.upstreamsUpdatedAt.Load() {
-		v.upstreamsUpdatedAt.Store(at)
+// confirmUpstreams records that the upstream list was current at a time.
+func (v *clusterView) confirmUpstreams(at time.Time) {
+	for known := v.upstreamsAsOf.Load(); at.After(*known); known = v.upstreamsAsOf.Load() {
+		if v.upstreamsAsOf.CompareAndSwap(known, &at) {
+			return
+		}
 	}
 }
 
@@ -258,6 +260,7 @@
 
 // poll makes one call to the platform and applies the result.
 func (v *clusterView) poll(ctx context.Context, t Topic, full bool, maxWait time.Duration) error {
+	sentAt := time.Now()
 	var page Page
 	var err error
 	if full {
@@ -268,6 +271,7 @@
 	if err != nil {
 		return err
 	}
+	page.AsOf = sentAt
 	v.apply(time.Now(), t, page, full)
 	return nil
 }
@@ -280,12 +284,16 @@
 }
 
 // apply applies rows from the platform or a peer. If full is set, the page is a
-// complete snapshot, and listed upstreams that have no row in it are removed.
+// complete snapshot, and listed upstreams that have no row in it are removed. A page
+// that does not say when its rows were current holds those of now.
 func (v *clusterView) apply(now time.Time, t Topic, page Page, full bool) {
 	known := v.version(t)
 	if page.Version < known.Load() {
 		return
 	}
+	if page.AsOf.IsZero() {
+		page.AsOf = now
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.applyEpoch(now, t, known.Load(), page.Version)
@@ -310,7 +318,7 @@
 	if t != TopicUpstreams {
 		return
 	}
-	v.upstreamsUpdatedAt.Store(now.UnixNano())
+	v.confirmUpstreams(page.AsOf)
 	changed = v.removeExpired(now) || changed
 	if changed || !v.upstreamsLoaded.Load() {
 		v.publish(now)
@@ -488,7 +496,7 @@
 func (v *clusterView) snapshot(t Topic) Page {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	page := Page{Version: v.version(t).Load()}
+	page := Page{Version: v.version(t).Load(), AsOf: *v.upstreamsAsOf.Load()}
 	for _, row := range v.rows[t] {
 		page.Rows = append(page.Rows, row)
 	}
