Count the use of expired entries from the platform's return

Callers' requests reached an upstream that had left the list more than two seconds before, a few seconds after an outage of the platform.

Cause: around an outage a removed entry may only have expired, so its upstream was used for 1.8 s more. That time began when the instance learned of the removal, up to 0.8 s late, and applied to all removals within 4 s of the latest failed call.

A missing entry is now used until 2 s after the platform's return, counted from the first answer to this instance or to a peer. An entry that a list has shown since the return, or less than a renewal before it, was removed after that list, so the removal itself is bounded, less the time to reach the upstream. Failed calls count from when they were sent. While entries are missing, the list is read each 250 ms, and the first retry after a failure follows after 200 ms.

--- a/loomgate/exchange.go
+++ b/loomgate/exchange.go
@@ -214,6 +214,9 @@
 // coordinator, than upstreamsPollInterval.
 func (p *peers) syncRows(ctx context.Context, peer *peer, sentAt time.Time, reply *loompb.ExchangeReply) {
 	view := p.gate.view
+	if answers := milliseconds(reply.GetPlatformAnswersMs()); answers > 0 {
+		view.recordPeerAnswers(time.Now().Add(-answers), sentAt.Add(-milliseconds(reply.GetPlatformAnsweredMs())))
+	}
 	if reply.GetCatalogueVersion() > view.catalogueVersion.Load() {
 		select {
 		case view.catalogueChanged <- struct{}{}:
@@ -234,10 +237,10 @@
 		return
 	}
 	if reply.GetIsPlatformFailing() {
-		view.recordOutage(now)
+		view.recordFailure(sentAt)
 	}
 	if reply.GetUpstreamsVersion() == view.upstreamsVersion.Load() {
-		view.confirmUpstreams(sentAt.Add(-time.Duration(reply.GetUpstreamsAgeMs()) * time.Millisecond))
+		view.confirmUpstreams(sentAt.Add(-milliseconds(reply.GetUpstreamsAgeMs())))
 	}
 }
 
@@ -259,7 +262,7 @@
 		// The peer has started again and has no list itself.
 		return
 	}
-	page := Page{Version: reply.GetVersion(), AsOf: sentAt.Add(-time.Duration(reply.GetAgeMs()) * time.Millisecond)}
+	page := Page{Version: reply.GetVersion(), AsOf: sentAt.Add(-milliseconds(reply.GetAgeMs()))}
 	for _, row := range reply.GetRows() {
 		page.Rows = append(page.Rows, Row{Key: row.GetKey(), Value: row.GetValue(), Version: row.GetVersion(), Deleted: row.GetDeleted()})
 	}
@@ -291,15 +294,25 @@
 	}
 	g.rollout.applyPeerReports(now, r.GetWeights())
 	g.limits.apply(now, r.GetFrom(), r.GetLimits())
-	return &loompb.ExchangeReply{
+	contact := g.view.contact()
+	reply := &loompb.ExchangeReply{
 		CatalogueVersion: g.view.catalogueVersion.Load(),
 		UpstreamsVersion: g.view.upstreamsVersion.Load(),
 		UpstreamsAgeMs:   ageMillis(now, *g.view.upstreamsAsOf.Load()),
 
-		IsPlatformFailing: g.view.isPlatformFailing(now),
+		IsPlatformFailing: contact.IsFailing(),
 		Limits:            g.limits.reports(now),
 		Leases:            g.limits.lend(now, r.GetFrom(), r.GetLeaseRequests()),
-	}, nil
+	}
+	if since, answeredAt, ok := contact.OwnAnswers(); ok {
+		reply.PlatformAnswersMs, reply.PlatformAnsweredMs = max(ageMillis(now, since), 1), ageMillis(now, answeredAt)
+	}
+	return reply, nil
+}
+
+// milliseconds returns a duration that a message holds.
+func milliseconds(n uint32) time.Duration {
+	return time.Duration(n) * time.Millisecond
 }
 
 // ageMillis returns the time from at to now in milliseconds, as messages hold it.
--- a/loomgate/gate.go
+++ b/loomgate/gate.go
@@ -40,6 +40,11 @@
 	// OldWeightsTTL is how long the previous weights may still serve requests
 	// after operators set a new target version.
 	OldWeightsTTL time.Duration
+	// LeavingLimit is how long after an upstream has left the list requests may still
+	// arrive there, and RenewalInterval the time between two renewals of an entry in
+	// the list.
+	LeavingLimit    time.Duration
+	RenewalInterval time.Duration
 }
 
 // Options holds the dependencies of a gate.
--- a/loomgate/gate_test.go
+++ b/loomgate/gate_test.go
@@ -153,7 +153,7 @@
 
 func newTestGate(t *testing.T, id string, s *fakeSource, r *fakeRunner) *Gate {
 	t.Helper()
-	g, err := New(Settings{ID: id, OldWeightsTTL: 10 * time.Second, MinOrderGap: 3 * time.Second, RetryReserve: 10, RetryRatio: 0.2},
+	g, err := New(Settings{ID: id, OldWeightsTTL: 10 * time.Second, LeavingLimit: 2 * time.Second, RenewalInterval: 1200 * time.Millisecond, MinOrderGap: 3 * time.Second, RetryReserve: 10, RetryRatio: 0.2},
 		Options{Log: slog.New(slog.DiscardHandler), Source: s, Runner: r})
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = g.metrics.Close() })
--- a/loomgate/peers.go
+++ b/loomgate/peers.go
@@ -120,6 +120,7 @@
 func (p *peers) watchInstances(ctx context.Context) {
 	full := true
 	for ctx.Err() == nil {
+		sentAt := time.Now()
 		var page Page
 		var err error
 		if full {
@@ -133,6 +134,7 @@
 		}
 		switch {
 		case err == nil:
+			p.gate.view.recordAnswer(sentAt, time.Now())
 			if full {
 				p.own = ownRow{mayBeLost: p.isNewEpoch(page)}
 			}
@@ -148,6 +150,7 @@
 				return
 			}
 		default:
+			p.gate.view.recordFailure(sentAt)
 			if loomkernel.Sleep(ctx, p.gate.jitter(platformRetryInterval)) != nil {
 				return
 			}
--- a/loomgate/view.go
+++ b/loomgate/view.go
@@ -24,9 +24,13 @@
 	// Upstreams write more often than that, so a long poll would return
 	// immediately.
 	upstreamsPollInterval = 800 * time.Millisecond
+	// expiringPollInterval is the same while entries are missing that may be back soon.
+	expiringPollInterval = 250 * time.Millisecond
 	// platformRetryInterval is the mean time between two calls while the
-	// platform is failing; each pause is jittered.
-	platformRetryInterval = 700 * time.Millisecond
+	// platform is failing; each pause is jittered. platformFirstRetryInterval is that
+	// after the first failure, which may have been a single one.
+	platformRetryInterval      = 700 * time.Millisecond
+	platformFirstRetryInterval = 200 * time.Millisecond
 )
 
 // clusterView holds this instance's view of the catalogue and the upstreams.
@@ -44,14 +48,12 @@
 	// upstreamsAsOf is a time at which the upstream list was current. It never
 	// decreases.
 	upstreamsAsOf atomic.Pointer[time.Time]
-	// failedAt is when a call to the platform last failed, in Unix nanoseconds.
-	failedAt atomic.Int64
 	// catalogueChanged wakes the catalogue watch when a peer has a newer
 	// version.
 	catalogueChanged chan struct{}
 
 	mu        sync.Mutex
-	directory loommember.Directory
+	directory *loommember.Directory
 	// targets holds the target version that operators set for each model. It
 	// only increases.
 	targets map[string]uint64
@@ -68,6 +70,7 @@
 func newClusterView(g *Gate) *clusterView {
 	v := &clusterView{
 		gate:             g,
+		directory:        loommember.NewDirectory(g.settings.LeavingLimit, g.settings.RenewalInterval),
 		catalogueChanged: make(chan struct{}, 1),
 		targets:          make(map[string]uint64),
 		targetHistory:    make(map[string][]targetChange),
@@ -189,17 +192,22 @@
 			if !failing {
 				v.gate.log.Warn("dependency_lost", "dependency", "platform", "topic", t.String(), "cause", err.Error())
 			}
-			failing = true
-			v.failedAt.Store(time.Now().UnixNano())
-			v.recordOutage(time.Now())
 			pause = v.gate.jitter(platformRetryInterval)
+			if !failing {
+				pause = v.gate.jitter(platformFirstRetryInterval)
+			}
+			failing = true
+			v.recordFailure(started)
 		default:
 			if failing {
 				v.gate.log.Info("dependency_regained", "dependency", "platform", "topic", t.String(), "version", v.version(t).Load(),
-					"failed_ms", v.sinceFailure(time.Now()).Milliseconds())
+					"failed_ms", v.contact().SinceFailure(time.Now()).Milliseconds())
 			}
 			failing = false
 			full = false
+			if t == TopicUpstreams && v.hasExpiring(time.Now()) {
+				pause = expiringPollInterval
+			}
 		}
 		v.sleep(ctx, t, pause-time.Since(started)/2)
 	}
@@ -220,15 +228,40 @@
 	}
 }
 
-// isPlatformFailing reports whether a call to the platform failed shortly before.
-func (v *clusterView) isPlatformFailing(now time.Time) bool {
-	return v.sinceFailure(now) < 2*platformRetryInterval
+// hasExpiring reports whether an upstream is used whose entry is missing.
+func (v *clusterView) hasExpiring(now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.directory.HasExpiring(now)
+}
+
+// contact returns what is known of the platform's answers.
+func (v *clusterView) contact() loommember.Contact {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.directory.Contact()
+}
+
+// recordFailure records that a call to the platform failed that was sent at a time.
+func (v *clusterView) recordFailure(sentAt time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.directory.SetContact(v.directory.Contact().WithFailure(sentAt))
+}
+
+// recordAnswer records that the platform answered now a call that was sent at a time.
+func (v *clusterView) recordAnswer(sentAt, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.directory.SetContact(v.directory.Contact().WithAnswer(sentAt, now))
 }
 
-// sinceFailure returns the time since a call to the platform last failed, or since the
-// Unix epoch if none has.
-func (v *clusterView) sinceFailure(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, v.failedAt.Load()))
+// recordPeerAnswers records that the platform has answered all calls of a peer since a
+// time, the latest of which was sent at answeredAt.
+func (v *clusterView) recordPeerAnswers(since, answeredAt time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.directory.SetContact(v.directory.Contact().WithPeerAnswers(since, answeredAt))
 }
 
 // sleep waits for d. A change of the catalogue that a peer reports ends the
@@ -272,17 +305,12 @@
 		return err
 	}
 	page.AsOf = sentAt
-	v.apply(time.Now(), t, page, full)
+	now := time.Now()
+	v.recordAnswer(sentAt, now)
+	v.apply(now, t, page, full)
 	return nil
 }
 
-// recordOutage records that the platform could not be reached.
-func (v *clusterView) recordOutage(now time.Time) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.directory.Outage(now)
-}
-
 // apply applies rows from the platform or a peer. If full is set, the page is a
 // complete snapshot, and listed upstreams that have no row in it are removed. A page
 // that does not say when its rows were current holds those of now.
@@ -296,7 +324,26 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.applyEpoch(now, t, known.Load(), page.Version)
+	changed := v.applyRows(now, t, page, full)
+	known.Store(max(known.Load(), page.Version))
+	if t != TopicUpstreams {
+		return
+	}
+	v.confirmUpstreams(page.AsOf)
+	changed = v.removeExpired(now) || changed
+	if changed || !v.upstreamsLoaded.Load() {
+		v.publish(now)
+	}
+	v.upstreamsLoaded.Store(true)
+}
+
+// applyRows applies the rows of a page and reports whether the set of usable upstreams
+// changed. The caller holds mu.
+func (v *clusterView) applyRows(now time.Time, t Topic, page Page, full bool) bool {
+	removal := loommember.Removal{After: *v.upstreamsAsOf.Load(), Before: page.AsOf}
+	if v.applyEpoch(now, t, v.version(t).Load(), page.Version) {
+		removal.After = time.Time{}
+	}
 	changed := false
 	present := make(map[string]bool, len(page.Rows))
 	for _, row := range page.Rows {
@@ -309,37 +356,31 @@
 		} else {
 			v.rows[t][row.Key] = row
 		}
-		changed = v.applyRow(now, t, row) || changed
+		changed = v.applyRow(now, removal, t, row) || changed
 	}
 	if full && t == TopicUpstreams {
-		changed = v.removeAbsent(now, present, page.Version) || changed
-	}
-	known.Store(max(known.Load(), page.Version))
-	if t != TopicUpstreams {
-		return
+		changed = v.removeAbsent(now, removal, present, page.Version) || changed
 	}
-	v.confirmUpstreams(page.AsOf)
-	changed = v.removeExpired(now) || changed
-	if changed || !v.upstreamsLoaded.Load() {
-		v.publish(now)
-	}
-	v.upstreamsLoaded.Store(true)
+	return changed
 }
 
 // epochSpread is the time over which instances spread their reads after the platform's
 // table has returned from an older copy.
 const epochSpread = 400 * time.Millisecond
 
-// applyEpoch logs that the platform's table has returned from an older copy, if a topic
-// shows a later epoch than before. Entries that upstreams have yet to write again count as
-// removed by an outage. The caller holds mu.
-func (v *clusterView) applyEpoch(now time.Time, t Topic, before, position uint64) {
+// applyEpoch reports whether the platform's table has returned from an older copy, so that
+// a topic shows a later epoch than before. Entries that upstreams have yet to write again
+// count as expired in an outage. The caller holds mu.
+func (v *clusterView) applyEpoch(now time.Time, t Topic, before, position uint64) bool {
 	epoch, old := loomplatform.PositionEpoch(position), loomplatform.PositionEpoch(before)
 	if epoch == old || before == 0 {
-		return
+		return false
+	}
+	if t == TopicUpstreams {
+		v.directory.SetContact(loommember.Contact{}.WithAnswer(now, now))
 	}
-	v.directory.Outage(now)
 	v.gate.log.Warn("store_epoch_rose", "topic", t.String(), "epoch", epoch, "before", old, "version", loomplatform.PositionVersion(position))
+	return true
 }
 
 // epoch returns the newest epoch of the platform's table that this instance has heard of,
@@ -348,22 +389,23 @@
 	return max(v.gate.source.Epoch(), loomplatform.PositionEpoch(v.catalogueVersion.Load()), loomplatform.PositionEpoch(v.upstreamsVersion.Load()))
 }
 
-// removeAbsent removes the upstreams that are missing from a full snapshot. The
-// caller holds mu.
-func (v *clusterView) removeAbsent(now time.Time, present map[string]bool, version uint64) bool {
+// removeAbsent removes the upstreams that are missing from a full snapshot, at the times
+// in r. The caller holds mu.
+func (v *clusterView) removeAbsent(now time.Time, r loommember.Removal, present map[string]bool, version uint64) bool {
 	changed := false
 	for _, id := range v.directory.Listed() {
 		if !present[id] {
-			changed = v.removeUpstream(now, UpstreamRemoved{ID: id, Version: version}) || changed
+			r.ID, r.Version = id, version
+			changed = v.removeUpstream(now, r) || changed
 			delete(v.rows[TopicUpstreams], id)
 		}
 	}
 	return changed
 }
 
-// applyRow applies one row and reports whether the set of usable upstreams
-// changed. The caller holds mu.
-func (v *clusterView) applyRow(now time.Time, t Topic, row Row) bool {
+// applyRow applies one row and reports whether the set of usable upstreams changed. A
+// removal is one at the times in r. The caller holds mu.
+func (v *clusterView) applyRow(now time.Time, r loommember.Removal, t Topic, row Row) bool {
 	change, err := v.gate.source.Decode(t, row)
 	if err != nil {
 		if v.loggedRows[row.Key] == 0 {
@@ -385,20 +427,21 @@
 	case UpstreamListed:
 		return v.applyUpstream(now, c)
 	case UpstreamRemoved:
-		return v.removeUpstream(now, c)
+		r.ID, r.Version = c.ID, c.Version
+		return v.removeUpstream(now, r)
 	}
 	return false
 }
 
 // removeUpstream applies the removal of an upstream's entry and reports whether the set
 // of listed upstreams changed. The caller holds mu.
-func (v *clusterView) removeUpstream(now time.Time, c UpstreamRemoved) bool {
-	usableUntil, removed := v.directory.Remove(now, c.ID, c.Version)
+func (v *clusterView) removeUpstream(now time.Time, r loommember.Removal) bool {
+	usableUntil, removed := v.directory.Remove(now, r)
 	if !removed {
 		return false
 	}
-	v.gate.log.Info("upstream_removed", "upstream", c.ID, "row_version", c.Version,
-		"usable_ms", usableUntil.Sub(now).Milliseconds(), "failed_ms", v.sinceFailure(now).Milliseconds())
+	v.gate.log.Info("upstream_removed", "upstream", r.ID, "row_version", r.Version,
+		"usable_ms", usableUntil.Sub(now).Milliseconds(), "failed_ms", v.directory.Contact().SinceFailure(now).Milliseconds())
 	return true
 }
 
--- a/loommember/upstream.go
+++ b/loommember/upstream.go
@@ -62,22 +62,34 @@
 	return u
 }
 
-// removalGrace is how long an upstream stays usable after its entry was removed
-// around an outage of the platform, when the entry may have expired only because
-// the upstream could not renew it.
-const removalGrace = 1800 * time.Millisecond
+// sendAllowance is the time from the choice of an upstream until a request arrives there.
+const sendAllowance = 400 * time.Millisecond
 
 // Directory decides which upstreams may receive requests, from the platform's list
 // and from direct evidence. A leaving mark is final for an incarnation. A Directory
-// is not safe for concurrent use. Its zero value is empty.
+// is not safe for concurrent use.
 type Directory struct {
 	entries map[string]*directoryEntry
 	// leaving holds the latest incarnation of each upstream, by ID, that was
 	// marked as leaving. It outlives the entry.
 	leaving map[string]leavingMark
-	// outageUntil is the time until which a removed entry may have expired
-	// because of an outage.
-	outageUntil time.Time
+	contact Contact
+	// leavingLimit bounds how long after its removal an entry is used, and renewal is
+	// the interval at which upstreams renew their entries.
+	leavingLimit, renewal time.Duration
+}
+
+// NewDirectory returns an empty Directory. No request may arrive at an upstream later
+// than leavingLimit after its entry was removed. Upstreams renew their entries at an
+// interval of renewal.
+func NewDirectory(leavingLimit, renewal time.Duration) *Directory {
+	return &Directory{
+		entries: make(map[string]*directoryEntry),
+		leaving: make(map[string]leavingMark),
+
+		leavingLimit: leavingLimit,
+		renewal:      renewal,
+	}
 }
 
 type directoryEntry struct {
@@ -100,17 +112,9 @@
 // entry. Rows and rumours about the upstream no longer arrive after that time.
 const leavingMarkMaxAge = time.Minute
 
-func (d *Directory) init() {
-	if d.entries == nil {
-		d.entries = make(map[string]*directoryEntry)
-		d.leaving = make(map[string]leavingMark)
-	}
-}
-
 // Put applies an entry of the list and reports whether the upstream or its
 // usability changed. A row or an incarnation older than the known one is ignored.
 func (d *Directory) Put(now time.Time, u Upstream, leaving bool, version uint64) bool {
-	d.init()
 	e, known := d.entries[u.ID]
 	if known && version < e.version {
 		return false
@@ -139,39 +143,72 @@
 		a.FailureDomain == b.FailureDomain && a.Slots == b.Slots && slices.Equal(a.Weights, b.Weights)
 }
 
+// Removal is the removal of an upstream's entry from the list.
+type Removal struct {
+	ID string
+	// Version is the version of the removal, or of the list that lacks the entry.
+	Version uint64
+	// After and Before are times between which the entry was removed: when the list was
+	// read that last held it, and the first one that lacked it. After is zero if the
+	// earlier list says nothing about this one.
+	After, Before time.Time
+}
+
 // Remove records that an entry was removed from the list, and reports until when the
 // upstream stays usable and whether it was listed until now. Around an outage of the
-// platform the entry may have expired although its upstream is alive, so the upstream
-// stays usable for removalGrace.
-func (d *Directory) Remove(now time.Time, id string, version uint64) (usableUntil time.Time, removed bool) {
-	e, known := d.entries[id]
-	if !known || version < e.version || e.removed {
+// platform the entry may have expired although its upstream is alive.
+func (d *Directory) Remove(now time.Time, r Removal) (usableUntil time.Time, removed bool) {
+	e, known := d.entries[r.ID]
+	if !known || r.Version < e.version || e.removed {
 		return time.Time{}, false
 	}
-	e.version = version
+	e.version = r.Version
 	e.removed = true
 	e.unusableAt = now
-	if now.Before(d.outageUntil) && !e.leaving {
-		e.unusableAt = now.Add(removalGrace)
+	if end := d.lapseEnd(r); end.After(now) && !e.leaving {
+		e.unusableAt = end
 	}
 	return e.unusableAt, true
 }
 
-// Outage records that the platform was unreachable at now. Entries that are
-// removed within outageEffect after the latest outage may have expired because
-// their upstreams could not renew them.
-func (d *Directory) Outage(now time.Time) {
-	d.outageUntil = now.Add(outageEffect)
+// lapseEnd returns until when a removed entry counts as expired in an outage of the
+// platform. It counts from the platform's return and not from when this instance learns of
+// the removal, so that the time to learn of it is not added.
+func (d *Directory) lapseEnd(r Removal) time.Time {
+	returnedAt, answers := d.contact.AnswersSince()
+	switch {
+	case answers:
+	case d.contact.IsFailing():
+		// The list comes from a peer, which the platform has answered.
+		returnedAt = r.Before
+	default:
+		return time.Time{}
+	}
+	end := returnedAt.Add(d.leavingLimit)
+	if returnedAt.Sub(r.After) >= d.renewal {
+		return end
+	}
+	// The entry was held by a list since the platform's return, or the platform was not
+	// away for long enough, so the time of the removal itself is bounded.
+	if bound := r.After.Add(d.leavingLimit - sendAllowance); bound.Before(end) {
+		return bound
+	}
+	return end
 }
 
-// outageEffect is how long after an outage the removal of an entry may still be
-// caused by it: the time in which a listed upstream renews its entry twice.
-const outageEffect = 4 * time.Second
+// Contact returns what is known of the platform's answers.
+func (d *Directory) Contact() Contact {
+	return d.contact
+}
+
+// SetContact sets what is known of the platform's answers.
+func (d *Directory) SetContact(c Contact) {
+	d.contact = c
+}
 
 // Mark records that an incarnation is leaving and reports whether that was not
 // known yet. An incarnation of zero stands for the known one.
 func (d *Directory) Mark(now time.Time, id string, incarnation uint64) bool {
-	d.init()
 	e, known := d.entries[id]
 	if !known {
 		return false
@@ -245,6 +282,16 @@
 	return usable
 }
 
+// HasExpiring reports whether an upstream without an entry is still usable.
+func (d *Directory) HasExpiring(now time.Time) bool {
+	for _, e := range d.entries {
+		if e.removed && e.usable(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Listed returns the sorted IDs of all entries that are in the list.
 func (d *Directory) Listed() []string {
 	var ids []string
