Take the platform's return from whoever has read the list

An instance that follows a coordinator took the coordinator's failed calls for its own. When it then read the list itself, its view said that the platform had just returned, so an entry whose removal it found was used for two seconds more, although the platform had not been away. A list now comes with the time since when the platform answers its reader: this instance, or the peer that has read it.

--- a/loomgate/exchange.go
+++ b/loomgate/exchange.go
@@ -236,9 +236,6 @@
 	if !hasCoordinator {
 		return
 	}
-	if reply.GetIsPlatformFailing() {
-		view.recordFailure(sentAt)
-	}
 	if reply.GetUpstreamsVersion() == view.upstreamsVersion.Load() {
 		view.confirmUpstreams(sentAt.Add(-milliseconds(reply.GetUpstreamsAgeMs())))
 	}
@@ -263,6 +260,10 @@
 		return
 	}
 	page := Page{Version: reply.GetVersion(), AsOf: sentAt.Add(-milliseconds(reply.GetAgeMs()))}
+	page.AnswersSince = page.AsOf
+	if answers := milliseconds(reply.GetPlatformAnswersMs()); answers > 0 {
+		page.AnswersSince = time.Now().Add(-answers)
+	}
 	for _, row := range reply.GetRows() {
 		page.Rows = append(page.Rows, Row{Key: row.GetKey(), Value: row.GetValue(), Version: row.GetVersion(), Deleted: row.GetDeleted()})
 	}
@@ -294,17 +295,15 @@
 	}
 	g.rollout.applyPeerReports(now, r.GetWeights())
 	g.limits.apply(now, r.GetFrom(), r.GetLimits())
-	contact := g.view.contact()
 	reply := &loompb.ExchangeReply{
 		CatalogueVersion: g.view.catalogueVersion.Load(),
 		UpstreamsVersion: g.view.upstreamsVersion.Load(),
 		UpstreamsAgeMs:   ageMillis(now, *g.view.upstreamsAsOf.Load()),
 
-		IsPlatformFailing: contact.IsFailing(),
-		Limits:            g.limits.reports(now),
-		Leases:            g.limits.lend(now, r.GetFrom(), r.GetLeaseRequests()),
+		Limits: g.limits.reports(now),
+		Leases: g.limits.lend(now, r.GetFrom(), r.GetLeaseRequests()),
 	}
-	if since, answeredAt, ok := contact.OwnAnswers(); ok {
+	if since, answeredAt, ok := g.view.contact().OwnAnswers(); ok {
 		reply.PlatformAnswersMs, reply.PlatformAnsweredMs = max(ageMillis(now, since), 1), ageMillis(now, answeredAt)
 	}
 	return reply, nil
@@ -326,8 +325,12 @@
 	if r.GetTopic() == TopicUpstreams.String() {
 		t = TopicUpstreams
 	}
+	now := time.Now()
 	page := s.gate.view.snapshot(t)
-	reply := &loompb.RowsReply{Version: page.Version, AgeMs: ageMillis(time.Now(), page.AsOf)}
+	reply := &loompb.RowsReply{Version: page.Version, AgeMs: ageMillis(now, page.AsOf)}
+	if since, ok := s.gate.view.contact().AnswersSince(); ok {
+		reply.PlatformAnswersMs = max(ageMillis(now, since), 1)
+	}
 	for _, row := range page.Rows {
 		reply.Rows = append(reply.Rows, &loompb.TopicRow{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted})
 	}
--- a/loomgate/source.go
+++ b/loomgate/source.go
@@ -58,6 +58,9 @@
 	// AsOf is a time at which the platform held these rows, or later ones: when it was
 	// asked for them.
 	AsOf time.Time
+	// AnswersSince is since when the platform answers the instance that has read the rows,
+	// or zero if it has not been away.
+	AnswersSince time.Time
 }
 
 // Source provides the platform's table and its topics. Its methods may be
--- a/loomgate/view.go
+++ b/loomgate/view.go
@@ -54,6 +54,8 @@
 
 	mu        sync.Mutex
 	directory *loommember.Directory
+	// platform tells since when the platform answers.
+	platform loommember.Contact
 	// targets holds the target version that operators set for each model. It
 	// only increases.
 	targets map[string]uint64
@@ -239,21 +241,21 @@
 func (v *clusterView) contact() loommember.Contact {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.directory.Contact()
+	return v.platform
 }
 
 // recordFailure records that a call to the platform failed that was sent at a time.
 func (v *clusterView) recordFailure(sentAt time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.directory.SetContact(v.directory.Contact().WithFailure(sentAt))
+	v.platform = v.platform.WithFailure(sentAt)
 }
 
 // recordAnswer records that the platform answered now a call that was sent at a time.
 func (v *clusterView) recordAnswer(sentAt, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.directory.SetContact(v.directory.Contact().WithAnswer(sentAt, now))
+	v.platform = v.platform.WithAnswer(sentAt, now)
 }
 
 // recordPeerAnswers records that the platform has answered all calls of a peer since a
@@ -261,7 +263,7 @@
 func (v *clusterView) recordPeerAnswers(since, answeredAt time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.directory.SetContact(v.directory.Contact().WithPeerAnswers(since, answeredAt))
+	v.platform = v.platform.WithPeerAnswers(since, answeredAt)
 }
 
 // sleep waits for d. A change of the catalogue that a peer reports ends the
@@ -307,6 +309,7 @@
 	page.AsOf = sentAt
 	now := time.Now()
 	v.recordAnswer(sentAt, now)
+	page.AnswersSince, _ = v.contact().AnswersSince()
 	v.apply(now, t, page, full)
 	return nil
 }
@@ -338,11 +341,12 @@
 }
 
 // applyRows applies the rows of a page and reports whether the set of usable upstreams
-// changed. The caller holds mu.
+// changed. After a return from an older copy, entries that upstreams have yet to write
+// again count as expired in an outage. The caller holds mu.
 func (v *clusterView) applyRows(now time.Time, t Topic, page Page, full bool) bool {
-	removal := loommember.Removal{After: *v.upstreamsAsOf.Load(), Before: page.AsOf}
-	if v.applyEpoch(now, t, v.version(t).Load(), page.Version) {
-		removal.After = time.Time{}
+	removal := loommember.Removal{After: *v.upstreamsAsOf.Load(), AnswersSince: page.AnswersSince}
+	if v.noteEpoch(t, v.version(t).Load(), page.Version) {
+		removal = loommember.Removal{AnswersSince: page.AsOf}
 	}
 	changed := false
 	present := make(map[string]bool, len(page.Rows))
@@ -368,17 +372,13 @@
 // table has returned from an older copy.
 const epochSpread = 400 * time.Millisecond
 
-// applyEpoch reports whether the platform's table has returned from an older copy, so that
-// a topic shows a later epoch than before. Entries that upstreams have yet to write again
-// count as expired in an outage. The caller holds mu.
-func (v *clusterView) applyEpoch(now time.Time, t Topic, before, position uint64) bool {
+// noteEpoch reports whether the platform's table has returned from an older copy, so that
+// a topic shows a later epoch than before.
+func (v *clusterView) noteEpoch(t Topic, before, position uint64) bool {
 	epoch, old := loomplatform.PositionEpoch(position), loomplatform.PositionEpoch(before)
 	if epoch == old || before == 0 {
 		return false
 	}
-	if t == TopicUpstreams {
-		v.directory.SetContact(loommember.Contact{}.WithAnswer(now, now))
-	}
 	v.gate.log.Warn("store_epoch_rose", "topic", t.String(), "epoch", epoch, "before", old, "version", loomplatform.PositionVersion(position))
 	return true
 }
@@ -441,7 +441,7 @@
 		return false
 	}
 	v.gate.log.Info("upstream_removed", "upstream", r.ID, "row_version", r.Version,
-		"usable_ms", usableUntil.Sub(now).Milliseconds(), "failed_ms", v.directory.Contact().SinceFailure(now).Milliseconds())
+		"usable_ms", usableUntil.Sub(now).Milliseconds(), "failed_ms", v.platform.SinceFailure(now).Milliseconds())
 	return true
 }
 
--- a/loommember/contact.go
+++ b/loommember/contact.go
@@ -74,11 +74,6 @@
 	return c.since, c.answeredAt, !c.since.IsZero()
 }
 
-// IsFailing reports whether the latest call of this instance failed.
-func (c Contact) IsFailing() bool {
-	return c.since.IsZero() && !c.failedAt.IsZero()
-}
-
 // SinceFailure returns the time since the latest failed call was sent, or zero if none has
 // failed.
 func (c Contact) SinceFailure(now time.Time) time.Duration {
--- a/loommember/lapse_test.go
+++ b/loommember/lapse_test.go
@@ -65,6 +65,7 @@
 func (h history) play(t *rapid.T, check func(at time.Duration, usable bool)) {
 	d := NewDirectory(leavingLimit, renewalInterval)
 	d.Put(listedAt, upstream(1), false, 1)
+	var contact Contact
 	version, isKnownListed := uint64(1), true
 	listed := time.Duration(0)
 	next := time.Duration(rapid.Int64Range(0, int64(pollInterval)).Draw(t, "phase"))
@@ -83,10 +84,10 @@
 			switch {
 			case h.isOut(at) && h.hangs:
 				handled = at + callTimeout
-				handle = func() { d.SetContact(d.Contact().WithFailure(sentAt)) }
+				handle = func() { contact = contact.WithFailure(sentAt) }
 				next = handled + step
 			case h.isOut(at):
-				d.SetContact(d.Contact().WithFailure(sentAt))
+				contact = contact.WithFailure(sentAt)
 				next = at + retryInterval
 				if !isFailing {
 					next = at + firstRetryInterval
@@ -97,14 +98,15 @@
 				handled = at + step
 				handle = func() {
 					answeredAt := listedAt.Add(handled)
-					d.SetContact(d.Contact().WithAnswer(sentAt, answeredAt))
+					contact = contact.WithAnswer(sentAt, answeredAt)
+					since, _ := contact.AnswersSince()
 					version++
 					if isListed := h.isListed(sent); isListed != isKnownListed {
 						isKnownListed = isListed
 						if isListed {
 							d.Put(answeredAt, upstream(1), false, version)
 						} else {
-							d.Remove(answeredAt, Removal{ID: "a", Version: version, After: listedAt.Add(listed), Before: sentAt})
+							d.Remove(answeredAt, removal(version, listedAt.Add(listed), since))
 						}
 					}
 					listed = sent
--- a/loommember/upstream.go
+++ b/loommember/upstream.go
@@ -73,7 +73,6 @@
 	// leaving holds the latest incarnation of each upstream, by ID, that was
 	// marked as leaving. It outlives the entry.
 	leaving map[string]leavingMark
-	contact Contact
 	// leavingLimit bounds how long after its removal an entry is used, and renewal is
 	// the interval at which upstreams renew their entries.
 	leavingLimit, renewal time.Duration
@@ -148,10 +147,12 @@
 	ID string
 	// Version is the version of the removal, or of the list that lacks the entry.
 	Version uint64
-	// After and Before are times between which the entry was removed: when the list was
-	// read that last held it, and the first one that lacked it. After is zero if the
-	// earlier list says nothing about this one.
-	After, Before time.Time
+	// After is when the list was read that last held the entry, or zero if that list says
+	// nothing about the one without it.
+	After time.Time
+	// AnswersSince is since when the platform answers whoever has read the list without
+	// the entry, or zero if it has not been away.
+	AnswersSince time.Time
 }
 
 // Remove records that an entry was removed from the list, and reports until when the
@@ -175,17 +176,11 @@
 // platform. It counts from the platform's return and not from when this instance learns of
 // the removal, so that the time to learn of it is not added.
 func (d *Directory) lapseEnd(r Removal) time.Time {
-	returnedAt, answers := d.contact.AnswersSince()
-	switch {
-	case answers:
-	case d.contact.IsFailing():
-		// The list comes from a peer, which the platform has answered.
-		returnedAt = r.Before
-	default:
+	if r.AnswersSince.IsZero() {
 		return time.Time{}
 	}
-	end := returnedAt.Add(d.leavingLimit)
-	if returnedAt.Sub(r.After) >= d.renewal {
+	end := r.AnswersSince.Add(d.leavingLimit)
+	if r.AnswersSince.Sub(r.After) >= d.renewal {
 		return end
 	}
 	// The entry was held by a list since the platform's return, or the platform was not
@@ -196,16 +191,6 @@
 	return end
 }
 
-// Contact returns what is known of the platform's answers.
-func (d *Directory) Contact() Contact {
-	return d.contact
-}
-
-// SetContact sets what is known of the platform's answers.
-func (d *Directory) SetContact(c Contact) {
-	d.contact = c
-}
-
 // Mark records that an incarnation is leaving and reports whether that was not
 // known yet. An incarnation of zero stands for the known one.
 func (d *Directory) Mark(now time.Time, id string, incarnation uint64) bool {
--- a/loommember/upstream_test.go
+++ b/loommember/upstream_test.go
@@ -13,22 +13,13 @@
 	return Upstream{ID: "a", Group: "engines", Address: "10.0.0.1:80", Incarnation: incarnation}
 }
 
-// testGrace is how long after the platform's return an entry may be missing.
-const testGrace = leavingLimit
-
-// back is when the platform answers again in the tests, after calls that have failed since
-// listedAt.
+// back is when the platform answers again in the tests, after an outage.
 var back = listedAt.Add(4 * time.Second)
 
-// removal returns the removal of the upstream "a" between two reads of the list.
-func removal(version uint64, after, before time.Time) Removal {
-	return Removal{ID: "a", Version: version, After: after, Before: before}
-}
-
-// returned puts an upstream into a Directory before an outage of the platform until back.
-func returned(d *Directory) {
-	d.Put(listedAt, upstream(1), false, 1)
-	d.SetContact(Contact{}.WithAnswer(listedAt, listedAt).WithFailure(listedAt.Add(time.Second)).WithFailure(back.Add(-time.Second)).WithAnswer(back, back))
+// removal returns the removal of the upstream "a" after a read of the list, by one whose
+// reader the platform answers since a time.
+func removal(version uint64, after, since time.Time) Removal {
+	return Removal{ID: "a", Version: version, After: after, AnswersSince: since}
 }
 
 func usableIDs(d *Directory, now time.Time) []string {
@@ -68,7 +59,7 @@
 			name: "a leaving mark outlives the entry",
 			apply: func(d *Directory) {
 				d.Put(listedAt, upstream(1), true, 1)
-				d.Remove(listedAt, removal(2, listedAt, listedAt))
+				d.Remove(listedAt, removal(2, listedAt, time.Time{}))
 				d.RemoveExpired(listedAt.Add(time.Second))
 				d.Put(listedAt.Add(time.Second), upstream(1), false, 3)
 			},
@@ -95,7 +86,7 @@
 			name: "an older row is ignored",
 			apply: func(d *Directory) {
 				d.Put(listedAt, upstream(1), false, 5)
-				d.Remove(listedAt, removal(4, listedAt, listedAt))
+				d.Remove(listedAt, removal(4, listedAt, time.Time{}))
 			},
 			want: []string{"a"},
 		},
@@ -103,91 +94,77 @@
 			name: "a removed entry is unusable immediately without an outage",
 			apply: func(d *Directory) {
 				d.Put(listedAt, upstream(1), false, 1)
-				d.Remove(listedAt, removal(2, listedAt, listedAt))
+				d.Remove(listedAt, removal(2, listedAt, time.Time{}))
 			},
 			want: []string{},
 		},
 		{
 			name: "an entry that is missing when the platform is back stays usable",
 			apply: func(d *Directory) {
-				returned(d)
+				d.Put(listedAt, upstream(1), false, 1)
 				d.Remove(back, removal(2, listedAt, back))
 			},
-			at:   back.Sub(listedAt) + testGrace - time.Millisecond,
+			at:   back.Sub(listedAt) + leavingLimit - time.Millisecond,
 			want: []string{"a"},
 		},
 		{
 			name: "an entry that is still missing after the grace period is gone",
 			apply: func(d *Directory) {
-				returned(d)
+				d.Put(listedAt, upstream(1), false, 1)
 				d.Remove(back, removal(2, listedAt, back))
 			},
-			at:   back.Sub(listedAt) + testGrace,
+			at:   back.Sub(listedAt) + leavingLimit,
 			want: []string{},
 		},
 		{
 			name: "the grace period starts when the platform is back and not with the removal",
 			apply: func(d *Directory) {
-				returned(d)
-				d.Remove(back.Add(time.Second), removal(2, back, back.Add(time.Second)))
+				d.Put(listedAt, upstream(1), false, 1)
+				d.Remove(back.Add(time.Second), removal(2, back, back))
 			},
-			at:   back.Sub(listedAt) + testGrace,
+			at:   back.Sub(listedAt) + leavingLimit,
 			want: []string{},
 		},
 		{
-			name: "an entry that is removed after the grace period is unusable immediately",
+			name: "an entry that a list since the platform's return has shown is gone in time",
 			apply: func(d *Directory) {
-				returned(d)
-				d.Remove(back.Add(testGrace), removal(2, back.Add(time.Second), back.Add(testGrace)))
+				d.Put(listedAt, upstream(1), false, 1)
+				d.Remove(back.Add(time.Second), removal(2, back.Add(time.Second/4), back))
 			},
-			at:   back.Sub(listedAt) + testGrace,
+			at:   back.Sub(listedAt) + time.Second/4 + leavingLimit - sendAllowance,
 			want: []string{},
 		},
 		{
-			name: "a call that failed late does not extend the outage",
+			name: "an entry that is removed after the grace period is unusable immediately",
 			apply: func(d *Directory) {
-				returned(d)
-				d.SetContact(d.Contact().WithFailure(back.Add(-time.Millisecond)))
-				d.Remove(back.Add(testGrace), removal(2, back.Add(time.Second), back.Add(testGrace)))
+				d.Put(listedAt, upstream(1), false, 1)
+				d.Remove(back.Add(leavingLimit), removal(2, back.Add(time.Second), back))
 			},
-			at:   back.Sub(listedAt) + testGrace,
+			at:   back.Sub(listedAt) + leavingLimit,
 			want: []string{},
 		},
 		{
-			name: "one failed call does not extend the time since the entry was listed",
+			name: "an outage too short for an entry to expire does not extend its use",
 			apply: func(d *Directory) {
-				returned(d)
-				again := back.Add(10 * time.Second)
-				d.SetContact(d.Contact().WithFailure(again).WithAnswer(again.Add(time.Second/4), again.Add(time.Second/4)))
-				d.Remove(again.Add(time.Second/4), removal(2, again.Add(-time.Second/2), again.Add(time.Second/4)))
+				d.Put(listedAt, upstream(1), false, 1)
+				d.Remove(back, removal(2, back.Add(-time.Second), back))
 			},
-			at:   14*time.Second - time.Second/2 + leavingLimit - sendAllowance,
+			at:   back.Sub(listedAt) - time.Second + leavingLimit - sendAllowance,
 			want: []string{},
 		},
 		{
-			name: "an entry is gone at once if the platform never failed for a peer",
+			name: "an entry is gone at once if the platform has not been away for a peer",
 			apply: func(d *Directory) {
-				returned(d)
-				d.SetContact(d.Contact().WithPeerAnswers(listedAt, back))
-				d.Remove(back, removal(2, listedAt, back))
+				d.Put(listedAt, upstream(1), false, 1)
+				d.Remove(back, removal(2, listedAt, listedAt))
 			},
 			at:   back.Sub(listedAt),
 			want: []string{},
 		},
-		{
-			name: "a peer that was answered before the outage says nothing",
-			apply: func(d *Directory) {
-				returned(d)
-				d.SetContact(d.Contact().WithPeerAnswers(listedAt, listedAt))
-				d.Remove(back, removal(2, listedAt, back))
-			},
-			at:   back.Sub(listedAt),
-			want: []string{"a"},
-		},
 		{
 			name: "an entry returns after it has expired",
 			apply: func(d *Directory) {
-				returned(d)
+				d.Put(listedAt, upstream(1), false, 1)
 				d.Remove(back, removal(2, listedAt, back))
 				d.Put(back.Add(time.Second), upstream(1), false, 3)
 			},
