Read the upstream list before a coordinator's copy is too old

In a fleet with coordinators an instance used an upstream up to 2.8 s after it had left, when its coordinator was cut off from the platform: it followed the coordinator until its list was 2 s old, looked only each 0.8 s whether that was so, and then still had to read the list. Each wait fits the bound of 2 s, their sum does not.

The instance now reads the list itself when its copy is so old that the read, and a request sent before it, still end within the bound (1.4 s of 2 s), and wakes at that moment. The bound comes from the settings.

--- a/loomgate/exchange.go
+++ b/loomgate/exchange.go
@@ -225,7 +225,7 @@
 		p.fetchRows(ctx, peer, TopicCatalogue)
 	}
 	now := time.Now()
-	maxAge := maxUpstreamsAge
+	maxAge := p.gate.maxUpstreamsAge()
 	hasCoordinator := p.gate.coordinators.hasCoordinator()
 	if hasCoordinator {
 		maxAge = upstreamsPollInterval
@@ -241,9 +241,15 @@
 	}
 }
 
-// maxUpstreamsAge is the age of the upstream list above which it is read from a
-// peer.
-const maxUpstreamsAge = 2 * time.Second
+// listReadAllowance is the time from the decision to read the upstream list until a
+// request that was sent by an earlier list has arrived.
+const listReadAllowance = 600 * time.Millisecond
+
+// maxUpstreamsAge returns the age of the upstream list above which it is read from a peer,
+// or from the platform in place of a coordinator.
+func (g *Gate) maxUpstreamsAge() time.Duration {
+	return g.settings.LeavingLimit - listReadAllowance
+}
 
 // fetchRows reads a peer's rows of a topic and applies them as a full snapshot.
 func (p *peers) fetchRows(ctx context.Context, peer *peer, t Topic) {
--- a/loomgate/free_test.go
+++ b/loomgate/free_test.go
@@ -103,7 +103,7 @@
 	g.stores.index.AddPart(address, "m/1", "part", 100)
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	g.view.apply(start, TopicUpstreams, page(1, row("e1", "up 2", 1)), true)
-	for at := maxUpstreamsAge; at < time.Minute; at += freeInterval {
+	for at := g.maxUpstreamsAge(); at < time.Minute; at += freeInterval {
 		g.stores.freeObsolete(t.Context(), start.Add(at))
 	}
 	assert.Equal(t, len(store.freed), 0)
--- a/loomgate/stores.go
+++ b/loomgate/stores.go
@@ -289,7 +289,7 @@
 	if live == nil {
 		live = s.gate.peers.liveInstances()
 	}
-	isCurrent := s.gate.view.upstreamsAge(now) < maxUpstreamsAge
+	isCurrent := s.gate.view.upstreamsAge(now) < s.gate.maxUpstreamsAge()
 	if len(prefixes) == 0 || !isCurrent || s.gate.IsStopping() || live[0] != s.gate.settings.ID {
 		return
 	}
--- a/loomgate/view.go
+++ b/loomgate/view.go
@@ -171,8 +171,8 @@
 	failing := false
 	for ctx.Err() == nil {
 		started := time.Now()
-		if t == TopicUpstreams && v.followsCoordinator(started) {
-			v.sleep(ctx, t, interval)
+		if rest := v.followedFor(started); t == TopicUpstreams && rest > 0 {
+			v.sleep(ctx, t, min(rest, interval))
 			// The changes since the last own read have not been followed.
 			full = true
 			continue
@@ -215,10 +215,13 @@
 	}
 }
 
-// followsCoordinator reports whether a coordinator keeps the upstream list of this
-// instance up to date, so that it need not read the list from the platform.
-func (v *clusterView) followsCoordinator(now time.Time) bool {
-	return v.hasUpstreamList() && v.gate.coordinators.hasCoordinator() && v.upstreamsAge(now) < maxUpstreamsAge
+// followedFor returns for how long this instance need not read the upstream list from the
+// platform, since a coordinator keeps it up to date.
+func (v *clusterView) followedFor(now time.Time) time.Duration {
+	if !v.hasUpstreamList() || !v.gate.coordinators.hasCoordinator() {
+		return 0
+	}
+	return v.gate.maxUpstreamsAge() - v.upstreamsAge(now)
 }
 
 // confirmUpstreams records that the upstream list was current at a time.
