Don't use an upstream that an older copy of the list brings back

An upstream that had left without a mark got requests again when the platform's table returned from an older copy that still listed it: only leaving marks outlived an entry, and a row of a later epoch counts as newer than the removal. Its process may go on serving for seconds after it has left, so callers' requests would run there, or fail when it ends.

The removal is remembered for a minute. An entry of a later epoch is held until it is written again or has stayed for four renewals, after which the entry of a dead upstream would be gone.

--- a/loomgate/view.go
+++ b/loomgate/view.go
@@ -472,7 +472,7 @@
 	}
 	v.gate.fleet.Report(now, c.Upstream.ID, loomroute.Report{BatchLimit: c.Upstream.Slots, MeasuredAt: now})
 	v.gate.log.Info("upstream_listed", "upstream", c.Upstream.ID, "group", c.Upstream.Group, "address", c.Upstream.Address,
-		"incarnation", c.Upstream.Incarnation, "leaving", c.Leaving, "row_version", c.Version)
+		"incarnation", c.Upstream.Incarnation, "leaving", c.Leaving, "held", v.directory.IsHeld(c.Upstream.ID), "row_version", c.Version)
 	return true
 }
 
@@ -528,14 +528,18 @@
 	}
 }
 
-// removeExpired deletes removed upstreams that are no longer usable and reports whether
-// there were any. The caller holds mu.
+// removeExpired deletes removed upstreams that are no longer usable, makes held ones usable
+// and reports whether there were any. The caller holds mu.
 func (v *clusterView) removeExpired(now time.Time) bool {
 	expired := v.directory.RemoveExpired(now)
 	for _, id := range expired {
 		v.gate.log.Info("upstream_expired", "upstream", id)
 	}
-	return len(expired) > 0
+	released := v.directory.ReleaseHeld(now)
+	for _, id := range released {
+		v.gate.log.Info("upstream_released", "upstream", id)
+	}
+	return len(expired)+len(released) > 0
 }
 
 // snapshot returns the cached rows of a topic, for a peer.
--- a/loommember/upstream.go
+++ b/loommember/upstream.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"swiftloom/loomplatform"
 )
 
 // Weights is a model with the version of its weights.
@@ -73,6 +75,9 @@
 	// leaving holds the latest incarnation of each upstream, by ID, that was
 	// marked as leaving. It outlives the entry.
 	leaving map[string]leavingMark
+	// departed holds the upstreams whose entries were removed because they had left, by
+	// ID. It outlives the entry.
+	departed map[string]departure
 	// leavingLimit bounds how long after its removal an entry is used, and renewal is
 	// the interval at which upstreams renew their entries.
 	leavingLimit, renewal time.Duration
@@ -86,6 +91,7 @@
 		entries: make(map[string]*directoryEntry),
 		leaving: make(map[string]leavingMark),
 
+		departed:     make(map[string]departure),
 		leavingLimit: leavingLimit,
 		renewal:      renewal,
 	}
@@ -100,6 +106,9 @@
 	// when a removed entry stops receiving requests.
 	removed    bool
 	unusableAt time.Time
+	// heldUntil is set while an entry from an older copy of the list is not used since
+	// its upstream had left before.
+	heldUntil time.Time
 }
 
 type leavingMark struct {
@@ -107,6 +116,18 @@
 	at          time.Time
 }
 
+// departure is the removal of an upstream that had left.
+type departure struct {
+	incarnation uint64
+	// version is the version of the removal.
+	version uint64
+	at      time.Time
+}
+
+// expiryRenewals is the number of renewals that an upstream must miss before its entry is
+// removed, and one more.
+const expiryRenewals = 4
+
 // leavingMarkMaxAge is how long a leaving mark is kept once the upstream has no
 // entry. Rows and rumours about the upstream no longer arrive after that time.
 const leavingMarkMaxAge = time.Minute
@@ -130,12 +151,37 @@
 	if leaving {
 		d.leaving[u.ID] = leavingMark{incarnation: u.Incarnation, at: now}
 	}
-	entry := &directoryEntry{upstream: u, version: version, leaving: leaving}
-	changed := !known || e.leaving != leaving || e.removed || !sameUpstream(e.upstream, u)
+	entry := &directoryEntry{upstream: u, version: version, leaving: leaving, heldUntil: d.holdUntil(now, u, version)}
+	changed := !known || e.leaving != leaving || e.removed || !e.heldUntil.Equal(entry.heldUntil) || !sameUpstream(e.upstream, u)
 	d.entries[u.ID] = entry
 	return changed
 }
 
+// holdUntil returns until when an entry must not be used, or zero. An upstream that had
+// left and is listed by an older copy is used only if its entry is written again or does
+// not expire.
+func (d *Directory) holdUntil(now time.Time, u Upstream, version uint64) time.Time {
+	left, ok := d.departed[u.ID]
+	if !ok || left.incarnation != u.Incarnation {
+		return time.Time{}
+	}
+	epoch := loomplatform.PositionEpoch(version)
+	if epoch == loomplatform.PositionEpoch(left.version) {
+		delete(d.departed, u.ID)
+		return time.Time{}
+	}
+	e, known := d.entries[u.ID]
+	switch {
+	case !known || e.removed || epoch != loomplatform.PositionEpoch(e.version):
+		return now.Add(expiryRenewals * d.renewal)
+	case version == e.version:
+		return e.heldUntil
+	default:
+		delete(d.departed, u.ID)
+		return time.Time{}
+	}
+}
+
 // sameUpstream reports whether two entries of an ID are equal.
 func sameUpstream(a, b Upstream) bool {
 	return a.Group == b.Group && a.Address == b.Address && a.Incarnation == b.Incarnation &&
@@ -166,10 +212,12 @@
 	e.version = r.Version
 	e.removed = true
 	e.unusableAt = now
-	if end := d.lapseEnd(r); end.After(now) && !e.leaving {
+	if end := d.lapseEnd(r); end.After(now) && !e.leaving && e.heldUntil.IsZero() {
 		e.unusableAt = end
+		return end, true
 	}
-	return e.unusableAt, true
+	d.departed[r.ID] = departure{incarnation: e.upstream.Incarnation, version: r.Version, at: now}
+	return now, true
 }
 
 // lapseEnd returns until when a removed entry counts as expired in an outage of the
@@ -228,10 +276,16 @@
 	var expired []string
 	for id, e := range d.entries {
 		if e.removed && !now.Before(e.unusableAt) {
+			d.departed[id] = departure{incarnation: e.upstream.Incarnation, version: e.version, at: now}
 			delete(d.entries, id)
 			expired = append(expired, id)
 		}
 	}
+	for id, left := range d.departed {
+		if _, listed := d.entries[id]; !listed && now.Sub(left.at) > leavingMarkMaxAge {
+			delete(d.departed, id)
+		}
+	}
 	for id, mark := range d.leaving {
 		if _, listed := d.entries[id]; !listed && now.Sub(mark.at) > leavingMarkMaxAge {
 			delete(d.leaving, id)
@@ -241,6 +295,28 @@
 	return expired
 }
 
+// ReleaseHeld makes the upstreams usable that an older copy of the list has shown for so
+// long that they must live, and returns their sorted IDs.
+func (d *Directory) ReleaseHeld(now time.Time) []string {
+	var released []string
+	for id, e := range d.entries {
+		if e.heldUntil.IsZero() || e.removed || now.Before(e.heldUntil) {
+			continue
+		}
+		e.heldUntil = time.Time{}
+		delete(d.departed, id)
+		released = append(released, id)
+	}
+	slices.Sort(released)
+	return released
+}
+
+// IsHeld reports whether an upstream is listed and not used until ReleaseHeld.
+func (d *Directory) IsHeld(id string) bool {
+	e, known := d.entries[id]
+	return known && !e.heldUntil.IsZero()
+}
+
 // Get returns an upstream, or false when it is unknown or must not receive
 // requests.
 func (d *Directory) Get(now time.Time, id string) (Upstream, bool) {
@@ -252,7 +328,7 @@
 }
 
 func (e *directoryEntry) usable(now time.Time) bool {
-	return !e.leaving && (!e.removed || now.Before(e.unusableAt))
+	return !e.leaving && e.heldUntil.IsZero() && (!e.removed || now.Before(e.unusableAt))
 }
 
 // Usable returns the upstreams that may receive requests, sorted by ID.
--- a/loommember/upstream_test.go
+++ b/loommember/upstream_test.go
@@ -1,10 +1,13 @@
 package loommember
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"swiftloom/loomplatform"
 )
 
 var listedAt = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -197,6 +200,63 @@
 	}
 }
 
+// TestRemovedUpstreamStaysGoneInOlderCopy guards against an upstream that has left without
+// a mark and is used again because the platform's table returns from an older copy that
+// still lists it.
+func TestRemovedUpstreamStaysGoneInOlderCopy(t *testing.T) {
+	in := loomplatform.Position
+	tests := []struct {
+		name  string
+		apply func(d *Directory)
+		want  []string
+	}{
+		{"as the older copy lists it", func(d *Directory) {
+			d.Put(listedAt, upstream(1), false, in(1, 2))
+		}, []string{}},
+		{"written again after the return", func(d *Directory) {
+			d.Put(listedAt, upstream(1), false, in(1, 2))
+			d.Put(listedAt, upstream(1), false, in(1, 5))
+		}, []string{"a"}},
+		{"read twice from the older copy", func(d *Directory) {
+			d.Put(listedAt, upstream(1), false, in(1, 2))
+			d.Put(listedAt, upstream(1), false, in(1, 2))
+		}, []string{}},
+		{"two older copies in a row", func(d *Directory) {
+			d.Put(listedAt, upstream(1), false, in(1, 2))
+			d.Put(listedAt, upstream(1), false, in(2, 2))
+		}, []string{}},
+		{"written again in the same epoch", func(d *Directory) {
+			d.Put(listedAt, upstream(1), false, in(0, 10))
+		}, []string{"a"}},
+		{"listed for longer than the entry of a dead upstream", func(d *Directory) {
+			d.Put(listedAt, upstream(1), false, in(1, 2))
+			d.ReleaseHeld(listedAt.Add(expiryRenewals * renewalInterval))
+		}, []string{"a"}},
+		{"removed from the older copy", func(d *Directory) {
+			d.Put(listedAt, upstream(1), false, in(1, 2))
+			d.Remove(listedAt, removal(in(1, 3), listedAt, listedAt))
+			d.ReleaseHeld(listedAt.Add(expiryRenewals * renewalInterval))
+		}, []string{}},
+		{"another incarnation", func(d *Directory) {
+			d.Put(listedAt, upstream(2), false, in(1, 2))
+		}, []string{"a"}},
+	}
+	for _, tt := range tests {
+		for _, isExpired := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, expired %t", tt.name, isExpired), func(t *testing.T) {
+				d := NewDirectory(leavingLimit, renewalInterval)
+				d.Put(listedAt, upstream(1), false, in(0, 3))
+				d.Remove(listedAt, removal(in(0, 4), listedAt, time.Time{}))
+				if isExpired {
+					d.RemoveExpired(listedAt)
+				}
+				tt.apply(d)
+				assert.DeepEqual(t, usableIDs(d, listedAt), tt.want)
+			})
+		}
+	}
+}
+
 func TestDirectoryVersions(t *testing.T) {
 	d := NewDirectory(leavingLimit, renewalInterval)
 	u := upstream(1)
