Keep when weights were named over a restart of all instances

Cause: the time of a target version was known only to the processes that had seen it. When all instances started again, older weights served for the whole time from then on.

The holder of the rollout lease writes, once for each version, when it was named on the platform's steady clock, to a row beside those of the instances, by compare and set; a version that the row has is not changed. All instances read that table already, so a name costs one write and no further call. Source.Clock gives readings of the platform's clock with the times between which they were made; translations err towards earlier times. The row is written again if the platform's table has lost it. Without row or peer a version counts from its first sight, so a new fleet whose engines all have old weights still serves.

--- a/loomgate/gate_test.go
+++ b/loomgate/gate_test.go
@@ -57,6 +57,14 @@
 	return s.epoch
 }
 
+// Clock implements Source.
+func (s *fakeSource) Clock(now time.Time) (ClockReading, bool) {
+	return ClockReading{Time: now.Sub(fakeSourceStart), From: now, Until: now}, true
+}
+
+// fakeSourceStart is when the clock of a fakeSource showed zero.
+var fakeSourceStart = time.Date(2000, 1, 1, 0, 0, 0, 0, time.UTC)
+
 // Transact implements loomplatform.Table.
 func (s *fakeSource) Transact(_ context.Context, r *loompb.TransactRequest) (*loompb.TransactReply, error) {
 	s.mu.Lock()
--- a/loomgate/peers.go
+++ b/loomgate/peers.go
@@ -136,6 +136,7 @@
 			if full {
 				p.own = ownRow{mayBeLost: p.isNewEpoch(page)}
 			}
+			p.gate.view.applyNamedRows(time.Now(), page, full)
 			full = false
 			p.applyPage(page)
 			p.announceAgain(ctx)
--- a/loomgate/rollout.go
+++ b/loomgate/rollout.go
@@ -83,6 +83,9 @@
 	renewedAt time.Time
 	// renewalAttemptedAt is when a renewal was last attempted.
 	renewalAttemptedAt time.Time
+	// namedWrittenAt is when a row about named weights was last written, or the attempt
+	// was made.
+	namedWrittenAt time.Time
 	// noOrdersBefore delays the first order after the previous holder has
 	// released the lease.
 	noOrdersBefore time.Time
@@ -192,6 +195,7 @@
 	if !held {
 		return true
 	}
+	r.writeNamed(ctx, now, updates)
 	for _, update := range updates {
 		r.sendOrders(ctx, update)
 	}
--- a/loomgate/source.go
+++ b/loomgate/source.go
@@ -70,11 +70,33 @@
 	// Epoch returns the newest epoch of the platform's table that a call has shown. It
 	// rises when the table returns from an older copy.
 	Epoch() uint64
+	// Clock returns a recent reading of the platform's steady clock, or false if there
+	// is none.
+	Clock(now time.Time) (ClockReading, bool)
 	// Decode decodes a row. The change is nil if the row holds nothing that an
 	// instance uses.
 	Decode(t Topic, r Row) (Change, error)
 }
 
+// ClockReading is a reading of the platform's clock. It was made between the times From and
+// Until of this process.
+type ClockReading struct {
+	Time        time.Duration
+	From, Until time.Time
+}
+
+// platformTime returns the time of the platform's clock at a time of this process. The result
+// is not later than the true one.
+func (c ClockReading) platformTime(at time.Time) time.Duration {
+	return c.Time - c.Until.Sub(at)
+}
+
+// localTime returns the time of this process at which the platform's clock showed d. The
+// result is not later than the true one.
+func (c ClockReading) localTime(d time.Duration) time.Time {
+	return c.From.Add(d - c.Time)
+}
+
 // Change is the decoded content of a row. It is one of RoutingChanged,
 // TargetVersionSet, UpstreamListed and UpstreamRemoved.
 type Change interface {
--- a/loomgate/view.go
+++ b/loomgate/view.go
@@ -55,8 +55,10 @@
 	// targets holds the target version that operators set for each model. It
 	// only increases.
 	targets map[string]uint64
-	// named holds the target versions of each model.
-	named map[string]namedVersions
+	// named holds the target versions of each model, and namedRows the platform's rows
+	// about them.
+	named     map[string]namedVersions
+	namedRows map[string]namedRow
 	// rows caches the platform's rows for peers that cannot reach the platform.
 	rows map[Topic]map[string]Row
 	// loggedRows holds the version of each row that could not be decoded, so
@@ -70,6 +72,7 @@
 		catalogueChanged: make(chan struct{}, 1),
 		targets:          make(map[string]uint64),
 		named:            make(map[string]namedVersions),
+		namedRows:        make(map[string]namedRow),
 		rows:             map[Topic]map[string]Row{TopicCatalogue: {}, TopicUpstreams: {}},
 		loggedRows:       make(map[string]uint64),
 	}
