End attempts that have not begun when their weights expire

Cause: a request that was sent to an engine in time waits there until its own deadline unless its caller leaves; the choice of the engine expects that the caller does after two seconds, four times the objective or eight times the pause. A caller that stays let its request begin on weights that had expired.

An attempt at an engine with outdated weights now ends when these expire, unless its first event or the head of an answer that is no stream has arrived. It counts as no failure of the engine, and is sent again where the request allows that.

--- a/loomgate/relay.go
+++ b/loomgate/relay.go
@@ -108,6 +108,7 @@
 // relayBuffered reads the complete answer before it passes on the first byte,
 // so that a broken answer can still be retried.
 func (d *dispatch) relayBuffered(ctx context.Context, reply *loomupstream.Reply) loomstream.Action {
+	d.start.stop()
 	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedAnswer+1))
 	now := time.Now()
 	if err == nil && (len(body) > maxBufferedAnswer || (reply.Length >= 0 && int64(len(body)) != reply.Length && d.req.Method != http.MethodHead)) {
@@ -212,6 +213,7 @@
 // answer if it is the first one. It returns false with the next action if the attempt
 // is over.
 func (d *dispatch) relayEvent(ctx context.Context, now time.Time, reply *loomupstream.Reply, text []byte) (loomstream.Action, bool) {
+	d.start.stop()
 	d.recordFirstByte(now)
 	d.recordEvent(now)
 	action := d.lifecycle.Apply(now, loomstream.Token{Attempt: d.attemptID, Version: d.version, Offset: d.lifecycle.Relayed()})
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -43,6 +43,8 @@
 	hasTicket      bool
 	sentAt         time.Time
 	cancel         context.CancelFunc
+	// start is the limit on the time until the attempt begins; nil if there is none.
+	start *startLimit
 	// resumedAfter is the event ID after which the current attempt continues the
 	// answer, or empty.
 	resumedAfter string
@@ -188,6 +190,7 @@
 	d.gate.queues.wakeFirst(d.req.group.Name)
 	call, cancel := context.WithCancel(ctx)
 	d.cancel = cancel
+	d.start = d.limitStart(now, cancel)
 	send := d.newSend(now)
 	d.resumedAfter = send.ResumeAfter
 	reply, err := d.gate.runner.Send(call, d.upstream.Address, send)
@@ -242,6 +245,10 @@
 	if ctx.Err() != nil {
 		return d.abandon(ctx, now)
 	}
+	if d.start.hasPassed() {
+		d.cause = "weights expired before the request began"
+		return d.breakAttempt(now)
+	}
 	if sendErr != nil && (sendErr.Unreachable || d.gate.fleet.IsSilent(now, d.upstream.ID)) {
 		d.gate.fleet.Unreachable(now, d.upstream.ID)
 	}
@@ -269,6 +276,7 @@
 		d.gate.fleet.Done(d.ticket)
 		d.hasTicket = false
 	}
+	d.start.stop()
 	if d.cancel != nil {
 		d.cancel()
 		d.cancel = nil
--- a/loomgate/weights_test.go
+++ b/loomgate/weights_test.go
@@ -182,3 +182,35 @@
 		}
 	})
 }
+
+// lateEngine sends the first event of a stream at once and the second one after a pause.
+type lateEngine struct {
+	fakeRunner
+
+	pause time.Duration
+}
+
+// Send implements loomupstream.Runner.
+func (e *lateEngine) Send(ctx context.Context, _ string, s loomupstream.Send) (*loomupstream.Reply, error) {
+	body := newEventBody(ctx)
+	body.send(1)
+	time.AfterFunc(e.pause, func() {
+		body.send(2)
+		body.end()
+	})
+	return &loomupstream.Reply{Status: http.StatusOK, Length: -1, RequestID: s.RequestID, Stamped: true, Version: s.Version, Body: body}, nil
+}
+
+// TestBegunStreamOutlastsItsWeights guards against a stream that is cut when the weights expire
+// on which it has begun.
+func TestBegunStreamOutlastsItsWeights(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g, _ := newLoadGate(t)
+		g.runner = &lateEngine{pause: 5 * time.Second}
+		g.view.apply(time.Now(), TopicCatalogue, page(3, row("v", "weights 2", 3)), false)
+		time.Sleep(7 * time.Second)
+		_, w := serveRequest(t.Context(), g, "urgent", 1, 100)
+		assert.Assert(t, w.failure == nil, "%v", w.failure)
+		assert.Equal(t, w.events, 2)
+	})
+}
