Order engines at once when their weights are about to expire

Cause: orders are spread over most of the time for which older weights may serve, also after that time. An engine whose weights have expired gets no requests, and yet waited for its turn.

Orders to such engines are not spaced any more; the share of engines that may load at a time is unchanged.

TestRolloutHurriesOnceOldWeightsHaveExpired failed before (1 of 2 engines ordered within 1.5 s) and passes now. go test ./loomgate: ok, 49 s.

--- a/loomgate/rollout.go
+++ b/loomgate/rollout.go
@@ -246,11 +246,10 @@
 			loading++
 		}
 	}
-	spacing := time.Duration(orderSpreadShare * float64(r.gate.settings.OldWeightsTTL) / float64(max(len(update.engines), 1)))
 	target := loomfleet.Target{Model: update.model, Version: update.version, LoadLimit: limit}
 	for _, o := range loomfleet.Plan(engines, target, limit-loading) {
 		now := bootTime()
-		if !r.canOrder(now) || now.Sub(r.lastOrderAt) < spacing {
+		if !r.canOrder(now) || now.Sub(r.lastOrderAt) < r.orderSpacing(time.Now(), update, byID[o.Engine]) {
 			return
 		}
 		if r.sendOrder(ctx, byID[o.Engine], o) {
@@ -259,6 +258,15 @@
 	}
 }
 
+// orderSpacing returns the least time between the last order and one to an engine. An engine
+// whose weights are about to expire serves no requests, so it loads weights at once.
+func (r *rollout) orderSpacing(now time.Time, update pendingUpdate, u loommember.Upstream) time.Duration {
+	if r.gate.view.weightsExpired(now, minAbandonTime, update.model, u.Version(update.model)) {
+		return 0
+	}
+	return time.Duration(orderSpreadShare * float64(r.gate.settings.OldWeightsTTL) / float64(max(len(update.engines), 1)))
+}
+
 // sendOrder sends one order and reports whether the engine may have accepted
 // it. checkOrder observes its effect.
 func (r *rollout) sendOrder(ctx context.Context, u loommember.Upstream, o loomfleet.Order) bool {
--- a/loomgate/weights_test.go
+++ b/loomgate/weights_test.go
@@ -214,3 +214,14 @@
 		assert.Equal(t, w.events, 2)
 	})
 }
+
+// TestRolloutHurriesOnceOldWeightsHaveExpired guards against engines that get no requests and
+// have to wait until it is their turn to load weights.
+func TestRolloutHurriesOnceOldWeightsHaveExpired(t *testing.T) {
+	r := &fakeRunner{versions: map[string]uint64{"e1": 1, "e2": 1}}
+	g := newTestGate(t, "a", newFakeSource(), r)
+	now := time.Now()
+	g.view.apply(now.Add(-g.settings.OldWeightsTTL), TopicCatalogue, page(2, row("c", "routing 1", 1), row("v", "weights 2", 2)), true)
+	g.view.apply(now, TopicUpstreams, page(4, row("e1", "up 1", 3), row("e2", "up 1", 4)), true)
+	assert.Assert(t, reconcileUntil(t, g, 1500*time.Millisecond, func() bool { return r.orderCount() == 2 }), "%d of 2 engines were ordered", r.orderCount())
+}
