Order other engines while one does not report its state

Cause: the plan of the rollout names only as many engines as may load at a time, those with the fewest requests first. Engines that had crashed have none, so the holder of the lease asked them again and again, 0.5 s each, and ordered none of the others until their entries had expired.

An engine that does not report its state is now passed over for 1.5 s.

TestRolloutGoesPastSilentEngines failed before (no order within 1 s) and passes now. go test ./loomgate ./loommember ./loomlease ./loomfleet: ok.

--- a/loomgate/rollout.go
+++ b/loomgate/rollout.go
@@ -41,7 +41,8 @@
 	// to acquire the lease.
 	candidacyStep = 300 * time.Millisecond
 	// orderRetryDelay is how long after it was sent an order without visible
-	// effect may be sent again.
+	// effect may be sent again, and after which an engine that did not report
+	// its state is asked again.
 	orderRetryDelay = 1500 * time.Millisecond
 	// maxLoadingShare is the share of a group's engines that may have an order
 	// in progress at once. A site can deliver weights at full speed to about a
@@ -69,7 +70,7 @@
 	gate    *Gate
 	wakeups chan struct{}
 
-	// The fields from here to lastOrderAt are used only by the goroutine of
+	// The fields from here to unreportedAt are used only by the goroutine of
 	// run.
 	lease  loomlease.Lease
 	holder string
@@ -94,6 +95,8 @@
 	pendingSince time.Time
 	orders       map[string]*engineOrder
 	lastOrderAt  time.Time
+	// unreportedAt is when an engine that was due for an order last did not report.
+	unreportedAt map[string]time.Time
 
 	// holdsLease is whether orders were allowed at the last reconciliation.
 	// Other goroutines read it.
@@ -134,6 +137,7 @@
 		holder:             holder,
 		lease:              loomlease.New(leaseKey, holder, leaseDuration),
 		orders:             make(map[string]*engineOrder),
+		unreportedAt:       make(map[string]time.Time),
 		loadingEngines:     make(map[string]loadingState),
 		versionRequestedAt: make(map[string]time.Time),
 	}
@@ -183,6 +187,7 @@
 	updates := r.pendingUpdates(time.Now())
 	r.dropObsoleteOrders()
 	if len(updates) == 0 {
+		clear(r.unreportedAt)
 		r.pendingSince = time.Time{}
 		r.holdsLease.Store(false)
 		return false
@@ -231,7 +236,8 @@
 	byID := make(map[string]loommember.Upstream, len(update.engines))
 	for _, u := range update.engines {
 		byID[u.ID] = u
-		e := loomfleet.Engine{ID: u.ID, Address: u.Address, Model: update.model, Version: u.Version(update.model), Usable: true}
+		e := loomfleet.Engine{ID: u.ID, Address: u.Address, Model: update.model, Version: u.Version(update.model)}
+		e.Usable = bootTime().Sub(r.unreportedAt[u.ID]) >= orderRetryDelay
 		e.Outstanding = r.gate.fleet.Estimate(time.Now(), u.ID, 0).Outstanding
 		if o, ok := r.orders[u.ID]; ok && o.upstream.Incarnation == u.Incarnation && o.version == update.version && e.Version < update.version {
 			e.Loading = update.version
@@ -275,8 +281,10 @@
 	state, err := r.gate.runner.Report(call, u.Address, u.ID)
 	if err != nil {
 		r.gate.log.Warn("engine_unreported", "upstream", u.ID, "cause", err.Error())
+		r.unreportedAt[u.ID] = bootTime()
 		return false
 	}
+	delete(r.unreportedAt, u.ID)
 	if v := state.Version(o.Model); v >= o.Version {
 		r.gate.view.recordVersion(time.Now(), u.ID, u.Incarnation, o.Model, v)
 		return false
--- a/loomgate/weights_test.go
+++ b/loomgate/weights_test.go
@@ -225,3 +225,30 @@
 	g.view.apply(now, TopicUpstreams, page(4, row("e1", "up 1", 3), row("e2", "up 1", 4)), true)
 	assert.Assert(t, reconcileUntil(t, g, 1500*time.Millisecond, func() bool { return r.orderCount() == 2 }), "%d of 2 engines were ordered", r.orderCount())
 }
+
+// silentEngine is a runner of which one engine doesn't answer reports.
+type silentEngine struct {
+	*fakeRunner
+
+	address string
+}
+
+// Report implements loomupstream.Runner.
+func (r silentEngine) Report(ctx context.Context, address, upstream string) (loomupstream.EngineState, error) {
+	if address == r.address {
+		return loomupstream.EngineState{}, errDown
+	}
+	return r.fakeRunner.Report(ctx, address, upstream)
+}
+
+// TestRolloutGoesPastSilentEngines guards against a rollout that stands still while the engine
+// that is due next doesn't answer.
+func TestRolloutGoesPastSilentEngines(t *testing.T) {
+	r := &fakeRunner{versions: map[string]uint64{"e1": 1, "e2": 1}}
+	g := newRolloutGate(t, "a", newFakeSource(), r)
+	g.runner = silentEngine{fakeRunner: r, address: "e1"}
+	assert.Assert(t, reconcileUntil(t, g, time.Second, func() bool { return r.orderCount() == 1 }), "no engine was ordered")
+	assert.Equal(t, r.orders[0].Upstream, "e2")
+	g.runner = r
+	assert.Assert(t, reconcileUntil(t, g, 5*time.Second, func() bool { return r.orderCount() == 2 }), "an engine that answers again was not ordered")
+}
