--- a/loomgate/view.go
+++ b/loomgate/view.go
@@ -59,9 +59,10 @@
 	// targets holds the target version that operators set for each model. It
 	// only increases.
 	targets map[string]uint64
-	// targetHistory holds each model's target versions in increasing order,
-	// with the time when each was first seen.
-	targetHistory map[string][]targetChange
+	// named holds the target versions of each model, and namedRows the platform's rows
+	// about them.
+	named     map[string]namedVersions
+	namedRows map[string]namedRow
 	// rows caches the platform's rows for peers that cannot reach the platform.
 	rows map[Topic]map[string]Row
 	// loggedRows holds the version of each row that could not be decoded, so
@@ -75,7 +76,8 @@
 		directory:        loommember.NewDirectory(g.settings.LeavingLimit, g.settings.RenewalInterval),
 		catalogueChanged: make(chan struct{}, 1),
 		targets:          make(map[string]uint64),
-		targetHistory:    make(map[string][]targetChange),
+		named:            make(map[string]namedVersions),
+		namedRows:        make(map[string]namedRow),
 		rows:             map[Topic]map[string]Row{TopicCatalogue: {}, TopicUpstreams: {}},
 		loggedRows:       make(map[string]uint64),
 	}
@@ -126,28 +128,6 @@
 	return v.targets[model]
 }
 
-// weightsExpired reports whether a version of a model's weights may no longer
-// serve a request that starts up to delay after now. A version expires
-// OldWeightsTTL, less weightsExpiryMargin, after the first newer target version
-// was seen.
-func (v *clusterView) weightsExpired(now time.Time, delay time.Duration, model string, version uint64) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	for _, change := range v.targetHistory[model] {
-		if change.version > version {
-			return now.Add(delay).Sub(change.seenAt) > v.gate.settings.OldWeightsTTL-weightsExpiryMargin
-		}
-	}
-	return false
-}
-
-// targetChange is a target version that operators set, with the time when it
-// was first seen.
-type targetChange struct {
-	version uint64
-	seenAt  time.Time
-}
-
 // targetVersions returns the target version of each model.
 func (v *clusterView) targetVersions() map[string]uint64 {
 	v.mu.Lock()
@@ -423,8 +403,7 @@
 	case TargetVersionSet:
 		if c.Version > v.targets[c.Model] {
 			v.targets[c.Model] = c.Version
-			v.targetHistory[c.Model] = append(v.targetHistory[c.Model], targetChange{version: c.Version, seenAt: now})
-			v.gate.log.Info("weights_named", "model", c.Model, "version", c.Version)
+			v.recordNamed(now, c.Model, namedVersion{version: c.Version, namedAt: now}, "catalogue")
 			v.gate.rollout.wake()
 		}
 	case UpstreamListed:
