End polls of the store when another call gets no answer

Callers of an instance got answers by an old revision for up to 26 s when its connections to the store fell silent without a reset. The poll of the catalogue waits 25 s, its own timeout is longer still, and keep-alive probes find a silent connection only after 3 s, the time after which nothing excuses the instance any more. Polls of the list of upstreams, which don't wait, find it within 2.3 s.

A poll that waits now ends when another call gets no answer, and begins again on another connection.

--- a/loomgate/peers.go
+++ b/loomgate/peers.go
@@ -150,6 +150,7 @@
 			if p.gate.source.Epoch() != loomplatform.PositionEpoch(p.version) && loomkernel.Sleep(ctx, p.gate.randomDuration(epochSpread)) != nil {
 				return
 			}
+		case errors.Is(err, ErrPollEnded):
 		default:
 			p.gate.view.recordFailure(sentAt)
 			if loomkernel.Sleep(ctx, p.gate.jitter(platformRetryInterval)) != nil {
--- a/loomgate/source.go
+++ b/loomgate/source.go
@@ -15,6 +15,10 @@
 // changes. The caller must read a full snapshot.
 var ErrHistoryLost = errors.New("history lost")
 
+// ErrPollEnded is returned when a poll was ended early, since the connection on which it
+// waits may have fallen silent. The caller polls again.
+var ErrPollEnded = errors.New("poll ended")
+
 // Topic identifies a kind of rows that the platform provides.
 type Topic int
 
@@ -69,7 +73,7 @@
 	loomplatform.Table
 	// Changes returns the changes of a topic after a version, as soon as there is
 	// one or wait has passed. It returns ErrHistoryLost if the platform no
-	// longer has them.
+	// longer has them, and ErrPollEnded if it can't tell.
 	Changes(ctx context.Context, t Topic, after uint64, wait time.Duration) (Page, error)
 	// Snapshot returns all rows of a topic.
 	Snapshot(ctx context.Context, t Topic) (Page, error)
