--- a/loomgate/view.go
+++ b/loomgate/view.go
@@ -24,9 +24,13 @@
 	// Upstreams write more often than that, so a long poll would return
 	// immediately.
 	upstreamsPollInterval = 800 * time.Millisecond
+	// expiringPollInterval is the same while entries are missing that may be back soon.
+	expiringPollInterval = 250 * time.Millisecond
 	// platformRetryInterval is the mean time between two calls while the
-	// platform is failing; each pause is jittered.
-	platformRetryInterval = 700 * time.Millisecond
+	// platform is failing; each pause is jittered. platformFirstRetryInterval is that
+	// after the first failure, which may have been a single one.
+	platformRetryInterval      = 700 * time.Millisecond
+	platformFirstRetryInterval = 200 * time.Millisecond
 )
 
 // clusterView holds this instance's view of the catalogue and the upstreams.
@@ -41,17 +45,17 @@
 	// platform's rows that were applied.
 	catalogueVersion atomic.Uint64
 	upstreamsVersion atomic.Uint64
-	// upstreamsUpdatedAt is when the upstream list was last received, in Unix
-	// nanoseconds.
-	upstreamsUpdatedAt atomic.Int64
-	// failedAt is when a call to the platform last failed, in Unix nanoseconds.
-	failedAt atomic.Int64
+	// upstreamsAsOf is a time at which the upstream list was current. It never
+	// decreases.
+	upstreamsAsOf atomic.Pointer[time.Time]
 	// catalogueChanged wakes the catalogue watch when a peer has a newer
 	// version.
 	catalogueChanged chan struct{}
 
 	mu        sync.Mutex
-	directory loommember.Directory
+	directory *loommember.Directory
+	// platform tells since when the platform answers.
+	platform loommember.Contact
 	// targets holds the target version that operators set for each model. It
 	// only increases.
 	targets map[string]uint64
@@ -68,6 +72,7 @@
 func newClusterView(g *Gate) *clusterView {
 	v := &clusterView{
 		gate:             g,
+		directory:        loommember.NewDirectory(g.settings.LeavingLimit, g.settings.RenewalInterval),
 		catalogueChanged: make(chan struct{}, 1),
 		targets:          make(map[string]uint64),
 		targetHistory:    make(map[string][]targetChange),
@@ -76,6 +81,7 @@
 	}
 	v.routingSnapshot.Store(&loomcatalogue.Routing{})
 	v.groupsSnapshot.Store(&map[string][]loommember.Upstream{})
+	v.upstreamsAsOf.Store(&time.Time{})
 	return v
 }
 
@@ -108,9 +114,9 @@
 	return loommember.Upstream{}, false
 }
 
-// upstreamsAge returns the time since the upstream list was last received.
+// upstreamsAge returns the time since the upstream list was current.
 func (v *clusterView) upstreamsAge(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, v.upstreamsUpdatedAt.Load()))
+	return now.Sub(*v.upstreamsAsOf.Load())
 }
 
 // targetVersion returns the version that operators set for a model, or zero.
@@ -188,16 +194,22 @@
 			if !failing {
 				v.gate.log.Warn("dependency_lost", "dependency", "platform", "topic", t.String(), "cause", err.Error())
 			}
-			failing = true
-			v.failedAt.Store(time.Now().UnixNano())
-			v.recordOutage(time.Now())
 			pause = v.gate.jitter(platformRetryInterval)
+			if !failing {
+				pause = v.gate.jitter(platformFirstRetryInterval)
+			}
+			failing = true
+			v.recordFailure(started)
 		default:
 			if failing {
-				v.gate.log.Info("dependency_regained", "dependency", "platform", "topic", t.String(), "version", v.version(t).Load())
+				v.gate.log.Info("dependency_regained", "dependency", "platform", "topic", t.String(), "version", v.version(t).Load(),
+					"failed_ms", v.contact().SinceFailure(time.Now()).Milliseconds())
 			}
 			failing = false
 			full = false
+			if t == TopicUpstreams && v.hasExpiring(time.Now()) {
+				pause = expiringPollInterval
+			}
 		}
 		v.sleep(ctx, t, pause-time.Since(started)/2)
 	}
@@ -209,17 +221,49 @@
 	return v.hasUpstreamList() && v.gate.coordinators.hasCoordinator() && v.upstreamsAge(now) < maxUpstreamsAge
 }
 
-// setUpstreamsAge records that the upstream list was up to date age before now.
-func (v *clusterView) setUpstreamsAge(now time.Time, age time.Duration) {
-	at := now.Add(-age).UnixNano()
-	if at > v.upstreamsUpdatedAt.Load() {
-		v.upstreamsUpdatedAt.Store(at)
+// confirmUpstreams records that the upstream list was current at a time.
+func (v *clusterView) confirmUpstreams(at time.Time) {
+	for known := v.upstreamsAsOf.Load(); at.After(*known); known = v.upstreamsAsOf.Load() {
+		if v.upstreamsAsOf.CompareAndSwap(known, &at) {
+			return
+		}
 	}
 }
 
-// isPlatformFailing reports whether a call to the platform failed shortly before.
-func (v *clusterView) isPlatformFailing(now time.Time) bool {
-	return now.Sub(time.Unix(0, v.failedAt.Load())) < 2*platformRetryInterval
+// hasExpiring reports whether an upstream is used whose entry is missing.
+func (v *clusterView) hasExpiring(now time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.directory.HasExpiring(now)
+}
+
+// contact returns what is known of the platform's answers.
+func (v *clusterView) contact() loommember.Contact {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.platform
+}
+
+// recordFailure records that a call to the platform failed that was sent at a time.
+func (v *clusterView) recordFailure(sentAt time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.platform = v.platform.WithFailure(sentAt)
+}
+
+// recordAnswer records that the platform answered now a call that was sent at a time.
+func (v *clusterView) recordAnswer(sentAt, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.platform = v.platform.WithAnswer(sentAt, now)
+}
+
+// recordPeerAnswers records that the platform has answered all calls of a peer since a
+// time, the latest of which was sent at answeredAt.
+func (v *clusterView) recordPeerAnswers(since, answeredAt time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.platform = v.platform.WithPeerAnswers(since, answeredAt)
 }
 
 // sleep waits for d. A change of the catalogue that a peer reports ends the
@@ -251,6 +295,7 @@
 
 // poll makes one call to the platform and applies the result.
 func (v *clusterView) poll(ctx context.Context, t Topic, full bool, maxWait time.Duration) error {
+	sentAt := time.Now()
 	var page Page
 	var err error
 	if full {
@@ -261,27 +306,48 @@
 	if err != nil {
 		return err
 	}
-	v.apply(time.Now(), t, page, full)
+	page.AsOf = sentAt
+	now := time.Now()
+	v.recordAnswer(sentAt, now)
+	page.AnswersSince, _ = v.contact().AnswersSince()
+	v.apply(now, t, page, full)
 	return nil
 }
 
-// recordOutage records that the platform could not be reached.
-func (v *clusterView) recordOutage(now time.Time) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.directory.Outage(now)
-}
-
 // apply applies rows from the platform or a peer. If full is set, the page is a
-// complete snapshot, and listed upstreams that have no row in it are removed.
+// complete snapshot, and listed upstreams that have no row in it are removed. A page
+// that does not say when its rows were current holds those of now.
 func (v *clusterView) apply(now time.Time, t Topic, page Page, full bool) {
 	known := v.version(t)
 	if page.Version < known.Load() {
 		return
 	}
+	if page.AsOf.IsZero() {
+		page.AsOf = now
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.applyEpoch(now, t, known.Load(), page.Version)
+	changed := v.applyRows(now, t, page, full)
+	known.Store(max(known.Load(), page.Version))
+	if t != TopicUpstreams {
+		return
+	}
+	v.confirmUpstreams(page.AsOf)
+	changed = v.removeExpired(now) || changed
+	if changed || !v.upstreamsLoaded.Load() {
+		v.publish(now)
+	}
+	v.upstreamsLoaded.Store(true)
+}
+
+// applyRows applies the rows of a page and reports whether the set of usable upstreams
+// changed. After a return from an older copy, entries that upstreams have yet to write
+// again count as expired in an outage. The caller holds mu.
+func (v *clusterView) applyRows(now time.Time, t Topic, page Page, full bool) bool {
+	removal := loommember.Removal{After: *v.upstreamsAsOf.Load(), AnswersSince: page.AnswersSince}
+	if v.noteEpoch(t, v.version(t).Load(), page.Version) {
+		removal = loommember.Removal{AnswersSince: page.AsOf}
+	}
 	changed := false
 	present := make(map[string]bool, len(page.Rows))
 	for _, row := range page.Rows {
@@ -294,37 +360,27 @@
 		} else {
 			v.rows[t][row.Key] = row
 		}
-		changed = v.applyRow(now, t, row) || changed
+		changed = v.applyRow(now, removal, t, row) || changed
 	}
 	if full && t == TopicUpstreams {
-		changed = v.removeAbsent(now, present, page.Version) || changed
-	}
-	known.Store(max(known.Load(), page.Version))
-	if t != TopicUpstreams {
-		return
-	}
-	v.upstreamsUpdatedAt.Store(now.UnixNano())
-	changed = v.directory.RemoveExpired(now) || changed
-	if changed || !v.upstreamsLoaded.Load() {
-		v.publish(now)
+		changed = v.removeAbsent(now, removal, present, page.Version) || changed
 	}
-	v.upstreamsLoaded.Store(true)
+	return changed
 }
 
 // epochSpread is the time over which instances spread their reads after the platform's
 // table has returned from an older copy.
 const epochSpread = 400 * time.Millisecond
 
-// applyEpoch logs that the platform's table has returned from an older copy, if a topic
-// shows a later epoch than before. Entries that upstreams have yet to write again count as
-// removed by an outage. The caller holds mu.
-func (v *clusterView) applyEpoch(now time.Time, t Topic, before, position uint64) {
+// noteEpoch reports whether the platform's table has returned from an older copy, so that
+// a topic shows a later epoch than before.
+func (v *clusterView) noteEpoch(t Topic, before, position uint64) bool {
 	epoch, old := loomplatform.PositionEpoch(position), loomplatform.PositionEpoch(before)
 	if epoch == old || before == 0 {
-		return
+		return false
 	}
-	v.directory.Outage(now)
 	v.gate.log.Warn("store_epoch_rose", "topic", t.String(), "epoch", epoch, "before", old, "version", loomplatform.PositionVersion(position))
+	return true
 }
 
 // epoch returns the newest epoch of the platform's table that this instance has heard of,
@@ -333,22 +389,23 @@
 	return max(v.gate.source.Epoch(), loomplatform.PositionEpoch(v.catalogueVersion.Load()), loomplatform.PositionEpoch(v.upstreamsVersion.Load()))
 }
 
-// removeAbsent removes the upstreams that are missing from a full snapshot. The
-// caller holds mu.
-func (v *clusterView) removeAbsent(now time.Time, present map[string]bool, version uint64) bool {
+// removeAbsent removes the upstreams that are missing from a full snapshot, at the times
+// in r. The caller holds mu.
+func (v *clusterView) removeAbsent(now time.Time, r loommember.Removal, present map[string]bool, version uint64) bool {
 	changed := false
 	for _, id := range v.directory.Listed() {
 		if !present[id] {
-			changed = v.directory.Remove(now, id, version) || changed
+			r.ID, r.Version = id, version
+			changed = v.removeUpstream(now, r) || changed
 			delete(v.rows[TopicUpstreams], id)
 		}
 	}
 	return changed
 }
 
-// applyRow applies one row and reports whether the set of usable upstreams
-// changed. The caller holds mu.
-func (v *clusterView) applyRow(now time.Time, t Topic, row Row) bool {
+// applyRow applies one row and reports whether the set of usable upstreams changed. A
+// removal is one at the times in r. The caller holds mu.
+func (v *clusterView) applyRow(now time.Time, r loommember.Removal, t Topic, row Row) bool {
 	change, err := v.gate.source.Decode(t, row)
 	if err != nil {
 		if v.loggedRows[row.Key] == 0 {
@@ -370,14 +427,24 @@
 	case UpstreamListed:
 		return v.applyUpstream(now, c)
 	case UpstreamRemoved:
-		if v.directory.Remove(now, c.ID, c.Version) {
-			v.gate.log.Info("upstream_removed", "upstream", c.ID, "row_version", c.Version)
-			return true
-		}
+		r.ID, r.Version = c.ID, c.Version
+		return v.removeUpstream(now, r)
 	}
 	return false
 }
 
+// removeUpstream applies the removal of an upstream's entry and reports whether the set
+// of listed upstreams changed. The caller holds mu.
+func (v *clusterView) removeUpstream(now time.Time, r loommember.Removal) bool {
+	usableUntil, removed := v.directory.Remove(now, r)
+	if !removed {
+		return false
+	}
+	v.gate.log.Info("upstream_removed", "upstream", r.ID, "row_version", r.Version,
+		"usable_ms", usableUntil.Sub(now).Milliseconds(), "failed_ms", v.platform.SinceFailure(now).Milliseconds())
+	return true
+}
+
 // applyRouting replaces the routing if the new revision is higher.
 func (v *clusterView) applyRouting(r loomcatalogue.Routing, version uint64) {
 	old := v.routing()
@@ -453,16 +520,26 @@
 func (v *clusterView) evictExpired(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.directory.RemoveExpired(now) {
+	if v.removeExpired(now) {
 		v.publish(now)
 	}
 }
 
+// removeExpired deletes removed upstreams that are no longer usable and reports whether
+// there were any. The caller holds mu.
+func (v *clusterView) removeExpired(now time.Time) bool {
+	expired := v.directory.RemoveExpired(now)
+	for _, id := range expired {
+		v.gate.log.Info("upstream_expired", "upstream", id)
+	}
+	return len(expired) > 0
+}
+
 // snapshot returns the cached rows of a topic, for a peer.
 func (v *clusterView) snapshot(t Topic) Page {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	page := Page{Version: v.version(t).Load()}
+	page := Page{Version: v.version(t).Load(), AsOf: *v.upstreamsAsOf.Load()}
 	for _, row := range v.rows[t] {
 		page.Rows = append(page.Rows, row)
 	}
--- a/loommember/upstream_test.go
+++ b/loommember/upstream_test.go
@@ -13,6 +13,15 @@
 	return Upstream{ID: "a", Group: "engines", Address: "10.0.0.1:80", Incarnation: incarnation}
 }
 
+// back is when the platform answers again in the tests, after an outage.
+var back = listedAt.Add(4 * time.Second)
+
+// removal returns the removal of the upstream "a" after a read of the list, by one whose
+// reader the platform answers since a time.
+func removal(version uint64, after, since time.Time) Removal {
+	return Removal{ID: "a", Version: version, After: after, AnswersSince: since}
+}
+
 func usableIDs(d *Directory, now time.Time) []string {
 	ids := []string{}
 	for _, u := range d.Usable(now) {
@@ -50,7 +59,7 @@
 			name: "a leaving mark outlives the entry",
 			apply: func(d *Directory) {
 				d.Put(listedAt, upstream(1), true, 1)
-				d.Remove(listedAt, "a", 2)
+				d.Remove(listedAt, removal(2, listedAt, time.Time{}))
 				d.RemoveExpired(listedAt.Add(time.Second))
 				d.Put(listedAt.Add(time.Second), upstream(1), false, 3)
 			},
@@ -77,7 +86,7 @@
 			name: "an older row is ignored",
 			apply: func(d *Directory) {
 				d.Put(listedAt, upstream(1), false, 5)
-				d.Remove(listedAt, "a", 4)
+				d.Remove(listedAt, removal(4, listedAt, time.Time{}))
 			},
 			want: []string{"a"},
 		},
@@ -85,37 +94,79 @@
 			name: "a removed entry is unusable immediately without an outage",
 			apply: func(d *Directory) {
 				d.Put(listedAt, upstream(1), false, 1)
-				d.Remove(listedAt, "a", 2)
+				d.Remove(listedAt, removal(2, listedAt, time.Time{}))
 			},
 			want: []string{},
 		},
 		{
-			name: "a removed entry stays usable after an outage",
+			name: "an entry that is missing when the platform is back stays usable",
 			apply: func(d *Directory) {
 				d.Put(listedAt, upstream(1), false, 1)
-				d.Outage(listedAt)
-				d.Remove(listedAt.Add(time.Second), "a", 2)
+				d.Remove(back, removal(2, listedAt, back))
 			},
-			at:   2 * time.Second,
+			at:   back.Sub(listedAt) + leavingLimit - time.Millisecond,
 			want: []string{"a"},
 		},
 		{
-			name: "a removed entry is unusable after the grace period",
+			name: "an entry that is still missing after the grace period is gone",
+			apply: func(d *Directory) {
+				d.Put(listedAt, upstream(1), false, 1)
+				d.Remove(back, removal(2, listedAt, back))
+			},
+			at:   back.Sub(listedAt) + leavingLimit,
+			want: []string{},
+		},
+		{
+			name: "the grace period starts when the platform is back and not with the removal",
+			apply: func(d *Directory) {
+				d.Put(listedAt, upstream(1), false, 1)
+				d.Remove(back.Add(time.Second), removal(2, back, back))
+			},
+			at:   back.Sub(listedAt) + leavingLimit,
+			want: []string{},
+		},
+		{
+			name: "an entry that a list since the platform's return has shown is gone in time",
+			apply: func(d *Directory) {
+				d.Put(listedAt, upstream(1), false, 1)
+				d.Remove(back.Add(time.Second), removal(2, back.Add(time.Second/4), back))
+			},
+			at:   back.Sub(listedAt) + time.Second/4 + leavingLimit - sendAllowance,
+			want: []string{},
+		},
+		{
+			name: "an entry that is removed after the grace period is unusable immediately",
+			apply: func(d *Directory) {
+				d.Put(listedAt, upstream(1), false, 1)
+				d.Remove(back.Add(leavingLimit), removal(2, back.Add(time.Second), back))
+			},
+			at:   back.Sub(listedAt) + leavingLimit,
+			want: []string{},
+		},
+		{
+			name: "an outage too short for an entry to expire does not extend its use",
+			apply: func(d *Directory) {
+				d.Put(listedAt, upstream(1), false, 1)
+				d.Remove(back, removal(2, back.Add(-time.Second), back))
+			},
+			at:   back.Sub(listedAt) - time.Second + leavingLimit - sendAllowance,
+			want: []string{},
+		},
+		{
+			name: "an entry is gone at once if the platform has not been away for a peer",
 			apply: func(d *Directory) {
 				d.Put(listedAt, upstream(1), false, 1)
-				d.Outage(listedAt)
-				d.Remove(listedAt.Add(time.Second), "a", 2)
+				d.Remove(back, removal(2, listedAt, listedAt))
 			},
-			at:   3 * time.Second,
+			at:   back.Sub(listedAt),
 			want: []string{},
 		},
 		{
 			name: "an entry returns after it has expired",
 			apply: func(d *Directory) {
 				d.Put(listedAt, upstream(1), false, 1)
-				d.Outage(listedAt)
-				d.Remove(listedAt.Add(time.Second), "a", 2)
-				d.Put(listedAt.Add(2*time.Second), upstream(1), false, 3)
+				d.Remove(back, removal(2, listedAt, back))
+				d.Put(back.Add(time.Second), upstream(1), false, 3)
 			},
 			at:   time.Minute,
 			want: []string{"a"},
@@ -139,15 +190,15 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			var d Directory
-			tt.apply(&d)
-			assert.DeepEqual(t, usableIDs(&d, listedAt.Add(tt.at)), tt.want)
+			d := NewDirectory(leavingLimit, renewalInterval)
+			tt.apply(d)
+			assert.DeepEqual(t, usableIDs(d, listedAt.Add(tt.at)), tt.want)
 		})
 	}
 }
 
 func TestDirectoryVersions(t *testing.T) {
-	var d Directory
+	d := NewDirectory(leavingLimit, renewalInterval)
 	u := upstream(1)
 	u.Weights = []Weights{{Model: "m", Version: 3}}
 	d.Put(listedAt, u, false, 1)
