--- a/loomgate/exchange.go
+++ b/loomgate/exchange.go
@@ -187,7 +187,11 @@
 	if failedBefore >= maxFailedRounds {
 		p.gate.log.Info("dependency_regained", "dependency", "peer", "peer", peer.id)
 	}
-	p.gate.limits.apply(time.Now(), peer.id, reply.GetLimits())
+	receivedAt := time.Now()
+	if receivedAt.Sub(sentAt) <= exchangeTimeout {
+		p.gate.view.applyPeerNamed(receivedAt, reply.GetWeights())
+	}
+	p.gate.limits.apply(receivedAt, peer.id, reply.GetLimits())
 	p.gate.limits.accept(sentAt, peer.id, reply.GetLeases())
 	p.syncRows(ctx, peer, sentAt, reply)
 }
@@ -308,6 +312,8 @@
 
 		Limits: g.limits.reports(now),
 		Leases: g.limits.lend(now, r.GetFrom(), r.GetLeaseRequests()),
+
+		Weights: g.view.namedReports(now),
 	}
 	if since, answeredAt, ok := g.view.contact().OwnAnswers(); ok {
 		reply.PlatformAnswersMs, reply.PlatformAnsweredMs = max(ageMillis(now, since), 1), ageMillis(now, answeredAt)
