Keep the longest delay of orders after a change of the lease

After the platform's table had returned without the row of the rollout lease, an instance that took the free lease sent orders after 3.5 s, while an earlier holder that was cut off could still order for 6.5 s: two instances order weights at once. The delay of 10.5 s after the return was replaced by the shorter one that follows a released lease. The later of both holds now.

--- a/loomgate/lease.go
+++ b/loomgate/lease.go
@@ -61,7 +61,14 @@
 		return
 	}
 	if !isFirst {
-		r.noOrdersBefore = now.Add(leaseDuration + orderMargin)
+		r.delayOrders(now.Add(leaseDuration + orderMargin))
+	}
+}
+
+// delayOrders forbids orders before a time, in addition to earlier delays.
+func (r *rollout) delayOrders(until time.Time) {
+	if until.After(r.noOrdersBefore) {
+		r.noOrdersBefore = until
 	}
 }
 
@@ -192,7 +199,7 @@
 	if previous == "" && token > 1 {
 		// The previous holder released the lease and may have sent an order
 		// just before that.
-		r.noOrdersBefore = now.Add(r.gate.settings.MinOrderGap + orderMargin)
+		r.delayOrders(now.Add(r.gate.settings.MinOrderGap + orderMargin))
 	}
 	r.gate.log.Info("lease_taken", "lease", leaseKey, "token", token, "before", previous)
 }
