Don't take the first epoch that an instance learns for a return

New weights stood still for 10.5 s when an instance was started again after the platform's table had returned from an older copy at any time before: the rollout's first reconciliation comes before the first answer, so the epoch in that answer counted as a rise. The epoch of the first rows that an instance uses is the first now, whenever the rollout looks.

TestRestartedHolderOrdersSoonInLaterEpoch failed before, 10.5 s in 4 of 4 runs, and passes (4 s allowed).

--- a/loomgate/lease.go
+++ b/loomgate/lease.go
@@ -46,10 +46,8 @@
 // The row of the lease may be lost, so another instance may take the lease at once and
 // must not act while an earlier holder still may.
 func (r *rollout) followEpoch(now time.Time) {
-	epoch := r.gate.view.epoch()
-	isFirst := !r.hasEpoch
-	r.hasEpoch = true
-	if epoch <= r.epoch {
+	first, epoch, ok := r.gate.view.epochs()
+	if !ok || epoch <= r.epoch {
 		return
 	}
 	r.epoch = epoch
@@ -60,7 +58,7 @@
 		r.gate.log.Warn("lease_lost", "lease", leaseKey, "token", token)
 		return
 	}
-	if !isFirst {
+	if epoch > first {
 		r.delayOrders(now.Add(leaseDuration + orderMargin))
 	}
 }
--- a/loomgate/rollout.go
+++ b/loomgate/rollout.go
@@ -74,10 +74,8 @@
 	// run.
 	lease  loomlease.Lease
 	holder string
-	// epoch is that of the platform's table in which the lease was last used. It is
-	// unknown until hasEpoch is set.
-	epoch    uint64
-	hasEpoch bool
+	// epoch is the newest epoch of the platform's table that the lease follows.
+	epoch uint64
 	// leaseReadAt is when the lease was last read; zero forces a read.
 	leaseReadAt time.Time
 	// renewedAt is when the write that last renewed the lease was sent.
--- a/loomgate/view.go
+++ b/loomgate/view.go
@@ -56,6 +56,9 @@
 	directory *loommember.Directory
 	// platform tells since when the platform answers.
 	platform loommember.Contact
+	// firstEpoch is the epoch of the first rows that were applied, if hasEpoch is set.
+	firstEpoch uint64
+	hasEpoch   bool
 	// targets holds the target version that operators set for each model. It
 	// only increases.
 	targets map[string]uint64
@@ -310,6 +313,9 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if !v.hasEpoch {
+		v.firstEpoch, v.hasEpoch = loomplatform.PositionEpoch(page.Version), true
+	}
 	changed := v.applyRows(now, t, page, full)
 	known.Store(max(known.Load(), page.Version))
 	if t != TopicUpstreams {
@@ -366,10 +372,14 @@
 	return true
 }
 
-// epoch returns the newest epoch of the platform's table that this instance has heard of,
-// from the platform or from a peer.
-func (v *clusterView) epoch() uint64 {
-	return max(v.gate.source.Epoch(), loomplatform.PositionEpoch(v.catalogueVersion.Load()), loomplatform.PositionEpoch(v.upstreamsVersion.Load()))
+// epochs returns the first epoch of the platform's table that this instance has used and
+// the newest one that it has heard of, from the platform or from a peer. It returns false
+// before it has used any.
+func (v *clusterView) epochs() (first, newest uint64, ok bool) {
+	v.mu.Lock()
+	first, ok = v.firstEpoch, v.hasEpoch
+	v.mu.Unlock()
+	return first, max(v.gate.source.Epoch(), loomplatform.PositionEpoch(v.catalogueVersion.Load()), loomplatform.PositionEpoch(v.upstreamsVersion.Load())), ok
 }
 
 // removeAbsent removes the upstreams that are missing from a full snapshot, at the times
