--- a/loomgate/gate.go
+++ b/loomgate/gate.go
@@ -134,7 +134,12 @@
 // IsReady reports whether the gate can serve requests: it is not stopping and has
 // received both the catalogue and the upstream list.
 func (g *Gate) IsReady() bool {
-	return !g.stopping.Load() && g.view.routing().Revision() > 0 && g.view.hasUpstreamList()
+	return !g.stopping.Load() && g.HasCatalogue() && g.view.hasUpstreamList()
+}
+
+// HasCatalogue reports whether the catalogue has been received.
+func (g *Gate) HasCatalogue() bool {
+	return g.view.routing().Revision() > 0
 }
 
 // MarkStopping makes IsReady report false. Requests are still served.
