Don't take the rollout lease while stopping

Cause: an instance that is stopping stayed a candidate for the lease. Each change of the holder delays the next order by the platform's gap.

An instance that is stopping keeps the lease that it holds and takes none.

TestStoppingInstanceTakesNoLease failed before (an order by a stopping instance) and passes now. go test ./loomgate: ok.

--- a/loomgate/lease.go
+++ b/loomgate/lease.go
@@ -66,10 +66,11 @@
 }
 
 // ensureLease acquires or renews the lease when due and reports whether orders
-// may be sent now.
+// may be sent now. An instance that is stopping does not acquire it, since each change
+// of the holder delays the next order.
 func (r *rollout) ensureLease(ctx context.Context, now time.Time) bool {
 	_, held := r.lease.Held(now)
-	if !held && (!r.readLease(ctx, now) || now.Sub(r.pendingSince) < r.candidacyDelay()) {
+	if !held && (r.gate.IsStopping() || !r.readLease(ctx, now) || now.Sub(r.pendingSince) < r.candidacyDelay()) {
 		return false
 	}
 	switch {
--- a/loomgate/weights_test.go
+++ b/loomgate/weights_test.go
@@ -252,3 +252,17 @@
 	g.runner = r
 	assert.Assert(t, reconcileUntil(t, g, 5*time.Second, func() bool { return r.orderCount() == 2 }), "an engine that answers again was not ordered")
 }
+
+// TestStoppingInstanceTakesNoLease guards against a rollout that stands still twice, since the
+// lease passes to an instance that will end soon.
+func TestStoppingInstanceTakesNoLease(t *testing.T) {
+	r := &fakeRunner{versions: map[string]uint64{"e1": 1, "e2": 1}}
+	g := newRolloutGate(t, "a", newFakeSource(), r)
+	g.MarkStopping()
+	assert.Assert(t, !reconcileUntil(t, g, 500*time.Millisecond, func() bool { return r.orderCount() > 0 }), "an instance that stops has taken the lease")
+
+	holder := newRolloutGate(t, "b", newFakeSource(), r)
+	assert.Assert(t, reconcileUntil(t, holder, time.Second, func() bool { return r.orderCount() == 1 }))
+	holder.MarkStopping()
+	assert.Assert(t, reconcileUntil(t, holder, 5*time.Second, func() bool { return r.orderCount() == 2 }), "the holder goes on until it ends")
+}
