--- a/loomgate/exchange.go
+++ b/loomgate/exchange.go
@@ -189,7 +189,7 @@
 	}
 	receivedAt := time.Now()
 	if receivedAt.Sub(sentAt) <= exchangeTimeout {
-		p.gate.view.applyPeerNamed(receivedAt, reply.GetWeights())
+		p.gate.view.applyPeerNamed(receivedAt, reply.GetNamedWeights())
 	}
 	p.gate.limits.apply(receivedAt, peer.id, reply.GetLimits())
 	p.gate.limits.accept(sentAt, peer.id, reply.GetLeases())
@@ -302,7 +302,7 @@
 		IsPlatformFailing: g.view.isPlatformFailing(now),
 		Limits:            g.limits.reports(now),
 		Leases:            g.limits.lend(now, r.GetFrom(), r.GetLeaseRequests()),
-		Weights:           g.view.namedReports(now),
+		NamedWeights:      g.view.namedReports(now),
 	}, nil
 }
 
