Don't take the first epoch that an instance learns for a return

New weights stood still for 10.5 s when an instance was started again after the platform's table had returned from an older copy at any time before: its first reconciliation comes before the first answer, so the epoch in that answer counted as a rise. An epoch is known now only once the platform or a peer has told it.

--- a/loomgate/lease.go
+++ b/loomgate/lease.go
@@ -46,7 +46,10 @@
 // The row of the lease may be lost, so another instance may take the lease at once and
 // must not act while an earlier holder still may.
 func (r *rollout) followEpoch(now time.Time) {
-	epoch := r.gate.view.epoch()
+	epoch, isKnown := r.gate.view.epoch()
+	if !isKnown {
+		return
+	}
 	isFirst := !r.hasEpoch
 	r.hasEpoch = true
 	if epoch <= r.epoch {
--- a/loomgate/metrics.go
+++ b/loomgate/metrics.go
@@ -184,7 +184,8 @@
 		held = 1
 	}
 	scope.Gauge("lease_held").Update(held)
-	scope.Gauge("store_epoch").Update(float64(g.view.epoch()))
+	epoch, _ := g.view.epoch()
+	scope.Gauge("store_epoch").Update(float64(epoch))
 	scope.Gauge("upstreams_age_seconds").Update(g.view.upstreamsAge(now).Seconds())
 	scope.Gauge("peers").Update(float64(len(g.peers.liveInstances()) - 1))
 	coordinates := 0.0
--- a/loomgate/view.go
+++ b/loomgate/view.go
@@ -367,9 +367,11 @@
 }
 
 // epoch returns the newest epoch of the platform's table that this instance has heard of,
-// from the platform or from a peer.
-func (v *clusterView) epoch() uint64 {
-	return max(v.gate.source.Epoch(), loomplatform.PositionEpoch(v.catalogueVersion.Load()), loomplatform.PositionEpoch(v.upstreamsVersion.Load()))
+// from the platform or from a peer. It returns false before the first of them.
+func (v *clusterView) epoch() (uint64, bool) {
+	catalogue, upstreams := v.catalogueVersion.Load(), v.upstreamsVersion.Load()
+	epoch := max(v.gate.source.Epoch(), loomplatform.PositionEpoch(catalogue), loomplatform.PositionEpoch(upstreams))
+	return epoch, epoch > 0 || catalogue > 0 || upstreams > 0
 }
 
 // removeAbsent removes the upstreams that are missing from a full snapshot, at the times
