--- a/loomgate/exchange.go
+++ b/loomgate/exchange.go
@@ -193,7 +193,7 @@
 	}
 	p.gate.limits.apply(receivedAt, peer.id, reply.GetLimits())
 	p.gate.limits.accept(sentAt, peer.id, reply.GetLeases())
-	p.syncRows(ctx, peer, reply)
+	p.syncRows(ctx, peer, sentAt, reply)
 }
 
 // recordFailure records a failed call to a peer.
@@ -216,8 +216,11 @@
 // syncRows reads the rows of a peer that has newer versions. The upstream list
 // is read only if this instance's list is older than maxUpstreamsAge, or, from a
 // coordinator, than upstreamsPollInterval.
-func (p *peers) syncRows(ctx context.Context, peer *peer, reply *loompb.ExchangeReply) {
+func (p *peers) syncRows(ctx context.Context, peer *peer, sentAt time.Time, reply *loompb.ExchangeReply) {
 	view := p.gate.view
+	if answers := milliseconds(reply.GetPlatformAnswersMs()); answers > 0 {
+		view.recordPeerAnswers(time.Now().Add(-answers), sentAt.Add(-milliseconds(reply.GetPlatformAnsweredMs())))
+	}
 	if reply.GetCatalogueVersion() > view.catalogueVersion.Load() {
 		select {
 		case view.catalogueChanged <- struct{}{}:
@@ -226,7 +229,7 @@
 		p.fetchRows(ctx, peer, TopicCatalogue)
 	}
 	now := time.Now()
-	maxAge := maxUpstreamsAge
+	maxAge := p.gate.maxUpstreamsAge()
 	hasCoordinator := p.gate.coordinators.hasCoordinator()
 	if hasCoordinator {
 		maxAge = upstreamsPollInterval
@@ -237,20 +240,24 @@
 	if !hasCoordinator {
 		return
 	}
-	if reply.GetIsPlatformFailing() {
-		view.recordOutage(now)
-	}
 	if reply.GetUpstreamsVersion() == view.upstreamsVersion.Load() {
-		view.setUpstreamsAge(now, time.Duration(reply.GetUpstreamsAgeMs())*time.Millisecond)
+		view.confirmUpstreams(sentAt.Add(-milliseconds(reply.GetUpstreamsAgeMs())))
 	}
 }
 
-// maxUpstreamsAge is the age of the upstream list above which it is read from a
-// peer.
-const maxUpstreamsAge = 2 * time.Second
+// listReadAllowance is the time from the decision to read the upstream list until a
+// request that was sent by an earlier list has arrived.
+const listReadAllowance = 600 * time.Millisecond
+
+// maxUpstreamsAge returns the age of the upstream list above which it is read from a peer,
+// or from the platform in place of a coordinator.
+func (g *Gate) maxUpstreamsAge() time.Duration {
+	return g.settings.LeavingLimit - listReadAllowance
+}
 
 // fetchRows reads a peer's rows of a topic and applies them as a full snapshot.
 func (p *peers) fetchRows(ctx context.Context, peer *peer, t Topic) {
+	sentAt := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, rowsTimeout)
 	defer cancel()
 	reply, err := peer.client.Rows(ctx, &loompb.RowsRequest{Topic: t.String()})
@@ -262,11 +269,15 @@
 		// The peer has started again and has no list itself.
 		return
 	}
-	page := Page{Version: reply.GetVersion()}
+	page := Page{Version: reply.GetVersion(), AsOf: sentAt.Add(-milliseconds(reply.GetAgeMs()))}
+	page.AnswersSince = page.AsOf
+	if answers := milliseconds(reply.GetPlatformAnswersMs()); answers > 0 {
+		page.AnswersSince = time.Now().Add(-answers)
+	}
 	for _, row := range reply.GetRows() {
 		page.Rows = append(page.Rows, Row{Key: row.GetKey(), Value: row.GetValue(), Version: row.GetVersion(), Deleted: row.GetDeleted()})
 	}
-	p.gate.log.Info("rows_from_peer", "peer", peer.id, "topic", t.String(), "version", page.Version, "rows", len(page.Rows))
+	p.gate.log.Info("rows_from_peer", "peer", peer.id, "topic", t.String(), "version", page.Version, "rows", len(page.Rows), "age_ms", reply.GetAgeMs())
 	p.gate.view.apply(time.Now(), t, page, true)
 }
 
@@ -294,16 +305,30 @@
 	}
 	g.rollout.applyPeerReports(now, r.GetWeights())
 	g.limits.apply(now, r.GetFrom(), r.GetLimits())
-	return &loompb.ExchangeReply{
+	reply := &loompb.ExchangeReply{
 		CatalogueVersion: g.view.catalogueVersion.Load(),
 		UpstreamsVersion: g.view.upstreamsVersion.Load(),
-		UpstreamsAgeMs:   uint32(min(max(g.view.upstreamsAge(now).Milliseconds(), 0), math.MaxUint32)),
+		UpstreamsAgeMs:   ageMillis(now, *g.view.upstreamsAsOf.Load()),
+
+		Limits: g.limits.reports(now),
+		Leases: g.limits.lend(now, r.GetFrom(), r.GetLeaseRequests()),
+
+		NamedWeights: g.view.namedReports(now),
+	}
+	if since, answeredAt, ok := g.view.contact().OwnAnswers(); ok {
+		reply.PlatformAnswersMs, reply.PlatformAnsweredMs = max(ageMillis(now, since), 1), ageMillis(now, answeredAt)
+	}
+	return reply, nil
+}
 
-		IsPlatformFailing: g.view.isPlatformFailing(now),
-		Limits:            g.limits.reports(now),
-		Leases:            g.limits.lend(now, r.GetFrom(), r.GetLeaseRequests()),
-		NamedWeights:      g.view.namedReports(now),
-	}, nil
+// milliseconds returns a duration that a message holds.
+func milliseconds(n uint32) time.Duration {
+	return time.Duration(n) * time.Millisecond
+}
+
+// ageMillis returns the time from at to now in milliseconds, as messages hold it.
+func ageMillis(now, at time.Time) uint32 {
+	return uint32(min(max(now.Sub(at).Milliseconds(), 0), math.MaxUint32))
 }
 
 // Rows implements loompb.GatePeerServer.
@@ -312,8 +337,12 @@
 	if r.GetTopic() == TopicUpstreams.String() {
 		t = TopicUpstreams
 	}
+	now := time.Now()
 	page := s.gate.view.snapshot(t)
-	reply := &loompb.RowsReply{Version: page.Version}
+	reply := &loompb.RowsReply{Version: page.Version, AgeMs: ageMillis(now, page.AsOf)}
+	if since, ok := s.gate.view.contact().AnswersSince(); ok {
+		reply.PlatformAnswersMs = max(ageMillis(now, since), 1)
+	}
 	for _, row := range page.Rows {
 		reply.Rows = append(reply.Rows, &loompb.TopicRow{Key: row.Key, Value: row.Value, Version: row.Version, Deleted: row.Deleted})
 	}
--- a/loommember/upstream.go
+++ b/loommember/upstream.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"swiftloom/loomplatform"
 )
 
 // Weights is a model with the version of its weights.
@@ -62,22 +64,37 @@
 	return u
 }
 
-// removalGrace is how long an upstream stays usable after its entry was removed
-// around an outage of the platform, when the entry may have expired only because
-// the upstream could not renew it.
-const removalGrace = 1800 * time.Millisecond
+// sendAllowance is the time from the choice of an upstream until a request arrives there.
+const sendAllowance = 400 * time.Millisecond
 
 // Directory decides which upstreams may receive requests, from the platform's list
 // and from direct evidence. A leaving mark is final for an incarnation. A Directory
-// is not safe for concurrent use. Its zero value is empty.
+// is not safe for concurrent use.
 type Directory struct {
 	entries map[string]*directoryEntry
 	// leaving holds the latest incarnation of each upstream, by ID, that was
 	// marked as leaving. It outlives the entry.
 	leaving map[string]leavingMark
-	// outageUntil is the time until which a removed entry may have expired
-	// because of an outage.
-	outageUntil time.Time
+	// departed holds the upstreams whose entries were removed because they had left, by
+	// ID. It outlives the entry.
+	departed map[string]departure
+	// leavingLimit bounds how long after its removal an entry is used, and renewal is
+	// the interval at which upstreams renew their entries.
+	leavingLimit, renewal time.Duration
+}
+
+// NewDirectory returns an empty Directory. No request may arrive at an upstream later
+// than leavingLimit after its entry was removed. Upstreams renew their entries at an
+// interval of renewal.
+func NewDirectory(leavingLimit, renewal time.Duration) *Directory {
+	return &Directory{
+		entries: make(map[string]*directoryEntry),
+		leaving: make(map[string]leavingMark),
+
+		departed:     make(map[string]departure),
+		leavingLimit: leavingLimit,
+		renewal:      renewal,
+	}
 }
 
 type directoryEntry struct {
@@ -89,6 +106,9 @@
 	// when a removed entry stops receiving requests.
 	removed    bool
 	unusableAt time.Time
+	// heldUntil is set while an entry from an older copy of the list is not used since
+	// its upstream had left before.
+	heldUntil time.Time
 }
 
 type leavingMark struct {
@@ -96,21 +116,25 @@
 	at          time.Time
 }
 
+// departure is the removal of an upstream that had left.
+type departure struct {
+	incarnation uint64
+	// version is the version of the removal.
+	version uint64
+	at      time.Time
+}
+
+// expiryRenewals is the number of renewals that an upstream must miss before its entry is
+// removed, and one more.
+const expiryRenewals = 4
+
 // leavingMarkMaxAge is how long a leaving mark is kept once the upstream has no
 // entry. Rows and rumours about the upstream no longer arrive after that time.
 const leavingMarkMaxAge = time.Minute
 
-func (d *Directory) init() {
-	if d.entries == nil {
-		d.entries = make(map[string]*directoryEntry)
-		d.leaving = make(map[string]leavingMark)
-	}
-}
-
 // Put applies an entry of the list and reports whether the upstream or its
 // usability changed. A row or an incarnation older than the known one is ignored.
 func (d *Directory) Put(now time.Time, u Upstream, leaving bool, version uint64) bool {
-	d.init()
 	e, known := d.entries[u.ID]
 	if known && version < e.version {
 		return false
@@ -127,50 +151,97 @@
 	if leaving {
 		d.leaving[u.ID] = leavingMark{incarnation: u.Incarnation, at: now}
 	}
-	entry := &directoryEntry{upstream: u, version: version, leaving: leaving}
-	changed := !known || e.leaving != leaving || e.removed || !sameUpstream(e.upstream, u)
+	entry := &directoryEntry{upstream: u, version: version, leaving: leaving, heldUntil: d.holdUntil(now, u, version)}
+	changed := !known || e.leaving != leaving || e.removed || !e.heldUntil.Equal(entry.heldUntil) || !sameUpstream(e.upstream, u)
 	d.entries[u.ID] = entry
 	return changed
 }
 
+// holdUntil returns until when an entry must not be used, or zero. An upstream that had
+// left and is listed by an older copy is used only if its entry is written again or does
+// not expire.
+func (d *Directory) holdUntil(now time.Time, u Upstream, version uint64) time.Time {
+	left, ok := d.departed[u.ID]
+	if !ok || left.incarnation != u.Incarnation {
+		return time.Time{}
+	}
+	epoch := loomplatform.PositionEpoch(version)
+	if epoch == loomplatform.PositionEpoch(left.version) {
+		delete(d.departed, u.ID)
+		return time.Time{}
+	}
+	e, known := d.entries[u.ID]
+	switch {
+	case !known || e.removed || epoch != loomplatform.PositionEpoch(e.version):
+		return now.Add(expiryRenewals * d.renewal)
+	case version == e.version:
+		return e.heldUntil
+	default:
+		delete(d.departed, u.ID)
+		return time.Time{}
+	}
+}
+
 // sameUpstream reports whether two entries of an ID are equal.
 func sameUpstream(a, b Upstream) bool {
 	return a.Group == b.Group && a.Address == b.Address && a.Incarnation == b.Incarnation &&
 		a.FailureDomain == b.FailureDomain && a.Slots == b.Slots && slices.Equal(a.Weights, b.Weights)
 }
 
-// Remove records that an entry was removed from the list, and reports whether it
-// was listed until now. Around an outage of the platform the entry may have expired
-// although its upstream is alive, so the upstream stays usable for removalGrace.
-func (d *Directory) Remove(now time.Time, id string, version uint64) bool {
-	e, known := d.entries[id]
-	if !known || version < e.version || e.removed {
-		return false
+// Removal is the removal of an upstream's entry from the list.
+type Removal struct {
+	ID string
+	// Version is the version of the removal, or of the list that lacks the entry.
+	Version uint64
+	// After is when the list was read that last held the entry, or zero if that list says
+	// nothing about the one without it.
+	After time.Time
+	// AnswersSince is since when the platform answers whoever has read the list without
+	// the entry, or zero if it has not been away.
+	AnswersSince time.Time
+}
+
+// Remove records that an entry was removed from the list, and reports until when the
+// upstream stays usable and whether it was listed until now. Around an outage of the
+// platform the entry may have expired although its upstream is alive.
+func (d *Directory) Remove(now time.Time, r Removal) (usableUntil time.Time, removed bool) {
+	e, known := d.entries[r.ID]
+	if !known || r.Version < e.version || e.removed {
+		return time.Time{}, false
 	}
-	e.version = version
+	e.version = r.Version
 	e.removed = true
 	e.unusableAt = now
-	if now.Before(d.outageUntil) && !e.leaving {
-		e.unusableAt = now.Add(removalGrace)
+	if end := d.lapseEnd(r); end.After(now) && !e.leaving && e.heldUntil.IsZero() {
+		e.unusableAt = end
+		return end, true
 	}
-	return true
+	d.departed[r.ID] = departure{incarnation: e.upstream.Incarnation, version: r.Version, at: now}
+	return now, true
 }
 
-// Outage records that the platform was unreachable at now. Entries that are
-// removed within outageEffect after the latest outage may have expired because
-// their upstreams could not renew them.
-func (d *Directory) Outage(now time.Time) {
-	d.outageUntil = now.Add(outageEffect)
+// lapseEnd returns until when a removed entry counts as expired in an outage of the
+// platform. It counts from the platform's return and not from when this instance learns of
+// the removal, so that the time to learn of it is not added.
+func (d *Directory) lapseEnd(r Removal) time.Time {
+	if r.AnswersSince.IsZero() {
+		return time.Time{}
+	}
+	end := r.AnswersSince.Add(d.leavingLimit)
+	if r.AnswersSince.Sub(r.After) >= d.renewal {
+		return end
+	}
+	// The entry was held by a list since the platform's return, or the platform was not
+	// away for long enough, so the time of the removal itself is bounded.
+	if bound := r.After.Add(d.leavingLimit - sendAllowance); bound.Before(end) {
+		return bound
+	}
+	return end
 }
 
-// outageEffect is how long after an outage the removal of an entry may still be
-// caused by it: the time in which a listed upstream renews its entry twice.
-const outageEffect = 4 * time.Second
-
 // Mark records that an incarnation is leaving and reports whether that was not
 // known yet. An incarnation of zero stands for the known one.
 func (d *Directory) Mark(now time.Time, id string, incarnation uint64) bool {
-	d.init()
 	e, known := d.entries[id]
 	if !known {
 		return false
@@ -199,14 +270,20 @@
 }
 
 // RemoveExpired deletes removed entries that are no longer usable, and old
-// leaving marks of upstreams without an entry. It reports whether an entry was
-// deleted.
-func (d *Directory) RemoveExpired(now time.Time) bool {
-	changed := false
+// leaving marks of upstreams without an entry. It returns the IDs of the deleted
+// entries.
+func (d *Directory) RemoveExpired(now time.Time) []string {
+	var expired []string
 	for id, e := range d.entries {
 		if e.removed && !now.Before(e.unusableAt) {
+			d.departed[id] = departure{incarnation: e.upstream.Incarnation, version: e.version, at: now}
 			delete(d.entries, id)
-			changed = true
+			expired = append(expired, id)
+		}
+	}
+	for id, left := range d.departed {
+		if _, listed := d.entries[id]; !listed && now.Sub(left.at) > leavingMarkMaxAge {
+			delete(d.departed, id)
 		}
 	}
 	for id, mark := range d.leaving {
@@ -214,7 +291,30 @@
 			delete(d.leaving, id)
 		}
 	}
-	return changed
+	slices.Sort(expired)
+	return expired
+}
+
+// ReleaseHeld makes the upstreams usable that an older copy of the list has shown for so
+// long that they must live, and returns their sorted IDs.
+func (d *Directory) ReleaseHeld(now time.Time) []string {
+	var released []string
+	for id, e := range d.entries {
+		if e.heldUntil.IsZero() || e.removed || now.Before(e.heldUntil) {
+			continue
+		}
+		e.heldUntil = time.Time{}
+		delete(d.departed, id)
+		released = append(released, id)
+	}
+	slices.Sort(released)
+	return released
+}
+
+// IsHeld reports whether an upstream is listed and not used until ReleaseHeld.
+func (d *Directory) IsHeld(id string) bool {
+	e, known := d.entries[id]
+	return known && !e.heldUntil.IsZero()
 }
 
 // Get returns an upstream, or false when it is unknown or must not receive
@@ -228,7 +328,7 @@
 }
 
 func (e *directoryEntry) usable(now time.Time) bool {
-	return !e.leaving && (!e.removed || now.Before(e.unusableAt))
+	return !e.leaving && e.heldUntil.IsZero() && (!e.removed || now.Before(e.unusableAt))
 }
 
 // Usable returns the upstreams that may receive requests, sorted by ID.
@@ -243,6 +343,16 @@
 	return usable
 }
 
+// HasExpiring reports whether an upstream without an entry is still usable.
+func (d *Directory) HasExpiring(now time.Time) bool {
+	for _, e := range d.entries {
+		if e.removed && e.usable(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // Listed returns the sorted IDs of all entries that are in the list.
 func (d *Directory) Listed() []string {
 	var ids []string
