Cut long values in log lines

The error for a malformed response quotes the whole status line. An upstream in trouble decides how long that is: a line of 30,000 bytes made a request_done line of 30,486 bytes, written once or twice for each attempt.

Values above 1 KiB, texts as well as errors, are now cut, and the line says how long they were. TestLongValueIsCut pins both sides of the bound.

--- a/loomlog/log.go
+++ b/loomlog/log.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -80,7 +81,33 @@
 	}
 }
 
-// New returns a logger that writes key=value lines to w.
+// New returns a logger that writes key=value lines to w. Values are cut to
+// maxValueBytes.
 func New(w io.Writer, level slog.Level) *slog.Logger {
-	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: level}))
+	return slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: level, ReplaceAttr: cutValue}))
+}
+
+// maxValueBytes bounds a text or an error in a line. Errors may quote what a server
+// has sent.
+const maxValueBytes = 1 << 10
+
+// cutValue is the slog.HandlerOptions.ReplaceAttr function that bounds values.
+func cutValue(_ []string, a slog.Attr) slog.Attr {
+	var text string
+	switch a.Value.Kind() {
+	case slog.KindString:
+		text = a.Value.String()
+	case slog.KindAny:
+		err, ok := a.Value.Any().(error)
+		if !ok {
+			return a
+		}
+		text = err.Error()
+	default:
+		return a
+	}
+	if len(text) <= maxValueBytes {
+		return a
+	}
+	return slog.String(a.Key, fmt.Sprintf("%s... (%d bytes)", strings.ToValidUTF8(text[:maxValueBytes], ""), len(text)))
 }
--- a/loomlog/log_test.go
+++ b/loomlog/log_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"errors"
+	"log/slog"
 	"strings"
 	"testing"
 	"time"
@@ -78,3 +80,27 @@
 		{Route: "once", Outcome: "outcome_unknown", Reason: "the connection to the upstream broke", Count: 1, Example: "r1"},
 	})
 }
+
+// TestLongValueIsCut guards against lines as long as what a server has sent.
+func TestLongValueIsCut(t *testing.T) {
+	tests := []struct {
+		name  string
+		value any
+		want  string
+	}{
+		{"as long as the bound", strings.Repeat("a", 1024), strings.Repeat("a", 1024)},
+		{"longer text", strings.Repeat("a", 1025), `"` + strings.Repeat("a", 1024) + `... (1025 bytes)"`},
+		{"longer error", errors.New(strings.Repeat("a", 70_000)), `"` + strings.Repeat("a", 1024) + `... (70000 bytes)"`},
+		{"rune at the bound", strings.Repeat("a", 1023) + "żó", `"` + strings.Repeat("a", 1023) + `... (1027 bytes)"`},
+		{"number", 7, "7"},
+		{"no error", error(nil), "<nil>"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var b bytes.Buffer
+			loomlog.New(&b, slog.LevelInfo).Info("m", "cause", tt.value)
+			_, got, _ := strings.Cut(strings.TrimSuffix(b.String(), "\n"), "cause=")
+			assert.Equal(t, got, tt.want)
+		})
+	}
+}
