Bound the heads of responses

Cause: no transport set MaxResponseHeaderBytes, so that each attempt read up to the 10 MB that net/http allows before it gave up. An instance has 134 MB and many attempts in flight. Interim responses count towards the same bound.

Callers of the attempt get the same answer as before (502, or another attempt where the route allows it), sooner.

Evidence: TestResponseHeadWithoutEndEndsTheAttempt failed with 10.5 to 10.9 MB accepted in 6 of 9 cases, and now passes with at most 1 MiB, including the buffers of the connection. TestLargeAnswerPasses shows that a head just below 64 KiB passes and that a larger one doesn't.

--- a/loomupstream/service.go
+++ b/loomupstream/service.go
@@ -13,6 +13,7 @@
 
 	"github.com/juju/errors"
 
+	"swiftloom/loomhttp"
 	"swiftloom/loomplatform"
 )
 
@@ -73,11 +74,11 @@
 		defer cancel()
 		return d(ctx, address)
 	}
-	transport := &http.Transport{
+	transport := loomhttp.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: maxIdlePerUpstream,
 		IdleConnTimeout:     idleTimeout,
 		DialContext:         func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
-	}
+	})
 	return &Services{dial: dial, client: &http.Client{
 		Transport: transport,
 		// A redirected call would be an attempt that the caller of Do does not count.
