Bound the lines of a stream while they are read

Cause: EventReader.Next read a whole line before it compared the size of the event with the limit of 1 MiB. A stream whose line never ended was kept in memory until the deadline of the request: 50 MB in the test, which then stopped sending.

The line is now read in parts of the buffer, and the limit is checked after each. The reader takes at most the limit and its buffer, and the attempt ends with the cause "event of ... bytes". A line as long as an event may be still passes in one piece.

Evidence: the cases "line of a stream" and "ID of an event" of TestEventWithoutEndEndsTheAttempt failed before; so did TestEventReaderEndsEventWithoutEnd (the line "a" without a break was read until the test ran out of time). Both pass now, with at most 1 MiB and 2 KiB read in the latter.

--- a/loomstream/events.go
+++ b/loomstream/events.go
@@ -52,25 +52,31 @@
 func (e *EventReader) Next() (EventRecord, error) {
 	var record EventRecord
 	isEvent := false
+	start := 0
 	for {
-		line, err := e.r.ReadBytes('\n')
-		record.Raw = append(record.Raw, line...)
+		part, err := e.r.ReadSlice('\n')
+		record.Raw = append(record.Raw, part...)
+		if size := len(record.Comments) + len(record.Raw); size > maxEventBytes {
+			return EventRecord{}, errors.NotValidf("event of %d or more bytes (maximum %d)", size, maxEventBytes)
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
 		if err != nil {
 			if errors.Is(err, io.EOF) && len(record.Raw) > 0 {
 				return EventRecord{}, io.ErrUnexpectedEOF
 			}
 			return record, err
 		}
-		if len(record.Comments)+len(record.Raw) > maxEventBytes {
-			return EventRecord{}, errors.NotValidf("event of %d or more bytes (maximum %d)", len(record.Comments)+len(record.Raw), maxEventBytes)
-		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(record.Raw[start:], "\r\n")
+		start = len(record.Raw)
 		switch {
 		case len(text) == 0 && isEvent:
 			return record, nil
 		case len(text) == 0:
 			record.Comments = append(record.Comments, record.Raw...)
 			record.Raw = nil
+			start = 0
 		}
 		switch name, value, _ := bytes.Cut(text, []byte(":")); string(name) {
 		case "id":
--- a/loomstream/events_test.go
+++ b/loomstream/events_test.go
@@ -69,3 +69,50 @@
 	assert.Equal(t, err, io.EOF)
 	assert.DeepEqual(t, record, loomstream.EventRecord{Comments: []byte(": a\n\n\n")})
 }
+
+// endlessReader repeats a text for ever and counts what is read of it.
+type endlessReader struct {
+	text string
+	read int
+}
+
+// Read implements io.Reader.
+func (r *endlessReader) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = r.text[(r.read+i)%len(r.text)]
+	}
+	r.read += len(p)
+	return len(p), nil
+}
+
+// TestEventReaderEndsEventWithoutEnd guards against a stream without a complete event
+// that is read for as long as it comes.
+func TestEventReaderEndsEventWithoutEnd(t *testing.T) {
+	// maxRead is the largest event with the read buffer.
+	const maxRead = 1<<20 + 2<<10
+	for _, text := range []string{"a", "data: a\n", "\r\n", ": a\n\n", "retry: 1\n\n", "\x00"} {
+		t.Run(text, func(t *testing.T) {
+			stream := &endlessReader{text: text}
+			_, err := loomstream.NewEventReader(stream).Next()
+			assert.ErrorContains(t, err, "event of")
+			assert.Assert(t, stream.read <= maxRead, "%d bytes were read", stream.read)
+		})
+	}
+}
+
+// TestEventReaderKeepsLongLines guards against lines that are cut at the read buffer.
+func TestEventReaderKeepsLongLines(t *testing.T) {
+	const maxEvent = 1 << 20
+	for _, n := range []int{2<<10 - 1, 2 << 10, 2<<10 + 1, 100_000, maxEvent - len("data: \n\n")} {
+		text := ": " + strings.Repeat("c", 5000) + "\n\n" + "id: 1\n"
+		n = min(n, maxEvent-len(text)-len("data: \n\n"))
+		text += "data: " + strings.Repeat("a", n) + "\n\n"
+		r := loomstream.NewEventReader(strings.NewReader(text))
+		event, err := r.Next()
+		assert.NilError(t, err)
+		assert.Assert(t, string(event.Text()) == text, "line of %d bytes", n)
+		assert.Equal(t, event.ID, "1")
+		_, err = r.Next()
+		assert.Equal(t, err, io.EOF)
+	}
+}
