Refuse an answer by its declared length

Cause: an answer that is not a stream is read up to its limit of 8 MiB before the limit is compared with the declared length, so that a response which declares a terabyte cost 8.4 to 8.7 MB of memory and transfer at each attempt.

loomhttp.ReadAll compares the declared length first, reads at most one byte above the limit, and returns ErrTooLarge for either. The answer to HEAD has no body, and its declared length is not compared.

TestLargeAnswerPasses shows that 8 MiB pass in one piece and in chunks and that one byte more does not.

--- a/loomgate/relay.go
+++ b/loomgate/relay.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"swiftloom/loomcatalogue"
+	"swiftloom/loomhttp"
 	"swiftloom/loomstream"
 	"swiftloom/loomupstream"
 )
@@ -108,10 +109,14 @@
 // relayBuffered reads the complete answer before it passes on the first byte,
 // so that a broken answer can still be retried.
 func (d *dispatch) relayBuffered(ctx context.Context, reply *loomupstream.Reply) loomstream.Action {
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedAnswer+1))
+	length := reply.Length
+	if d.req.Method == http.MethodHead {
+		length = -1
+	}
+	body, err := loomhttp.ReadAll(reply.Body, length, maxBufferedAnswer)
 	now := time.Now()
-	if err == nil && (len(body) > maxBufferedAnswer || (reply.Length >= 0 && int64(len(body)) != reply.Length && d.req.Method != http.MethodHead)) {
-		err = errors.NotValidf("answer of %d bytes with declared length %d and limit %d", len(body), reply.Length, maxBufferedAnswer)
+	if err == nil && length >= 0 && int64(len(body)) != length {
+		err = errors.NotValidf("answer of %d bytes with declared length %d", len(body), length)
 	}
 	if err != nil {
 		return d.handleAttemptError(ctx, &loomupstream.SendError{Delivered: true, Cause: err})
