Bound the header fields of calls between instances

Cause: grpc reads up to 16 MiB of header fields for one call, on either side, unless it is told otherwise. A peer that sends fields without end got rid of 16.8 MB before the connection was closed; an instance has 134 MB and calls up to 12 peers in a round.

Connections from loomplatform.Dial and servers from loomplatform.NewServer now read at most 64 KiB of fields, and state the limit of a message, which was the default of 4 MiB, in the same place. They serve peers, the platform, engines and stores alike.

Data frames of a call that has ended are still read and dropped until the connection closes; grpc has no setting for that.

--- a/loomgate/peers.go
+++ b/loomgate/peers.go
@@ -103,7 +103,7 @@
 	if err != nil {
 		return errors.Annotatef(err, "listen for peers on %s", p.gate.settings.PeerAddress)
 	}
-	p.server = grpc.NewServer(grpc.ReadBufferSize(peerBufferBytes), grpc.WriteBufferSize(peerBufferBytes))
+	p.server = loomplatform.NewServer(grpc.ReadBufferSize(peerBufferBytes), grpc.WriteBufferSize(peerBufferBytes))
 	loompb.RegisterGatePeerServer(p.server, &peerService{gate: p.gate})
 	var running sync.WaitGroup
 	running.Go(func() { _ = p.server.Serve(listener) })
--- a/loominstance/peer_server.go
+++ b/loominstance/peer_server.go
@@ -12,6 +12,7 @@
 
 	"swiftloom/loomcache"
 	"swiftloom/loompb"
+	"swiftloom/loomplatform"
 )
 
 // peerKeyHeader is the metadata key of the deployment's peer key.
@@ -21,7 +22,7 @@
 
 // servePeers serves the calls of other instances until ctx ends.
 func (n *Instance) servePeers(ctx context.Context) error {
-	server := grpc.NewServer(grpc.UnaryInterceptor(n.authenticatePeer))
+	server := loomplatform.NewServer(grpc.UnaryInterceptor(n.authenticatePeer))
 	loompb.RegisterPeerServer(server, &peerServer{instance: n})
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(n.peerListener) }()
--- a/loomplatform/grpc.go
+++ b/loomplatform/grpc.go
@@ -43,6 +43,8 @@
 		grpc.WithConnectParams(connectParams()),
 		grpc.WithKeepaliveParams(keepaliveParams()),
 		grpc.WithDisableServiceConfig(),
+		grpc.WithMaxHeaderListSize(maxHeaderListBytes),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 	}, extra...)
 	if d != nil {
 		options = append(options, grpc.WithContextDialer(d))
@@ -51,6 +53,13 @@
 	return conn, errors.Annotatef(err, "dial %s", address)
 }
 
+// NewServer returns a server that bounds what it reads for a call as clients from Dial
+// do.
+func NewServer(extra ...grpc.ServerOption) *grpc.Server {
+	options := append([]grpc.ServerOption{grpc.MaxHeaderListSize(maxHeaderListBytes), grpc.MaxRecvMsgSize(maxMessageBytes)}, extra...)
+	return grpc.NewServer(options...)
+}
+
 // grpcPlatform is a Platform reached over gRPC at one of several addresses.
 type grpcPlatform struct {
 	conns   []*grpc.ClientConn
--- a/loomplatform/params.go
+++ b/loomplatform/params.go
@@ -23,6 +23,13 @@
 	keepaliveTimeout = 3 * time.Second
 )
 
+// Bounds of what is read for one call, in both directions: the fields of a header, and
+// one message.
+const (
+	maxHeaderListBytes = 64 << 10
+	maxMessageBytes    = 4 << 20
+)
+
 func connectParams() grpc.ConnectParams {
 	return grpc.ConnectParams{
 		Backoff: backoff.Config{
