Bound the stream of an engine by what the request allows

Cause: an instance relays the tokens of an engine for as long as they come, and skips events that bring no new one. An engine in trouble that sent tokens or empty events without end kept the request until its deadline, which a completion need not have, and the answer in memory grew with it: a million events in the test, which then stopped.

A token beyond max_tokens, or more than 1,000 events in a row without a new token in addition to those that a further attempt may repeat, now breaks the attempt with a line that names the engine and the cause. The call is cancelled as for a lost connection, and the caller gets stream_cut or outcome_unknown, or the answer of another attempt.

Evidence: the five cases of TestAnswerWithoutEndIsCut failed before and pass now. TestLongestAnswerIsWhole shows that an answer of max_tokens tokens after 1,000 empty events passes.

--- a/loominstance/dispatch.go
+++ b/loominstance/dispatch.go
@@ -22,6 +22,9 @@
 	cancelTimeout = 500 * time.Millisecond
 	// importWaitTimeout bounds the wait for the same import by another request.
 	importWaitTimeout = 200 * time.Millisecond
+	// maxEmptyEvents bounds the events in a row that bring no new token, in addition
+	// to the tokens that an attempt after the first one may send again.
+	maxEmptyEvents = 1000
 )
 
 // usage counts the tokens of a finished completion, as the engine reported
@@ -52,6 +55,8 @@
 	loadTicket    loomroute.Ticket
 	tried         []string
 	hasFirstToken bool
+	// emptyEvents counts the events since the last new token.
+	emptyEvents int
 	// isResumed is set if the current attempt was opened again to resume its run.
 	isResumed    bool
 	reservations []linkReservation
@@ -287,12 +292,16 @@
 func (d *dispatch) nextToken(ctx context.Context) (uint32, bool, error) {
 	for {
 		event, err := d.answer.Recv()
+		if err == nil {
+			err = d.checkEvent(event)
+		}
 		action, actionErr := d.applyReceived(ctx, time.Now(), event, err)
 		if actionErr != nil {
 			return 0, false, actionErr
 		}
 		switch a := action.(type) {
 		case loomstream.Relay:
+			d.emptyEvents = 0
 			return a.Value, true, nil
 		case loomstream.Complete:
 			return 0, false, nil
@@ -310,6 +319,25 @@
 	}
 }
 
+// checkEvent returns an error, which breaks the attempt, if the engine sends more tokens
+// than the request allows or too many events without a new one.
+func (d *dispatch) checkEvent(e *loompb.GenerateEvent) error {
+	d.emptyEvents++
+	token, isToken := e.GetEvent().(*loompb.GenerateEvent_Token)
+	var err error
+	switch {
+	case isToken && e.GetAttemptId() == d.attemptID && int(token.Token.GetOffset()) >= d.prompt.maxTokens:
+		err = fmt.Errorf("token %d of an answer of at most %d tokens", token.Token.GetOffset()+1, d.prompt.maxTokens)
+	case d.emptyEvents > d.prompt.maxTokens+maxEmptyEvents:
+		err = fmt.Errorf("%d events in a row without a new token", d.emptyEvents)
+		d.emptyEvents = 0
+	default:
+		return nil
+	}
+	d.instance.log.Warn("answer without end", "request_id", d.prompt.requestID, "engine", d.engine.member.ID, "error", err)
+	return err
+}
+
 // applyReceived converts what the engine sent, or the error of its stream, to a
 // lifecycle event and returns the action to take.
 func (d *dispatch) applyReceived(ctx context.Context, now time.Time, event *loompb.GenerateEvent, err error) (loomstream.Action, error) {
--- a/loominstance/dispatch_end_test.go
+++ b/loominstance/dispatch_end_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -36,10 +37,23 @@
 type scriptedAnswer struct {
 	events []*loompb.GenerateEvent
 	err    error
+	// repeat, unless it is nil, returns the event number n after the others; the
+	// answer then has no end.
+	repeat func(n uint32) *loompb.GenerateEvent
+	// received counts the repeated events.
+	received uint32
 }
 
+// maxReceived is the number of repeated events after which a scriptedAnswer ends,
+// because its reader has no bound.
+const maxReceived = 1_000_000
+
 // Recv implements loomupstream.Answer.
 func (a *scriptedAnswer) Recv() (*loompb.GenerateEvent, error) {
+	if len(a.events) == 0 && a.repeat != nil && a.received < maxReceived {
+		a.received++
+		return a.repeat(a.received - 1), nil
+	}
 	if len(a.events) == 0 {
 		return nil, a.err
 	}
@@ -65,17 +79,21 @@
 	return &loompb.GenerateEvent{AttemptId: attempt, Event: &loompb.GenerateEvent_Refused{Refused: &loompb.Refused{Reason: reason}}}
 }
 
+// maxScriptTokens is the most tokens that the request of runScript allows.
+const maxScriptTokens = 16
+
 // runScript makes one attempt at an engine with the given answers, without any
 // retries, and returns the number of relayed tokens and the error, if any.
 func runScript(t *testing.T, answers ...*scriptedAnswer) (int, error) {
 	engine := &scriptedEngine{answers: answers}
 	n := &Instance{
+		log:     slog.New(slog.DiscardHandler),
 		metrics: newMetrics(),
 		fleet:   loomroute.NewFleet(),
 		engines: &engines{conns: map[string]loomupstream.Engine{"": engine}},
 	}
 	defer n.metrics.close()
-	d := &dispatch{instance: n, prompt: &prompt{}, attemptID: "a", hasFirstToken: true}
+	d := &dispatch{instance: n, prompt: &prompt{maxTokens: maxScriptTokens}, attemptID: "a", hasFirstToken: true}
 	d.lifecycle = loomstream.NewLifecycle(false, loomstream.NewRetryBudgetOf(0, 0), loomstream.NewBackoff(rand.New(rand.NewPCG(1, 1))))
 	d.lifecycle.Apply(time.Now(), loomstream.Dispatched{Attempt: "a"})
 	d.openStream(t.Context(), engine, false)
@@ -144,3 +162,46 @@
 		})
 	}
 }
+
+// TestAnswerWithoutEndIsCut guards against an engine's stream that is read for as long as
+// it comes.
+func TestAnswerWithoutEndIsCut(t *testing.T) {
+	tests := []struct {
+		name   string
+		repeat func(n uint32) *loompb.GenerateEvent
+		// tokens is the number of tokens that are relayed.
+		tokens int
+	}{
+		{"tokens", func(n uint32) *loompb.GenerateEvent { return tokenEvent("a", n) }, maxScriptTokens},
+		{"first token again", func(uint32) *loompb.GenerateEvent { return tokenEvent("a", 0) }, 1},
+		{"events without content", func(uint32) *loompb.GenerateEvent { return &loompb.GenerateEvent{AttemptId: "a"} }, 0},
+		{"tokens of another attempt", func(n uint32) *loompb.GenerateEvent { return tokenEvent("b", n) }, 0},
+		{"ends of another attempt", func(uint32) *loompb.GenerateEvent { return finishedEvent("b", 0) }, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			answer := &scriptedAnswer{repeat: tt.repeat, err: io.EOF}
+			tokens, err := runScript(t, answer, &scriptedAnswer{err: io.EOF}, &scriptedAnswer{err: io.EOF})
+			assert.Assert(t, err != nil)
+			assert.Equal(t, tokens, tt.tokens)
+			assert.Assert(t, loomerror.From(err).NotRun() != loomerror.NotRunTrue)
+			assert.Assert(t, answer.received < maxReceived, "%d events were received", answer.received)
+		})
+	}
+}
+
+// TestLongestAnswerIsWhole guards against bounds that cut an answer of as many tokens as
+// the request allows.
+func TestLongestAnswerIsWhole(t *testing.T) {
+	answer := &scriptedAnswer{err: io.EOF}
+	for range maxEmptyEvents {
+		answer.events = append(answer.events, &loompb.GenerateEvent{AttemptId: "a"})
+	}
+	for i := range uint32(maxScriptTokens) {
+		answer.events = append(answer.events, tokenEvent("a", i))
+	}
+	answer.events = append(answer.events, finishedEvent("a", maxScriptTokens))
+	tokens, err := runScript(t, answer)
+	assert.NilError(t, err)
+	assert.Equal(t, tokens, maxScriptTokens)
+}
