Bound the heads and the bodies of requests in time and bytes

Cause: the HTTP server of loominstance read a head of up to 1 MB, and waited without end for a body that came slowly or not at all, before the key of the caller is checked.

A head is bounded to 64 KiB, and a body to 10 s, after which the caller gets 408, which promises that nothing ran. The read deadline stays in force for the refusal, since net/http reads the rest of a short body before it responds.

--- a/loominstance/http.go
+++ b/loominstance/http.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -28,7 +29,10 @@
 
 const (
 	readHeaderTimeout = 5 * time.Second
+	readBodyTimeout   = 10 * time.Second
 	idleConnTimeout   = 2 * time.Minute
+	// maxHeaderBytes bounds the head of a request.
+	maxHeaderBytes = 64 << 10
 )
 
 // serveHTTP serves callers and operators. When ctx ends, it drains the server.
@@ -37,6 +41,7 @@
 		Handler:           n.handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleConnTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 	}
 	done := make(chan error, 1)
@@ -152,18 +157,27 @@
 	return fmt.Sprintf("%s-%x-%d", n.ID(), n.incarnation, n.requestSeq.Add(1))
 }
 
-// bufferBody reads the whole body, up to the configured limit, and replaces it
-// by a reader of the buffer.
+// bufferBody reads the whole body, up to the configured limit and for readBodyTimeout,
+// and replaces it by a reader of the buffer.
 func (n *Instance) bufferBody(x *exchange, r *http.Request) error {
+	controller := http.NewResponseController(x.ResponseWriter)
+	if r.ContentLength != 0 {
+		_ = controller.SetReadDeadline(time.Now().Add(readBodyTimeout))
+	}
 	limited := http.MaxBytesReader(x.ResponseWriter, r.Body, n.settings.Instance.MaxBodyBytes)
 	body, err := io.ReadAll(limited)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return loomerror.New(loomerror.BodyTooLarge, "the request body is larger than %d bytes", tooLarge.Limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return loomerror.New(loomerror.DeadlinePassed, "the request body was incomplete after %s", readBodyTimeout)
 	case err != nil:
 		return loomerror.Wrap(loomerror.InvalidRequest, err, "reading the request body failed")
 	}
+	if r.ContentLength != 0 {
+		_ = controller.SetReadDeadline(time.Time{})
+	}
 	r.Body = io.NopCloser(bytes.NewReader(body))
 	return nil
 }
