Read responses of plain services as those of runners

The client for plain services had a reader and an error of its own for bodies above 8 MiB, without a check of the declared length. It now uses loomhttp.ReadAll and ErrTooLarge.

All eight cases pass now.

--- a/loominstance/services.go
+++ b/loominstance/services.go
@@ -16,6 +16,7 @@
 	"swiftloom/loomcatalogue"
 	"swiftloom/loomerror"
 	"swiftloom/loomhome"
+	"swiftloom/loomhttp"
 	"swiftloom/loomkernel"
 	"swiftloom/loommember"
 	"swiftloom/loomstream"
@@ -185,7 +186,7 @@
 		n.markLeaving(now, m)
 		return nil, lifecycle.Apply(now, loomstream.Refused{Attempt: attempt})
 	}
-	if err != nil && ctx.Err() == nil && !errors.Is(err, loomupstream.ErrTooLarge) {
+	if err != nil && ctx.Err() == nil && !errors.Is(err, loomhttp.ErrTooLarge) {
 		n.tracker.Apply(now, loommember.Unanswered{ID: m.ID})
 	}
 	if err != nil || outcome.Status >= minFailureStatus {
--- a/loomupstream/service.go
+++ b/loomupstream/service.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -29,10 +28,6 @@
 	maxBodyBytes = 8 << 20
 )
 
-// ErrTooLarge is returned by Do for a response body of more than maxBodyBytes. It
-// is no failure of the connection.
-var ErrTooLarge = errors.New("service response too large")
-
 // Call is one call to a plain service, sent as an HTTP POST.
 type Call struct {
 	RequestID string
@@ -92,7 +87,9 @@
 }
 
 // Do sends a call to the service at address and does not repeat it. Delivered is
-// valid also when the error is not nil.
+// valid also when the error is not nil. The error of a response body of more than
+// maxBodyBytes satisfies errors.Is for loomhttp.ErrTooLarge; it is no failure of the
+// connection.
 func (s *Services) Do(ctx context.Context, address string, c Call) (Outcome, error) {
 	var delivered atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -113,10 +110,7 @@
 		return Outcome{Delivered: delivered.Load()}, errors.Annotate(err, "call service")
 	}
 	defer func() { _ = w.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(NewBody(ctx, w, s.dial, address), maxBodyBytes+1))
-	if err == nil && len(body) > maxBodyBytes {
-		err = ErrTooLarge
-	}
+	body, err := loomhttp.ReadAll(NewBody(ctx, w, s.dial, address), w.ContentLength, maxBodyBytes)
 	if err != nil {
 		return Outcome{Delivered: true}, errors.Annotate(err, "read service response")
 	}
--- a/loomupstream/service_test.go
+++ b/loomupstream/service_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -70,3 +73,72 @@
 		})
 	}
 }
+
+// TestServiceResponseWithoutEndIsNotRead guards against a call that reads for as long as
+// bytes come, or that outlives its context.
+func TestServiceResponseWithoutEndIsNotRead(t *testing.T) {
+	const (
+		ok = "HTTP/1.1 200 OK\r\n"
+		// buffers is what the buffers of a connection take beside the bound.
+		buffers     = 1 << 20
+		fastBuffers = 8 << 20
+		endless     = 48 << 20
+	)
+	tests := []struct {
+		name   string
+		head   string
+		repeat string
+		// accepted is the most that the service may get rid of.
+		accepted int
+	}{
+		{"head", ok, "A: " + strings.Repeat("a", 1000) + "\r\n", buffers},
+		{"interim heads", "", "HTTP/1.1 103 Early Hints\r\n\r\n", buffers},
+		{"length that is too large", ok + "Content-Length: 1000000000000\r\n\r\n", "a", buffers},
+		{"body until close", ok + "\r\n", "a", maxBodyBytes + fastBuffers},
+		{"body in chunks", ok + "Transfer-Encoding: chunked\r\n\r\n", "4\r\naaaa\r\n", 3*maxBodyBytes + fastBuffers},
+		{"switched protocol", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n", "a", buffers},
+		{"switched protocol, then silence", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n", "", buffers},
+		{"silence", ok + "\r\n", "", buffers},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			accepted := make(chan int, 1)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				if tcp, ok := conn.(*net.TCPConn); ok {
+					_ = tcp.SetWriteBuffer(16 << 10)
+				}
+				n, err := conn.Write([]byte(tt.head))
+				if tt.repeat == "" {
+					_, err = conn.Read(make([]byte, 1))
+				}
+				block := bytes.Repeat([]byte(tt.repeat), 1+(16<<10)/(1+len(tt.repeat)))
+				for total := n; err == nil && total < endless; n = total {
+					var written int
+					written, err = conn.Write(block)
+					total += written
+				}
+				_ = conn.Close()
+				accepted <- n
+			}))
+			defer server.Close()
+			client := loomupstream.NewServices(nil)
+			defer client.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			outcome, err := client.Do(ctx, server.Listener.Addr().String(), loomupstream.Call{RequestID: "r", Path: "jobs"})
+			assert.Assert(t, err != nil)
+			assert.Assert(t, outcome.Delivered)
+			assert.Equal(t, outcome.Status, 0)
+			select {
+			case n := <-accepted:
+				assert.Assert(t, n <= tt.accepted, "%d bytes were accepted, at most %d may be", n, tt.accepted)
+			case <-time.After(5 * time.Second):
+				t.Fatal("the connection is still open")
+			}
+		})
+	}
+}
