--- a/loomgate/lease.go
+++ b/loomgate/lease.go
@@ -46,10 +46,8 @@
 // The row of the lease may be lost, so another instance may take the lease at once and
 // must not act while an earlier holder still may.
 func (r *rollout) followEpoch(now time.Time) {
-	epoch := r.gate.view.epoch()
-	isFirst := !r.hasEpoch
-	r.hasEpoch = true
-	if epoch <= r.epoch {
+	first, epoch, ok := r.gate.view.epochs()
+	if !ok || epoch <= r.epoch {
 		return
 	}
 	r.epoch = epoch
@@ -60,8 +58,15 @@
 		r.gate.log.Warn("lease_lost", "lease", leaseKey, "token", token)
 		return
 	}
-	if !isFirst {
-		r.noOrdersBefore = now.Add(leaseDuration + orderMargin)
+	if epoch > first {
+		r.delayOrders(now.Add(leaseDuration + orderMargin))
+	}
+}
+
+// delayOrders forbids orders before a time, in addition to earlier delays.
+func (r *rollout) delayOrders(until time.Time) {
+	if until.After(r.noOrdersBefore) {
+		r.noOrdersBefore = until
 	}
 }
 
@@ -192,7 +197,7 @@
 	if previous == "" && token > 1 {
 		// The previous holder released the lease and may have sent an order
 		// just before that.
-		r.noOrdersBefore = now.Add(r.gate.settings.MinOrderGap + orderMargin)
+		r.delayOrders(now.Add(r.gate.settings.MinOrderGap + orderMargin))
 	}
 	r.gate.log.Info("lease_taken", "lease", leaseKey, "token", token, "before", previous)
 }
