Pass on since when the platform answers the reader of a list

A peer that has the upstream list from another peer told the next one that the platform answers only since that list, unless it had an answer of its own. So an entry was used for two seconds more although the platform had not been away, or was back for longer. The list now keeps that time.

TestRowsPassedOnKeepThePlatformsReturn failed before.

--- a/loomgate/exchange.go
+++ b/loomgate/exchange.go
@@ -340,7 +340,11 @@
 	now := time.Now()
 	page := s.gate.view.snapshot(t)
 	reply := &loompb.RowsReply{Version: page.Version, AgeMs: ageMillis(now, page.AsOf)}
-	if since, ok := s.gate.view.contact().AnswersSince(); ok {
+	since, ok := s.gate.view.contact().AnswersSince()
+	if !ok || (!page.AnswersSince.IsZero() && page.AnswersSince.Before(since)) {
+		since = page.AnswersSince
+	}
+	if !since.IsZero() {
 		reply.PlatformAnswersMs = max(ageMillis(now, since), 1)
 	}
 	for _, row := range page.Rows {
--- a/loomgate/peer_rows_test.go
+++ b/loomgate/peer_rows_test.go
@@ -63,3 +63,23 @@
 	got := g.view.upstreamsAge(time.Now())
 	assert.Check(t, got >= delay, "the list is %s old, the call took %s", got, delay)
 }
+
+// TestRowsPassedOnKeepThePlatformsReturn guards against a peer that has the list from
+// another peer, and for which the platform counts as back only since that list.
+func TestRowsPassedOnKeepThePlatformsReturn(t *testing.T) {
+	now := time.Now()
+	a := newTestGate(t, "a", newFakeSource(), &fakeRunner{})
+	b := newTestGate(t, "b", newFakeSource(), &fakeRunner{})
+	c := newTestGate(t, "c", newFakeSource(), &fakeRunner{})
+	for _, g := range []*Gate{a, b, c} {
+		g.view.apply(now.Add(-10*time.Second), TopicUpstreams, page(5, row("u", "up 1", 5)), true)
+	}
+	read := page(6)
+	read.AsOf, read.AnswersSince = now, now.Add(-3*time.Second)
+	a.view.recordAnswer(read.AnswersSince, read.AnswersSince)
+	a.view.apply(now, TopicUpstreams, read, true)
+	b.peers.fetchRows(t.Context(), &peer{id: "a", client: directClient{service: &peerService{gate: a}}}, TopicUpstreams)
+	c.peers.fetchRows(t.Context(), &peer{id: "b", client: directClient{service: &peerService{gate: b}}}, TopicUpstreams)
+	assert.Equal(t, len(b.view.group(now, "engines")), 0)
+	assert.Check(t, len(c.view.group(now, "engines")) == 0, "an upstream that was removed in 3 s without an outage is used")
+}
--- a/loomgate/view.go
+++ b/loomgate/view.go
@@ -56,6 +56,8 @@
 	directory *loommember.Directory
 	// platform tells since when the platform answers.
 	platform loommember.Contact
+	// answersSince is since when the platform answers whoever has read the upstream list.
+	answersSince time.Time
 	// firstEpoch is the epoch of the first rows that were applied, if hasEpoch is set.
 	firstEpoch uint64
 	hasEpoch   bool
@@ -322,6 +324,7 @@
 		return
 	}
 	v.confirmUpstreams(page.AsOf)
+	v.answersSince = page.AnswersSince
 	changed = v.removeExpired(now) || changed
 	if changed || !v.upstreamsLoaded.Load() {
 		v.publish(now)
@@ -535,7 +538,7 @@
 func (v *clusterView) snapshot(t Topic) Page {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	page := Page{Version: v.version(t).Load(), AsOf: *v.upstreamsAsOf.Load()}
+	page := Page{Version: v.version(t).Load(), AsOf: *v.upstreamsAsOf.Load(), AnswersSince: v.answersSince}
 	for _, row := range v.rows[t] {
 		page.Rows = append(page.Rows, row)
 	}
