Tell the age of the upstream list with its version

Exchange read the version of the list before its age. If a list was applied in between, a follower took its own list for as new as that one, and found a removal one poll of 0.8 s later, which with the other waits is more than the bound of 2 s.

TestExchangeTellsNoAgeOfALaterList, a stress test, failed before in 1 of 6 runs, beside other work, and passed in 5 of 5 runs.

--- a/loomgate/exchange.go
+++ b/loomgate/exchange.go
@@ -305,10 +305,12 @@
 	}
 	g.rollout.applyPeerReports(now, r.GetWeights())
 	g.limits.apply(now, r.GetFrom(), r.GetLimits())
+	// Read before the version, so that the age is never that of a later list.
+	asOf := *g.view.upstreamsAsOf.Load()
 	reply := &loompb.ExchangeReply{
 		CatalogueVersion: g.view.catalogueVersion.Load(),
 		UpstreamsVersion: g.view.upstreamsVersion.Load(),
-		UpstreamsAgeMs:   ageMillis(now, *g.view.upstreamsAsOf.Load()),
+		UpstreamsAgeMs:   ageMillis(now, asOf),
 
 		Limits: g.limits.reports(now),
 		Leases: g.limits.lend(now, r.GetFrom(), r.GetLeaseRequests()),
--- a/loomgate/peer_rows_test.go
+++ b/loomgate/peer_rows_test.go
@@ -83,3 +83,33 @@
 	assert.Equal(t, len(b.view.group(now, "engines")), 0)
 	assert.Check(t, len(c.view.group(now, "engines")) == 0, "an upstream that was removed in 3 s without an outage is used")
 }
+
+// TestExchangeTellsNoAgeOfALaterList guards against an instance that tells the age of the
+// list that it has just read with the version of the one before.
+func TestExchangeTellsNoAgeOfALaterList(t *testing.T) {
+	const step = 20 * time.Millisecond
+	start := time.Now().Add(-24 * time.Hour)
+	g := newTestGate(t, "a", newFakeSource(), &fakeRunner{})
+	g.view.apply(start, TopicUpstreams, page(1), true)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for version := uint64(2); version < 2_000_000; version++ {
+			g.view.apply(start.Add(time.Duration(version)*step), TopicUpstreams, page(version), true)
+		}
+	}()
+	service := &peerService{gate: g}
+	for isDone := false; !isDone; {
+		asked := time.Now()
+		reply, err := service.Exchange(t.Context(), &loompb.ExchangeRequest{From: "b"})
+		assert.NilError(t, err)
+		asOf := asked.Add(-milliseconds(reply.GetUpstreamsAgeMs()))
+		latest := start.Add(time.Duration(reply.GetUpstreamsVersion())*step + step/10)
+		assert.Assert(t, asOf.Before(latest), "version %d is told with the age of a list from %s later", reply.GetUpstreamsVersion(), asOf.Sub(latest))
+		select {
+		case <-done:
+			isDone = true
+		default:
+		}
+	}
+}
