--- a/loomgate/exchange.go
+++ b/loomgate/exchange.go
@@ -189,7 +189,7 @@
 	}
 	receivedAt := time.Now()
 	if receivedAt.Sub(sentAt) <= exchangeTimeout {
-		p.gate.view.applyPeerNamed(receivedAt, reply.GetWeights())
+		p.gate.view.applyPeerNamed(receivedAt, reply.GetNamedWeights())
 	}
 	p.gate.limits.apply(receivedAt, peer.id, reply.GetLimits())
 	p.gate.limits.accept(sentAt, peer.id, reply.GetLeases())
@@ -313,7 +313,7 @@
 		Limits: g.limits.reports(now),
 		Leases: g.limits.lend(now, r.GetFrom(), r.GetLeaseRequests()),
 
-		Weights: g.view.namedReports(now),
+		NamedWeights: g.view.namedReports(now),
 	}
 	if since, answeredAt, ok := g.view.contact().OwnAnswers(); ok {
 		reply.PlatformAnswersMs, reply.PlatformAnsweredMs = max(ageMillis(now, since), 1), ageMillis(now, answeredAt)
