Use missing entries for two seconds after an outage on every platform

The time for which an entry that expired in an outage is still used was drain_ms, 3 or 4 s in larger deployments. Entries of living upstreams are back about two seconds after the platform's return, whatever drain_ms is, so upstreams that were gone got requests for one or two seconds more, where their addresses may belong to others by then.

TestMissingEntryIsGoneAfterRelistLimit failed before for limits of 1 and 4 s.

--- a/loommember/upstream.go
+++ b/loommember/upstream.go
@@ -64,6 +64,10 @@
 	return u
 }
 
+// lapseLimit is the time from the platform's return until the entries of living upstreams
+// that expired meanwhile are back.
+const lapseLimit = 2 * time.Second
+
 // sendAllowance is the time from the choice of an upstream until a request arrives there.
 const sendAllowance = 400 * time.Millisecond
 
@@ -227,7 +231,7 @@
 	if r.AnswersSince.IsZero() {
 		return time.Time{}
 	}
-	end := r.AnswersSince.Add(d.leavingLimit)
+	end := r.AnswersSince.Add(lapseLimit)
 	if r.AnswersSince.Sub(r.After) >= d.renewal {
 		return end
 	}
--- a/loommember/upstream_test.go
+++ b/loommember/upstream_test.go
@@ -270,3 +270,14 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, got.Version("m"), uint64(4))
 }
+
+// TestMissingEntryIsGoneAfterRelistLimit guards against a missing entry that is used for as
+// long as requests to a leaving upstream are allowed, which differs between platforms.
+func TestMissingEntryIsGoneAfterRelistLimit(t *testing.T) {
+	for _, limit := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second} {
+		d := NewDirectory(limit, renewalInterval)
+		d.Put(listedAt, upstream(1), false, 1)
+		usableUntil, _ := d.Remove(back, removal(2, listedAt, back))
+		assert.Check(t, usableUntil.Equal(back.Add(relistLimit)), "with a limit of %s it is used for %s", limit, usableUntil.Sub(back))
+	}
+}
