Give up a silent attempt when another one may follow

Cause: an attempt ended with an answer, a failure of its connection or the deadline. A connection that passes nothing on, or whose upstream reads no more, shows neither, so a request that may be repeated waited there until its deadline.

--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -43,7 +43,7 @@
 	hasTicket      bool
 	sentAt         time.Time
 	cancel         context.CancelFunc
-	// start is the limit on the time until the attempt begins; nil if there is none.
+	// start is the limit on the time until the attempt begins; nil before the first attempt.
 	start *startLimit
 	// resumedAfter is the event ID after which the current attempt continues the
 	// answer, or empty.
@@ -245,8 +245,8 @@
 	if ctx.Err() != nil {
 		return d.abandon(ctx, now)
 	}
-	if d.start.hasPassed() {
-		d.cause = "weights expired before the request began"
+	if cause, ok := d.start.passed(); ok {
+		d.cause = cause
 		return d.breakAttempt(now)
 	}
 	if sendErr != nil && (sendErr.Unreachable || d.gate.fleet.IsSilent(now, d.upstream.ID)) {
--- a/loomstream/lifecycle.go
+++ b/loomstream/lifecycle.go
@@ -362,6 +362,12 @@
 	return Complete{}
 }
 
+// CanRunAgain reports whether another attempt may follow the current one, even if that has
+// run, as far as the retry budget allows it.
+func (l *Lifecycle) CanRunAgain() bool {
+	return l.isIdempotent && l.attempts < MaxAttempts && (l.maxRuns == 0 || l.runs+1 < l.maxRuns)
+}
+
 // mayRunAgain records that the attempt may have run, and reports whether another
 // attempt is allowed.
 func (l *Lifecycle) mayRunAgain() bool {
