Keep what upstreams say of themselves in their answers

Cause: neither Server-Leaving nor Retry-After was read from an upstream, so one that the store still listed as ready got requests until its row changed, and one that refuses for load got them at once again.

Change: loomupstream.Statement is read from every kind of response. Leaving is a mark of the incarnation that outranks all rows and is passed on in each exchange; a group without others uses such upstreams for half of drain_ms.

--- a/loomgate/choose.go
+++ b/loomgate/choose.go
@@ -87,7 +87,7 @@
 		}
 		c := q.candidate(now, u)
 		c.Suspect = ejected[u.ID] || q.gate.fleet.IsSuspect(now, u.ID) || slices.Contains(q.suspectIDs, u.ID)
-		delay := q.gate.limits.delay(now, u).atLeast(q.connectionDelay(now, u.ID, c.Outstanding))
+		delay := q.gate.limits.delay(now, u).atLeast(q.connectionDelay(now, u.ID, c.Outstanding)).atLeast(q.holdOffDelay(now, u))
 		set.add(c, slices.Contains(q.triedIDs, u.ID), delay)
 	}
 	return set
--- a/loomgate/exchange.go
+++ b/loomgate/exchange.go
@@ -99,6 +99,7 @@
 		Queued:           p.reportedWork(),
 		Weights:          g.rollout.loadingReports(time.Now()),
 		Limits:           g.limits.reports(time.Now()),
+		Leaving:          g.view.leavingReports(time.Now()),
 	}
 	for _, l := range p.reportedLoads() {
 		r.Loads = append(r.Loads, &loompb.UpstreamLoad{UpstreamId: l.ID, Outstanding: uint32(l.Outstanding), PendingTokens: uint32(l.Tokens), MemoryTokens: uint32(l.Memory)})
@@ -191,6 +192,7 @@
 	if receivedAt.Sub(sentAt) <= exchangeTimeout {
 		p.gate.view.applyPeerNamed(receivedAt, reply.GetNamedWeights())
 	}
+	p.gate.view.applyLeaving(receivedAt, peer.id, reply.GetLeaving())
 	p.gate.limits.apply(receivedAt, peer.id, reply.GetLimits())
 	p.gate.limits.accept(sentAt, peer.id, reply.GetLeases())
 	p.syncRows(ctx, peer, sentAt, reply)
@@ -304,6 +306,7 @@
 		g.prefill.forGroup(sample.GetGroup()).Observe(sample.GetUpstreamId(), int(sample.GetTokens()), time.Duration(sample.GetMicros())*time.Microsecond)
 	}
 	g.rollout.applyPeerReports(now, r.GetWeights())
+	g.view.applyLeaving(now, r.GetFrom(), r.GetLeaving())
 	g.limits.apply(now, r.GetFrom(), r.GetLimits())
 	// Read before the version, so that the age is never that of a later list.
 	asOf := *g.view.upstreamsAsOf.Load()
@@ -316,6 +319,7 @@
 		Leases: g.limits.lend(now, r.GetFrom(), r.GetLeaseRequests()),
 
 		NamedWeights: g.view.namedReports(now),
+		Leaving:      g.view.leavingReports(now),
 	}
 	if since, answeredAt, ok := g.view.contact().OwnAnswers(); ok {
 		reply.PlatformAnswersMs, reply.PlatformAnsweredMs = max(ageMillis(now, since), 1), ageMillis(now, answeredAt)
--- a/loomgate/gate.go
+++ b/loomgate/gate.go
@@ -79,6 +79,7 @@
 	stores    *storeWatcher
 	queues    *queues
 	limits    *upstreamLimits
+	holdOffs  *holdOffs
 	// coordinators decides which instances choose upstreams for others.
 	coordinators *coordinators
 	prefill      prefillModels
@@ -120,6 +121,7 @@
 	g.stores = newStoreWatcher(g)
 	g.queues = newQueues(g)
 	g.limits = newUpstreamLimits(g)
+	g.holdOffs = newHoldOffs(g)
 	return g, nil
 }
 
--- a/loomgate/gate_test.go
+++ b/loomgate/gate_test.go
@@ -145,12 +145,12 @@
 }
 
 // Order implements loomupstream.Runner.
-func (r *fakeRunner) Order(_ context.Context, address string, o loomupstream.Order) (loomupstream.OrderOutcome, error) {
+func (r *fakeRunner) Order(_ context.Context, address string, o loomupstream.Order) (loomupstream.OrderReply, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.versions[address] = o.Version
 	r.orders = append(r.orders, o)
-	return loomupstream.OrderAccepted, nil
+	return loomupstream.OrderReply{Outcome: loomupstream.OrderAccepted}, nil
 }
 
 func (r *fakeRunner) orderCount() int {
--- a/loomgate/limits.go
+++ b/loomgate/limits.go
@@ -82,7 +82,7 @@
 // hear applies what an answer of an upstream says about its limit. A refusal can name
 // a limit but not withdraw one.
 func (l *upstreamLimits) hear(now time.Time, u loommember.Upstream, reply *loomupstream.Reply) {
-	limit := reply.Limit
+	limit := reply.Said.Limit
 	if limit.IsUnreadable || (reply.NotRun && !limit.IsNamed) {
 		return
 	}
--- a/loomgate/limits_test.go
+++ b/loomgate/limits_test.go
@@ -76,7 +76,7 @@
 	m.mu.Unlock()
 	reply, err := m.modelEngines.Send(ctx, address, s)
 	if reply != nil {
-		reply.Limit = loomupstream.RequestLimit{IsNamed: isLimited, PerSecond: limit}
+		reply.Said.Limit = loomupstream.RequestLimit{IsNamed: isLimited, PerSecond: limit}
 	}
 	return reply, err
 }
@@ -365,7 +365,7 @@
 		g.limits.apply(at, "b", []*loompb.UpstreamLimit{{UpstreamId: "e1", Incarnation: incarnation, IsLimited: true, RequestsPerSecond: limit, AgeMs: ageMs}})
 	}
 	u.Incarnation = 1
-	g.limits.hear(at, u, &loomupstream.Reply{Limit: loomupstream.RequestLimit{IsNamed: true, PerSecond: 5}})
+	g.limits.hear(at, u, &loomupstream.Reply{Said: loomupstream.Statement{Limit: loomupstream.RequestLimit{IsNamed: true, PerSecond: 5}}})
 	assert.Equal(t, limitOf(), 5.0)
 	u.Incarnation = 2
 	g.limits.hear(at, u, &loomupstream.Reply{})
@@ -376,6 +376,6 @@
 	assert.Equal(t, limitOf(), 3.0, "a peer's word on the present incarnation")
 	g.limits.hear(at, u, &loomupstream.Reply{NotRun: true})
 	assert.Equal(t, limitOf(), 3.0, "a refusal does not withdraw a limit")
-	g.limits.hear(at, u, &loomupstream.Reply{Limit: loomupstream.RequestLimit{IsUnreadable: true}})
+	g.limits.hear(at, u, &loomupstream.Reply{Said: loomupstream.Statement{Limit: loomupstream.RequestLimit{IsUnreadable: true}}})
 	assert.Equal(t, limitOf(), 3.0, "an unreadable limit changes nothing")
 }
--- a/loomgate/loading.go
+++ b/loomgate/loading.go
@@ -14,7 +14,7 @@
 func (r *rollout) refreshVersion(ctx context.Context, u loommember.Upstream, model string) {
 	r.mu.Lock()
 	now := time.Now()
-	if now.Sub(r.versionRequestedAt[u.ID]) < engineCheckInterval {
+	if now.Sub(r.versionRequestedAt[u.ID]) < engineCheckInterval || r.gate.holdOffs.wait(now, u) > 0 {
 		r.mu.Unlock()
 		return
 	}
@@ -22,7 +22,7 @@
 	r.mu.Unlock()
 	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), orderCallTimeout)
 	defer cancel()
-	state, err := r.gate.runner.Report(call, u.Address, u.ID)
+	state, err := r.report(call, u)
 	if err != nil {
 		r.gate.log.Warn("engine_unreported", "upstream", u.ID, "cause", err.Error())
 		return
--- a/loomgate/metrics.go
+++ b/loomgate/metrics.go
@@ -35,6 +35,7 @@
 	requests tally.Counter
 	retries  tally.Counter
 	revision tally.Gauge
+	holdOffs tally.Counter
 
 	mu sync.Mutex
 	// groups is keyed by label. It has at most maxGroupLabels+2 entries: the
@@ -64,6 +65,7 @@
 		requests: scope.Counter("requests_total"),
 		retries:  scope.Counter("retries_total"),
 		revision: scope.Gauge("catalogue_revision"),
+		holdOffs: scope.Counter("upstream_hold_offs_total"),
 		groups:   make(map[string]*groupMetrics),
 	}
 }
--- a/loomgate/place.go
+++ b/loomgate/place.go
@@ -77,6 +77,7 @@
 		MustStart:       mode == placeAlways,
 		IsRepeated:      d.isPartRecorded,
 		PrefersIdle:     d.prefersIdle,
+		Held:            d.gate.holdOffs.reports(now, d.group.Name),
 	}
 	if !d.hasPrompt {
 		return r
@@ -112,6 +113,10 @@
 		if d.hasPrompt && d.gate.view.weightsExpired(now, d.startTimeout, d.prompt.Model, reply.GetVersion()) {
 			break
 		}
+		if reply.GetIsReserved() && d.gate.holdOffs.wait(now, u) > 0 {
+			// The upstream has asked for it during the call.
+			break
+		}
 		p := placement{
 			upstream: u,
 			version:  reply.GetVersion(),
@@ -222,6 +227,8 @@
 		suspectIDs:      r.GetSuspectIds(),
 		isWanted:        r.GetIsRepeated(),
 		prefersIdle:     r.GetPrefersIdle(),
+		isRemote:        true,
+		heldOff:         heldOffIn(r),
 	}
 	var ok bool
 	if q.group, ok = g.view.routing().Group(r.GetGroup()); !ok {
--- a/loomgate/placement.go
+++ b/loomgate/placement.go
@@ -36,6 +36,10 @@
 	// instance that has the request considers unreachable.
 	triedIDs   []string
 	suspectIDs []string
+	// isRemote is set if another instance has the request, and heldOff then holds how long
+	// upstreams want none of that instance.
+	isRemote bool
+	heldOff  map[string]time.Duration
 	// prefersIdle is set once the request has waited for so long that it would be refused
 	// soon. It then goes to an upstream without any work, if there is one.
 	prefersIdle bool
--- a/loomgate/relay.go
+++ b/loomgate/relay.go
@@ -20,13 +20,17 @@
 func (d *dispatch) handleReply(ctx context.Context, reply *loomupstream.Reply) loomstream.Action {
 	now := time.Now()
 	d.gate.fleet.RecordReceived(now, d.upstream.ID)
-	if reply.Leaving {
+	if reply.Closes {
 		d.gate.log.Debug("upstream_closes", "upstream", d.upstream.ID, "request_id", d.req.RequestID)
 	}
 	isOwn := reply.RequestID == d.req.RequestID
 	if isOwn {
 		d.hearLimit(now, reply)
 	}
+	isOther := reply.UpstreamID != "" && reply.UpstreamID != d.upstream.ID
+	if !isOther && (isOwn || (reply.NotRun && reply.RequestID == "")) {
+		d.gate.hear(now, d.upstream, reply.Said, "answer")
+	}
 	if reply.NotRun && (isOwn || reply.RequestID == "") {
 		return d.handleRefusal(ctx, now, reply)
 	}
--- a/loomgate/rollout.go
+++ b/loomgate/rollout.go
@@ -235,11 +235,14 @@
 	for _, u := range update.engines {
 		byID[u.ID] = u
 		e := loomfleet.Engine{ID: u.ID, Address: u.Address, Model: update.model, Version: u.Version(update.model)}
-		e.Usable = bootTime().Sub(r.unreportedAt[u.ID]) >= orderRetryDelay
+		isHeldOff := r.gate.holdOffs.wait(time.Now(), u) > 0
+		e.Usable = bootTime().Sub(r.unreportedAt[u.ID]) >= orderRetryDelay && !isHeldOff
 		e.Outstanding = r.gate.fleet.Estimate(time.Now(), u.ID, 0).Outstanding
 		if o, ok := r.orders[u.ID]; ok && o.upstream.Incarnation == u.Incarnation && o.version == update.version && e.Version < update.version {
 			e.Loading = update.version
-			r.checkOrder(ctx, o)
+			if !isHeldOff {
+				r.checkOrder(ctx, o)
+			}
 		}
 		engines = append(engines, e)
 	}
@@ -276,7 +279,7 @@
 func (r *rollout) sendOrder(ctx context.Context, u loommember.Upstream, o loomfleet.Order) bool {
 	call, cancel := context.WithTimeout(ctx, orderCallTimeout)
 	defer cancel()
-	state, err := r.gate.runner.Report(call, u.Address, u.ID)
+	state, err := r.report(call, u)
 	if err != nil {
 		r.gate.log.Warn("engine_unreported", "upstream", u.ID, "cause", err.Error())
 		r.unreportedAt[u.ID] = bootTime()
@@ -298,9 +301,11 @@
 		return false
 	}
 	holder := r.gate.settings.ID
-	outcome, err := r.gate.runner.Order(call, u.Address, loomupstream.Order{
+	reply, err := r.gate.runner.Order(call, u.Address, loomupstream.Order{
 		Upstream: u.ID, Model: o.Model, Version: o.Version, Holder: holder, Fence: token, ExpectedOrders: state.Orders,
 	})
+	r.gate.hear(time.Now(), u, reply.Said, "order")
+	outcome := reply.Outcome
 	r.gate.log.Info("order_sent", "upstream", u.ID, "model", o.Model, "version", o.Version, "fence", token,
 		"expected_orders", state.Orders, "outcome", outcome.String(), "cause", fmt.Sprint(err))
 	switch outcome {
@@ -315,6 +320,13 @@
 	return false
 }
 
+// report fetches the state of an engine and applies what the engine says of itself.
+func (r *rollout) report(ctx context.Context, u loommember.Upstream) (loomupstream.EngineState, error) {
+	state, err := r.gate.runner.Report(ctx, u.Address, u.ID)
+	r.gate.hear(time.Now(), u, state.Said, "report")
+	return state, err
+}
+
 // engineCheckInterval is the minimum time between two queries to one engine for
 // its weights.
 const engineCheckInterval = 300 * time.Millisecond
@@ -330,7 +342,7 @@
 	o.checkedAt = now
 	call, cancel := context.WithTimeout(ctx, orderCallTimeout)
 	defer cancel()
-	state, err := r.gate.runner.Report(call, o.upstream.Address, o.upstream.ID)
+	state, err := r.report(call, o.upstream)
 	switch {
 	case err != nil:
 		r.gate.log.Warn("engine_unreported", "upstream", o.upstream.ID, "cause", err.Error())
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -239,8 +239,11 @@
 	now := time.Now()
 	d.cause = err.Error()
 	var sendErr *loomupstream.SendError
-	if errors.As(err, &sendErr) && sendErr.Delivered {
-		d.lifecycle.Apply(now, loomstream.Delivered{Attempt: d.attemptID})
+	if errors.As(err, &sendErr) {
+		d.gate.hear(now, d.upstream, sendErr.Said, "interim answer")
+		if sendErr.Delivered {
+			d.lifecycle.Apply(now, loomstream.Delivered{Attempt: d.attemptID})
+		}
 	}
 	if ctx.Err() != nil {
 		return d.abandon(ctx, now)
--- a/loomgate/stores.go
+++ b/loomgate/stores.go
@@ -10,6 +10,7 @@
 	"swiftloom/loomcache"
 	"swiftloom/loomcatalogue"
 	"swiftloom/loomkernel"
+	"swiftloom/loommember"
 	"swiftloom/loomupstream"
 )
 
@@ -187,12 +188,16 @@
 	isDown := false
 	var answeredAt time.Time
 	for ctx.Err() == nil {
+		if loomkernel.Sleep(ctx, s.holdOff(time.Now(), address)) != nil {
+			return
+		}
 		call, cancel := context.WithTimeout(ctx, watchHoldTime+watchTimeout)
 		events, err := s.gate.kvStores.Watch(call, address, since, watchHoldTime)
 		cancel()
 		if ctx.Err() != nil {
 			return
 		}
+		s.hear(time.Now(), address, events.Said)
 		if errors.Is(err, loomupstream.ErrBusy) {
 			// The store has all the watches that it accepts. This is no outage,
 			// but without events a restart of the store would go unnoticed.
@@ -227,6 +232,30 @@
 	}
 }
 
+// engineAt returns the engine at a watched address, or false if that is a store.
+func (s *storeWatcher) engineAt(address string) (loommember.Upstream, bool) {
+	s.mu.Lock()
+	id := s.engineIDs[address]
+	s.mu.Unlock()
+	return s.gate.view.upstream(id)
+}
+
+// holdOff returns how long the engine at an address wants no calls of this instance.
+func (s *storeWatcher) holdOff(now time.Time, address string) time.Duration {
+	u, ok := s.engineAt(address)
+	if !ok {
+		return 0
+	}
+	return s.gate.holdOffs.wait(now, u)
+}
+
+// hear applies what a response to a watch says of the engine at an address.
+func (s *storeWatcher) hear(now time.Time, address string, said loomupstream.Statement) {
+	if u, ok := s.engineAt(address); ok {
+		s.gate.hear(now, u, said, "events")
+	}
+}
+
 // applyEvents applies events and returns the number after which the next call
 // continues.
 func (s *storeWatcher) applyEvents(now time.Time, address string, since uint64, e loomupstream.KVEvents) uint64 {
--- a/loomgate/view.go
+++ b/loomgate/view.go
@@ -68,6 +68,9 @@
 	// about them.
 	named     map[string]namedVersions
 	namedRows map[string]namedRow
+	// lastResortsEnd is when an upstream that is published although it leaves may no longer
+	// get requests; zero if there is none.
+	lastResortsEnd time.Time
 	// rows caches the platform's rows for peers that cannot reach the platform.
 	rows map[Topic]map[string]Row
 	// loggedRows holds the version of each row that could not be decoded, so
@@ -478,6 +481,7 @@
 		groups[u.Group] = append(groups[u.Group], u)
 		ids = append(ids, u.ID)
 	}
+	ids = append(ids, v.addLastResorts(now, groups)...)
 	v.groupsSnapshot.Store(&groups)
 	v.gate.fleet.Retain(ids)
 	v.gate.limits.retain(now, ids)
@@ -531,7 +535,7 @@
 	for _, id := range released {
 		v.gate.log.Info("upstream_released", "upstream", id)
 	}
-	return len(expired)+len(released) > 0
+	return len(expired)+len(released) > 0 || v.haveLastResortsEnded(now)
 }
 
 // snapshot returns the cached rows of a topic, for a peer.
--- a/loomlog/site_events.go
+++ b/loomlog/site_events.go
@@ -32,6 +32,7 @@
 	{"order_sent", "an engine was ordered to load weights", "%d engines were ordered to load weights", "upstream"},
 	{"upstream_removed", "an upstream was removed from the list", "%d upstreams were removed from the list", "upstream"},
 	{"upstream_leaving", "an upstream was seen to leave", "%d upstreams were seen to leave", "upstream"},
+	{"upstream_held_off", "an upstream asked to be left alone for a time", "%d upstreams asked to be left alone for a time", "upstream"},
 	{"store_restarted", "a store for kept state was started again", "%d stores for kept state were started again", "address"},
 	{"upstream_limit_named", "an upstream named a limit", "%d upstreams named limits", "upstream"},
 	{"store_epoch_rose", "the platform's store returned from an older copy", "the platform's store returned from an older copy, %d times", "epoch"},
--- a/loommember/upstream.go
+++ b/loommember/upstream.go
@@ -113,11 +113,16 @@
 	// heldUntil is set while an entry from an older copy of the list is not used since
 	// its upstream had left before.
 	heldUntil time.Time
+	// saidAt is when the upstream was first heard to say that it leaves, while its entry
+	// says that it is ready; zero otherwise.
+	saidAt time.Time
 }
 
 type leavingMark struct {
 	incarnation uint64
 	at          time.Time
+	// saidAt is when the upstream itself was first heard to say so, or zero.
+	saidAt time.Time
 }
 
 // departure is the removal of an upstream that had left.
@@ -149,13 +154,16 @@
 	if known && u.Incarnation == e.upstream.Incarnation {
 		u = u.withNewerWeights(e.upstream)
 	}
-	if mark, ok := d.leaving[u.ID]; ok && mark.incarnation == u.Incarnation {
-		leaving = true
-	}
-	if leaving {
+	entry := &directoryEntry{upstream: u, version: version, heldUntil: d.holdUntil(now, u, version)}
+	mark, isMarked := d.leaving[u.ID]
+	isMarked = isMarked && mark.incarnation == u.Incarnation
+	switch {
+	case leaving:
 		d.leaving[u.ID] = leavingMark{incarnation: u.Incarnation, at: now}
+	case isMarked:
+		leaving, entry.saidAt = true, mark.saidAt
 	}
-	entry := &directoryEntry{upstream: u, version: version, leaving: leaving, heldUntil: d.holdUntil(now, u, version)}
+	entry.leaving = leaving
 	changed := !known || e.leaving != leaving || e.removed || !e.heldUntil.Equal(entry.heldUntil) || !sameUpstream(e.upstream, u)
 	d.entries[u.ID] = entry
 	return changed
@@ -261,6 +269,67 @@
 	return true
 }
 
+// HearLeaving records that an incarnation has said in an answer, heard at a time, that it
+// leaves, and reports whether it was not known to leave yet. Like every leaving mark it is
+// final: an upstream that leaves ends, and its successor is another incarnation.
+func (d *Directory) HearLeaving(now, at time.Time, id string, incarnation uint64) bool {
+	e, known := d.entries[id]
+	if !known || e.upstream.Incarnation != incarnation {
+		return false
+	}
+	mark, isMarked := d.leaving[id]
+	isMarked = isMarked && mark.incarnation == incarnation
+	if isMarked && (mark.saidAt.IsZero() || !at.Before(mark.saidAt)) {
+		return false
+	}
+	d.leaving[id] = leavingMark{incarnation: incarnation, at: now, saidAt: at}
+	e.leaving, e.saidAt = true, at
+	return !isMarked
+}
+
+// LeavingStatement is an upstream's own statement that it leaves.
+type LeavingStatement struct {
+	ID          string
+	Incarnation uint64
+	// At is when an instance first heard it.
+	At time.Time
+}
+
+// LeavingStatements returns the statements of the listed upstreams whose entries say that
+// they are ready, sorted by ID.
+func (d *Directory) LeavingStatements() []LeavingStatement {
+	var statements []LeavingStatement
+	for id, e := range d.entries {
+		if !e.saidAt.IsZero() && !e.removed {
+			statements = append(statements, LeavingStatement{ID: id, Incarnation: e.upstream.Incarnation, At: e.saidAt})
+		}
+	}
+	slices.SortFunc(statements, func(a, b LeavingStatement) int { return cmp.Compare(a.ID, b.ID) })
+	return statements
+}
+
+// lastResortShare is the share of leavingLimit for which an upstream that says that it leaves
+// still gets requests if its group has no other. It may have left the list some time before.
+const lastResortShare = 0.5
+
+// LastResorts returns the upstreams that say themselves that they leave and may still get
+// requests if their groups have no others, sorted by ID, and when the first of them may no
+// longer.
+func (d *Directory) LastResorts(now time.Time) (upstreams []Upstream, until time.Time) {
+	for _, e := range d.entries {
+		end := e.saidAt.Add(time.Duration(lastResortShare * float64(d.leavingLimit)))
+		if e.saidAt.IsZero() || e.removed || !e.heldUntil.IsZero() || !now.Before(end) {
+			continue
+		}
+		upstreams = append(upstreams, e.upstream)
+		if until.IsZero() || end.Before(until) {
+			until = end
+		}
+	}
+	slices.SortFunc(upstreams, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	return upstreams, until
+}
+
 // SetVersion records the version of a model's weights that an upstream has been
 // observed to use, and reports whether it is newer than the known one. An
 // incarnation of zero stands for the known one.
--- a/loomroute/fleet.go
+++ b/loomroute/fleet.go
@@ -226,6 +226,17 @@
 	return l.combined(now, except).Outstanding
 }
 
+// InFlight returns the number of requests of this instance that are in flight at an upstream.
+func (f *Fleet) InFlight(id string) int {
+	s := f.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l, ok := s.upstreams[id]; ok {
+		return len(l.inFlight)
+	}
+	return 0
+}
+
 // MeanAge returns the mean time since the requests of this instance were sent that are
 // in flight at an upstream, or zero if there are none.
 func (f *Fleet) MeanAge(now time.Time, id string) time.Duration {
--- a/loomupstream/kv_store.go
+++ b/loomupstream/kv_store.go
@@ -39,13 +39,16 @@
 	// Clock is the store's time on the clock that all upstreams share, or zero
 	// when the store did not send it.
 	Clock time.Duration
+	// Said is what the response says of the store or engine.
+	Said Statement
 }
 
 // KVStores is a client of the stores that hold KV caches. It is safe for
 // concurrent use.
 type KVStores interface {
 	// Watch returns the events after position since. It waits until there are
-	// any, but at most for wait.
+	// any, but at most for wait. What the store says of itself is valid also when the
+	// error is not nil.
 	Watch(ctx context.Context, address string, since uint64, wait time.Duration) (KVEvents, error)
 	// Free removes parts from a store, unless the store has restarted since
 	// epoch.
--- a/loomupstream/runner.go
+++ b/loomupstream/runner.go
@@ -71,12 +71,30 @@
 	UpstreamID string
 	// Version is the version of the weights that the response names, or zero.
 	Version uint64
-	// Leaving reports that the upstream closes the connection after the response.
-	Leaving bool
-	// Limit is what the response says about the requests that the upstream takes.
+	// Closes reports that the upstream closes the connection after the response.
+	Closes bool
+	// Said is what the response says of the upstream.
+	Said Statement
+}
+
+// Statement is what a response says of the upstream that sent it. It is immutable; the zero
+// value says nothing.
+type Statement struct {
+	// IsLeaving reports that the upstream is about to end and wants no new work.
+	IsLeaving bool
+	// HoldOff is how long the upstream wants nothing from this instance.
+	HoldOff time.Duration
+	// Limit is about the requests that the upstream takes.
 	Limit RequestLimit
 }
 
+// WithEarlier returns a copy of s that also says that the upstream leaves if an earlier
+// statement in the same exchange has said so.
+func (s Statement) WithEarlier(earlier Statement) Statement {
+	s.IsLeaving = s.IsLeaving || earlier.IsLeaving
+	return s
+}
+
 // RequestLimit is an upstream's statement about the requests that it takes from all
 // instances together. It is immutable.
 type RequestLimit struct {
@@ -112,6 +130,8 @@
 	// Orders is the number of orders accepted since the start of the engine.
 	Orders  int64
 	Weights []EngineWeights
+	// Said is what the report says of the engine.
+	Said Statement
 }
 
 // EngineWeights is a model with the version of its weights.
@@ -131,6 +151,13 @@
 	return 0
 }
 
+// OrderReply is the reply to an Order.
+type OrderReply struct {
+	Outcome OrderOutcome
+	// Said is what the reply says of the engine.
+	Said Statement
+}
+
 // OrderOutcome is the result of an Order.
 type OrderOutcome int
 
@@ -175,7 +202,9 @@
 	Delivered bool
 	// Unreachable reports that no connection could be established.
 	Unreachable bool
-	Cause       error
+	// Said is what interim responses have said of the upstream.
+	Said  Statement
+	Cause error
 }
 
 // Error implements error.
@@ -194,9 +223,10 @@
 	// cancelled when ctx ends, also while the body is being read. The error is
 	// always a *SendError.
 	Send(ctx context.Context, address string, s Send) (*Reply, error)
-	// Report fetches the state of weights and orders of an engine.
+	// Report fetches the state of weights and orders of an engine. What the engine says
+	// of itself is valid also when the error is not nil.
 	Report(ctx context.Context, address, upstream string) (EngineState, error)
-	// Order sends an order. The outcome is valid also when the error is not nil;
-	// the error then tells what failed, for example why the outcome is unknown.
-	Order(ctx context.Context, address string, o Order) (OrderOutcome, error)
+	// Order sends an order. The reply is valid also when the error is not nil; the error
+	// then tells what failed, for example why the outcome is unknown.
+	Order(ctx context.Context, address string, o Order) (OrderReply, error)
 }
