Send the orders of a rollout at the same time

Cause: a reconciliation asked engines one after another and sent one order, so at most ten orders a second went out, and an engine that did not answer held up all others for 0.5 s. At 192 engines and version_ms of 15 s the rollout came to its end with engines left, which then took weights all at once.

Change: calls to engines run at the same time, and as many orders go out as are due by the even spread over the time for the update.

--- a/loomgate/rollout.go
+++ b/loomgate/rollout.go
@@ -228,96 +228,163 @@
 	return updates
 }
 
-// sendOrders sends the orders that are due for one model.
+// sendOrders sends the orders that are due for one model. Its calls to engines run at the
+// same time, so that the pace doesn't depend on how many there are.
 func (r *rollout) sendOrders(ctx context.Context, update pendingUpdate) {
+	r.checkOrders(ctx, update)
 	engines := make([]loomfleet.Engine, 0, len(update.engines))
 	byID := make(map[string]loommember.Upstream, len(update.engines))
+	loading := 0
 	for _, u := range update.engines {
 		byID[u.ID] = u
-		e := loomfleet.Engine{ID: u.ID, Address: u.Address, Model: update.model, Version: u.Version(update.model)}
-		isHeldOff := r.gate.holdOffs.wait(time.Now(), u) > 0
-		e.Usable = bootTime().Sub(r.unreportedAt[u.ID]) >= orderRetryDelay && !isHeldOff
-		e.Outstanding = r.gate.fleet.Estimate(time.Now(), u.ID, 0).Outstanding
-		if o, ok := r.orders[u.ID]; ok && o.upstream.Incarnation == u.Incarnation && o.version == update.version && e.Version < update.version {
-			e.Loading = update.version
-			if !isHeldOff {
-				r.checkOrder(ctx, o)
-			}
-		}
-		engines = append(engines, e)
-	}
-	limit := max(int(float64(len(update.engines))*maxLoadingShare+0.99), 1)
-	loading := 0
-	for _, e := range engines {
+		e := r.engineState(u, update)
 		if e.Loading > 0 {
 			loading++
 		}
+		engines = append(engines, e)
 	}
+	limit := max(int(float64(len(update.engines))*maxLoadingShare+0.99), 1)
 	target := loomfleet.Target{Model: update.model, Version: update.version, LoadLimit: limit}
-	for _, o := range loomfleet.Plan(engines, target, limit-loading) {
-		now := bootTime()
-		if !r.canOrder(now) || now.Sub(r.lastOrderAt) < r.orderSpacing(time.Now(), update, byID[o.Engine]) {
-			return
+	orders := r.dueOrders(bootTime(), update, byID, loomfleet.Plan(engines, target, limit-loading))
+	results := make([]orderResult, len(orders))
+	var calls sync.WaitGroup
+	for i, o := range orders {
+		calls.Go(func() { results[i] = r.sendOrder(ctx, byID[o.Engine], o) })
+	}
+	calls.Wait()
+	for _, result := range results {
+		r.apply(result)
+	}
+}
+
+// engineState returns an engine as the planner of a rollout sees it.
+func (r *rollout) engineState(u loommember.Upstream, update pendingUpdate) loomfleet.Engine {
+	now := time.Now()
+	e := loomfleet.Engine{ID: u.ID, Address: u.Address, Model: update.model, Version: u.Version(update.model)}
+	e.Usable = bootTime().Sub(r.unreportedAt[u.ID]) >= orderRetryDelay && r.gate.holdOffs.wait(now, u) == 0
+	e.Outstanding = r.gate.fleet.Estimate(now, u.ID, 0).Outstanding
+	if _, ok := r.orderTo(u, update); ok {
+		e.Loading = update.version
+	}
+	return e
+}
+
+// orderTo returns the order to an engine that an update waits for, or false if there is none.
+func (r *rollout) orderTo(u loommember.Upstream, update pendingUpdate) (*engineOrder, bool) {
+	o, ok := r.orders[u.ID]
+	return o, ok && o.upstream.Incarnation == u.Incarnation && o.version == update.version && u.Version(update.model) < update.version
+}
+
+// maxOrderBacklog is the time for which orders that were not sent are made up for at once.
+const maxOrderBacklog = 500 * time.Millisecond
+
+// dueOrders returns those of the planned orders that are due. They are spread evenly over the
+// time for an update, but engines whose weights are about to expire serve no requests, so
+// they load weights at once.
+func (r *rollout) dueOrders(now time.Time, update pendingUpdate, byID map[string]loommember.Upstream, planned []loomfleet.Order) []loomfleet.Order {
+	spacing := orderSpacing(r.gate.settings.OldWeightsTTL, len(update.engines))
+	if earliest := now.Add(-max(maxOrderBacklog, spacing)); r.lastOrderAt.Before(earliest) {
+		r.lastOrderAt = earliest
+	}
+	var due []loomfleet.Order
+	for _, o := range planned {
+		u := byID[o.Engine]
+		if r.gate.view.weightsExpired(time.Now(), minAbandonTime, update.model, u.Version(update.model)) {
+			due = append(due, o)
+			continue
 		}
-		if r.sendOrder(ctx, byID[o.Engine], o) {
-			r.lastOrderAt = now
+		if now.Sub(r.lastOrderAt) >= spacing {
+			r.lastOrderAt = r.lastOrderAt.Add(spacing)
+			due = append(due, o)
 		}
 	}
+	return due
+}
+
+// orderSpacing returns the time between two orders to a number of engines that spreads them
+// over the time in which all must have new weights.
+func orderSpacing(oldWeightsTTL time.Duration, engines int) time.Duration {
+	return time.Duration(orderSpreadShare * float64(oldWeightsTTL) / float64(max(engines, 1)))
+}
+
+// orderResult is what the calls for an order have shown. It is one of orderSent,
+// orderUnneeded and engineUnreported.
+type orderResult interface {
+	orderResult()
 }
 
-// orderSpacing returns the least time between the last order and one to an engine. An engine
-// whose weights are about to expire serves no requests, so it loads weights at once.
-func (r *rollout) orderSpacing(now time.Time, update pendingUpdate, u loommember.Upstream) time.Duration {
-	if r.gate.view.weightsExpired(now, minAbandonTime, update.model, u.Version(update.model)) {
-		return 0
+// orderSent holds an order that the engine may have accepted, or one that was in progress.
+type orderSent struct {
+	order engineOrder
+}
+
+// orderUnneeded reports that there was nothing to order, or that the order was refused.
+type orderUnneeded struct {
+	upstream string
+}
+
+// engineUnreported reports that the engine did not report its state at a time.
+type engineUnreported struct {
+	upstream string
+	at       time.Time
+}
+
+func (orderSent) orderResult()        {}
+func (orderUnneeded) orderResult()    {}
+func (engineUnreported) orderResult() {}
+
+// apply records the result of an order.
+func (r *rollout) apply(result orderResult) {
+	switch result := result.(type) {
+	case orderSent:
+		delete(r.unreportedAt, result.order.upstream.ID)
+		r.orders[result.order.upstream.ID] = &result.order
+	case orderUnneeded:
+		delete(r.unreportedAt, result.upstream)
+	case engineUnreported:
+		r.unreportedAt[result.upstream] = result.at
 	}
-	return time.Duration(orderSpreadShare * float64(r.gate.settings.OldWeightsTTL) / float64(max(len(update.engines), 1)))
 }
 
-// sendOrder sends one order and reports whether the engine may have accepted
-// it. checkOrder observes its effect.
-func (r *rollout) sendOrder(ctx context.Context, u loommember.Upstream, o loomfleet.Order) bool {
+// sendOrder sends one order. checkOrder observes its effect. It changes no state of r that
+// other calls read.
+func (r *rollout) sendOrder(ctx context.Context, u loommember.Upstream, o loomfleet.Order) orderResult {
 	call, cancel := context.WithTimeout(ctx, orderCallTimeout)
 	defer cancel()
 	state, err := r.report(call, u)
 	if err != nil {
 		r.gate.log.Warn("engine_unreported", "upstream", u.ID, "cause", err.Error())
-		r.unreportedAt[u.ID] = bootTime()
-		return false
+		return engineUnreported{upstream: u.ID, at: bootTime()}
 	}
-	delete(r.unreportedAt, u.ID)
 	if v := state.Version(o.Model); v >= o.Version {
 		r.gate.view.recordVersion(time.Now(), u.ID, u.Incarnation, o.Model, v)
-		return false
+		return orderUnneeded{upstream: u.ID}
 	}
 	now := bootTime()
 	token, held := r.lease.Held(now)
 	if state.Busy {
 		// An earlier order is in progress, possibly for older weights.
-		r.orders[u.ID] = &engineOrder{upstream: u, model: o.Model, version: o.Version, checkedAt: now}
-		return false
+		return orderSent{order: engineOrder{upstream: u, model: o.Model, version: o.Version, checkedAt: now}}
 	}
 	if !held || !r.canOrder(now) {
-		return false
+		return orderUnneeded{upstream: u.ID}
 	}
 	holder := r.gate.settings.ID
 	reply, err := r.gate.runner.Order(call, u.Address, loomupstream.Order{
 		Upstream: u.ID, Model: o.Model, Version: o.Version, Holder: holder, Fence: token, ExpectedOrders: state.Orders,
 	})
 	r.gate.hear(time.Now(), u, reply.Said, "order")
-	outcome := reply.Outcome
 	r.gate.log.Info("order_sent", "upstream", u.ID, "model", o.Model, "version", o.Version, "fence", token,
-		"expected_orders", state.Orders, "outcome", outcome.String(), "cause", fmt.Sprint(err))
-	switch outcome {
+		"expected_orders", state.Orders, "outcome", reply.Outcome.String(), "cause", fmt.Sprint(err))
+	switch reply.Outcome {
 	case loomupstream.OrderAccepted, loomupstream.OrderUnknown:
-		r.orders[u.ID] = &engineOrder{upstream: u, model: o.Model, version: o.Version, sentAt: now, checkedAt: now}
 		r.setLoading(u.ID, u.Incarnation, o.Version, true)
-		return true
+		return orderSent{order: engineOrder{upstream: u, model: o.Model, version: o.Version, sentAt: now, checkedAt: now}}
 	case loomupstream.OrderUnchanged:
 		r.gate.view.recordVersion(time.Now(), u.ID, u.Incarnation, o.Model, o.Version)
 	default:
 	}
-	return false
+	return orderUnneeded{upstream: u.ID}
 }
 
 // report fetches the state of an engine and applies what the engine says of itself.
@@ -331,13 +398,38 @@
 // its weights.
 const engineCheckInterval = 300 * time.Millisecond
 
-// checkOrder queries an engine whether it has carried out an order. It drops
-// the order if it is complete, or if it shows no effect within orderRetryDelay.
-func (r *rollout) checkOrder(ctx context.Context, o *engineOrder) {
+// checkOrders observes the effect of the orders that an update waits for.
+func (r *rollout) checkOrders(ctx context.Context, update pendingUpdate) {
+	var ended []string
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	for _, u := range update.engines {
+		o, ok := r.orderTo(u, update)
+		if !ok || r.gate.holdOffs.wait(time.Now(), u) > 0 {
+			continue
+		}
+		calls.Go(func() {
+			if r.checkOrder(ctx, o) {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			ended = append(ended, o.upstream.ID)
+		})
+	}
+	calls.Wait()
+	for _, id := range ended {
+		delete(r.orders, id)
+	}
+}
+
+// checkOrder queries an engine whether it has carried out an order. It returns false if the
+// order is complete, or if it shows no effect within orderRetryDelay.
+func (r *rollout) checkOrder(ctx context.Context, o *engineOrder) (isPending bool) {
 	now := bootTime()
 	if now.Sub(o.checkedAt) < engineCheckInterval {
 		r.setLoading(o.upstream.ID, o.upstream.Incarnation, o.version, true)
-		return
+		return true
 	}
 	o.checkedAt = now
 	call, cancel := context.WithTimeout(ctx, orderCallTimeout)
@@ -349,15 +441,12 @@
 	case state.Version(o.model) >= o.version:
 		r.setLoading(o.upstream.ID, o.upstream.Incarnation, o.version, false)
 		r.gate.view.recordVersion(time.Now(), o.upstream.ID, o.upstream.Incarnation, o.model, o.version)
-		delete(r.orders, o.upstream.ID)
-		return
+		return false
 	case state.Busy:
 		r.setLoading(o.upstream.ID, o.upstream.Incarnation, o.version, true)
-		return
-	}
-	if now.Sub(o.sentAt) > orderRetryDelay {
-		delete(r.orders, o.upstream.ID)
+		return true
 	}
+	return now.Sub(o.sentAt) <= orderRetryDelay
 }
 
 // dropObsoleteOrders drops orders for versions that are no longer the target.
