--- a/loomgate/rollout.go
+++ b/loomgate/rollout.go
@@ -245,15 +245,22 @@
 	}
 	limit := max(int(float64(len(update.engines))*maxLoadingShare+0.99), 1)
 	target := loomfleet.Target{Model: update.model, Version: update.version, LoadLimit: limit}
-	orders := r.dueOrders(bootTime(), update, byID, loomfleet.Plan(engines, target, limit-loading))
-	results := make([]orderResult, len(orders))
+	now := bootTime()
+	if !r.canOrder(now) {
+		return
+	}
+	due := r.dueOrders(now, update, byID, loomfleet.Plan(engines, target, limit-loading))
+	results := make([]orderResult, len(due))
 	var calls sync.WaitGroup
-	for i, o := range orders {
-		calls.Go(func() { results[i] = r.sendOrder(ctx, byID[o.Engine], o) })
+	for i, d := range due {
+		calls.Go(func() { results[i] = r.sendOrder(ctx, byID[d.order.Engine], d.order) })
 	}
 	calls.Wait()
-	for _, result := range results {
-		r.apply(result)
+	for i, result := range results {
+		if !r.apply(result) {
+			// Another engine may take its place.
+			r.lastOrderAt = r.lastOrderAt.Add(-due[i].spacing)
+		}
 	}
 }
 
@@ -278,24 +285,30 @@
 // maxOrderBacklog is the time for which orders that were not sent are made up for at once.
 const maxOrderBacklog = 500 * time.Millisecond
 
+// dueOrder is an order that is due, and the time until the next one.
+type dueOrder struct {
+	order   loomfleet.Order
+	spacing time.Duration
+}
+
 // dueOrders returns those of the planned orders that are due. They are spread evenly over the
 // time for an update, but engines whose weights are about to expire serve no requests, so
 // they load weights at once.
-func (r *rollout) dueOrders(now time.Time, update pendingUpdate, byID map[string]loommember.Upstream, planned []loomfleet.Order) []loomfleet.Order {
+func (r *rollout) dueOrders(now time.Time, update pendingUpdate, byID map[string]loommember.Upstream, planned []loomfleet.Order) []dueOrder {
 	spacing := orderSpacing(r.gate.settings.OldWeightsTTL, len(update.engines))
 	if earliest := now.Add(-max(maxOrderBacklog, spacing)); r.lastOrderAt.Before(earliest) {
 		r.lastOrderAt = earliest
 	}
-	var due []loomfleet.Order
+	var due []dueOrder
 	for _, o := range planned {
 		u := byID[o.Engine]
 		if r.gate.view.weightsExpired(time.Now(), minAbandonTime, update.model, u.Version(update.model)) {
-			due = append(due, o)
+			due = append(due, dueOrder{order: o})
 			continue
 		}
 		if now.Sub(r.lastOrderAt) >= spacing {
 			r.lastOrderAt = r.lastOrderAt.Add(spacing)
-			due = append(due, o)
+			due = append(due, dueOrder{order: o, spacing: spacing})
 		}
 	}
 	return due
@@ -333,17 +346,19 @@
 func (orderUnneeded) orderResult()    {}
 func (engineUnreported) orderResult() {}
 
-// apply records the result of an order.
-func (r *rollout) apply(result orderResult) {
+// apply records the result of an order, and reports whether the engine may have got it.
+func (r *rollout) apply(result orderResult) (mayHaveOrder bool) {
 	switch result := result.(type) {
 	case orderSent:
 		delete(r.unreportedAt, result.order.upstream.ID)
 		r.orders[result.order.upstream.ID] = &result.order
+		return !result.order.sentAt.IsZero()
 	case orderUnneeded:
 		delete(r.unreportedAt, result.upstream)
 	case engineUnreported:
 		r.unreportedAt[result.upstream] = result.at
 	}
+	return false
 }
 
 // sendOrder sends one order. checkOrder observes its effect. It changes no state of r that
