Keep sums of peers' loads and look at each version of weights once a choice

Cause: a choice among 192 engines summed the reports of 55 peers for each of them, and hashed the parts of the prompt, looked up stores and expiry for each, though these depend on the version of the weights alone. A coordinator makes some 500 choices a second.

Change: Fleet keeps the sums; weightsOption is determined once for each version; without any named limit none is looked up.

--- a/loomcache/residency.go
+++ b/loomcache/residency.go
@@ -122,9 +122,27 @@
 	e.tokens -= part.tokens
 }
 
+// PartKeys identifies parts of a prompt under a salt, for CachedTokensOf.
+type PartKeys []uint64
+
+// NewPartKeys returns the keys of parts.
+func NewPartKeys(salt string, parts []PromptPart) PartKeys {
+	keys := make(PartKeys, 0, len(parts))
+	for _, p := range parts {
+		keys = append(keys, partKey(salt, p.ID))
+	}
+	return keys
+}
+
 // CachedTokens returns the number of leading tokens of the parts that an engine
 // is expected to have cached.
 func (r *Residency) CachedTokens(engine, salt string, parts []PromptPart) int {
+	return r.CachedTokensOf(engine, NewPartKeys(salt, parts), parts)
+}
+
+// CachedTokensOf is like CachedTokens for parts with known keys, which it is cheaper to
+// compute once than for each engine.
+func (r *Residency) CachedTokensOf(engine string, keys PartKeys, parts []PromptPart) int {
 	r.mu.RLock()
 	e, ok := r.engines[engine]
 	r.mu.RUnlock()
@@ -134,8 +152,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	cached := 0
-	for _, p := range parts {
-		if _, ok := e.byKey[partKey(salt, p.ID)]; !ok {
+	for i, p := range parts {
+		if _, ok := e.byKey[keys[i]]; !ok {
 			return cached
 		}
 		cached += p.Tokens
--- a/loomgate/choose.go
+++ b/loomgate/choose.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"swiftloom/loomcache"
 	"swiftloom/loomcatalogue"
 	"swiftloom/loommember"
 	"swiftloom/loomroute"
@@ -79,14 +80,17 @@
 	for _, id := range q.gate.fleet.Ejected(now, ids) {
 		ejected[id] = true
 	}
-	set := candidateSet{versions: make(map[string]uint64, len(upstreams))}
+	set := candidateSet{fresh: make([]loomroute.Candidate, 0, len(upstreams)), versions: make(map[string]uint64, len(upstreams))}
+	q.weights = make(map[uint64]*weightsOption)
 	for _, u := range upstreams {
-		set.versions[u.ID] = u.Version(q.prompt.Model)
-		if q.hasExpiredWeights(now, u) {
+		version := u.Version(q.prompt.Model)
+		set.versions[u.ID] = version
+		weights := q.weightsOption(now, version)
+		if weights.isExpired {
 			continue
 		}
-		c := q.candidate(now, u)
-		c.Suspect = ejected[u.ID] || q.gate.fleet.IsSuspect(now, u.ID) || slices.Contains(q.suspectIDs, u.ID)
+		c := q.candidate(now, u, weights)
+		c.Suspect = c.Suspect || ejected[u.ID] || slices.Contains(q.suspectIDs, u.ID)
 		delay := q.gate.limits.delay(now, u).atLeast(q.connectionDelay(now, u.ID, c.Outstanding)).atLeast(q.holdOffDelay(now, u))
 		set.add(c, slices.Contains(q.triedIDs, u.ID), delay)
 	}
@@ -97,8 +101,40 @@
 // before the request starts there. The request may wait at the upstream for as
 // long as its caller does.
 func (q *placementQuery) hasExpiredWeights(now time.Time, u loommember.Upstream) bool {
-	model := q.prompt.Model
-	return q.hasPrompt && q.gate.view.weightsExpired(now, q.startTimeout, model, u.Version(model))
+	return q.weightsHaveExpired(now, u.Version(q.prompt.Model))
+}
+
+func (q *placementQuery) weightsHaveExpired(now time.Time, version uint64) bool {
+	return q.hasPrompt && q.gate.view.weightsExpired(now, q.startTimeout, q.prompt.Model, version)
+}
+
+// weightsOption is what a choice needs to know of one version of the weights. It is the same
+// for all upstreams that have them.
+type weightsOption struct {
+	isExpired, isOutdated bool
+	keys                  loomcache.PartKeys
+	// source is the store that holds the last reusable part, if there is one.
+	source    loomcache.StoreClass
+	hasSource bool
+}
+
+// weightsOption returns the option of a version, which it determines once for each choice.
+func (q *placementQuery) weightsOption(now time.Time, version uint64) *weightsOption {
+	if o, ok := q.weights[version]; ok {
+		return o
+	}
+	o := &weightsOption{isExpired: q.weightsHaveExpired(now, version)}
+	q.weights[version] = o
+	if !q.hasPrompt {
+		return o
+	}
+	o.isOutdated = version < q.gate.view.targetVersion(q.prompt.Model)
+	salt := q.cacheSalt(version)
+	o.keys = loomcache.NewPartKeys(salt, q.prompt.Parts)
+	if n := len(q.prompt.Parts); n > 0 {
+		o.source, o.hasSource = q.gate.stores.index.Source(salt, q.prompt.Parts[max(q.reusableParts(), 1)-1])
+	}
+	return o
 }
 
 // allSuspect reports whether every candidate is suspect.
@@ -108,7 +144,7 @@
 
 // candidate returns an upstream as a candidate for the routing policy, with the
 // expected wait and the cached tokens. Penalties are added to the wait.
-func (q *placementQuery) candidate(now time.Time, u loommember.Upstream) loomroute.Candidate {
+func (q *placementQuery) candidate(now time.Time, u loommember.Upstream, weights *weightsOption) loomroute.Candidate {
 	c := loomroute.Candidate{ID: u.ID, FailureDomain: u.FailureDomain}
 	unit := q.unitTimeAt(u.ID)
 	estimate := q.gate.fleet.Estimate(now, u.ID, unit)
@@ -116,13 +152,13 @@
 	c.Wait = estimate.Wait
 	c.TokensAhead = int(estimate.Wait / unit)
 	c.Outstanding = estimate.Outstanding
+	c.Suspect = estimate.IsSuspect
 	if q.hasPrompt {
-		version := u.Version(q.prompt.Model)
-		c.CachedPrefix = q.gate.residency.CachedTokens(u.ID, q.cacheSalt(version), q.prompt.Parts)
-		if target := q.gate.view.targetVersion(q.prompt.Model); version < target {
+		c.CachedPrefix = q.gate.residency.CachedTokensOf(u.ID, weights.keys, q.prompt.Parts)
+		if weights.isOutdated {
 			c.Wait += oldWeightsPenalty
 		}
-		c.BlockTime = q.transferTime(u, version)
+		c.BlockTime = q.transferTime(u, weights)
 		if over := estimate.Memory + q.memoryTokens() - runningCapacity(q.group.Engine); over > 0 && estimate.Outstanding > 0 {
 			c.Wait += fullMemoryWait + time.Duration(over)*q.workUnitTime()
 		}
--- a/loomgate/gate_test.go
+++ b/loomgate/gate_test.go
@@ -159,7 +159,7 @@
 	return len(r.orders)
 }
 
-func newTestGate(t *testing.T, id string, s *fakeSource, r *fakeRunner) *Gate {
+func newTestGate(t testing.TB, id string, s *fakeSource, r *fakeRunner) *Gate {
 	t.Helper()
 	g, err := New(Settings{ID: id, OldWeightsTTL: 10 * time.Second, LeavingLimit: 2 * time.Second, RenewalInterval: 1200 * time.Millisecond, MinOrderGap: 3 * time.Second, RetryReserve: 10, RetryRatio: 0.2},
 		Options{Log: slog.New(slog.DiscardHandler), Source: s, Runner: r})
--- a/loomgate/kvcache.go
+++ b/loomgate/kvcache.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"swiftloom/loomcache"
 	"swiftloom/loomcatalogue"
 	"swiftloom/loommember"
 	"swiftloom/loomroute"
@@ -45,17 +46,17 @@
 }
 
 // transferTime returns the weighted time for transferring the KV cache of one
-// token to an engine. The source is the store that holds the last reusable
+// token to an engine with the given weights. The source is the store that holds the last reusable
 // part; if no store holds it, the engine's own link is assumed. The store's
 // time to the first byte is spread over the tokens of the part.
-func (q *placementQuery) transferTime(u loommember.Upstream, version uint64) time.Duration {
+func (q *placementQuery) transferTime(u loommember.Upstream, weights *weightsOption) time.Duration {
 	parts := q.prompt.Parts
 	if len(parts) == 0 {
 		return 0
 	}
 	last := parts[max(q.reusableParts(), 1)-1]
-	source, found := q.gate.stores.index.Source(q.cacheSalt(version), last)
-	if !found || last.Tokens == 0 {
+	source := weights.source
+	if !weights.hasSource || last.Tokens == 0 {
 		return linkTokenTime(q.group.Engine) * transferWeight
 	}
 	perToken := source.PerToken
@@ -141,9 +142,10 @@
 // prefers an engine in the failure domain of the selected one.
 func (q *placementQuery) cachingEngine(now time.Time, p placement, salt string, parts []PromptPart) string {
 	last := parts[len(parts)-1:]
+	keys := loomcache.NewPartKeys(salt, last)
 	address := ""
 	for _, u := range q.gate.usableUpstreams(now, q.group.Name) {
-		if u.ID == p.upstream.ID || u.Version(q.prompt.Model) != p.version || q.gate.residency.CachedTokens(u.ID, salt, last) == 0 {
+		if u.ID == p.upstream.ID || u.Version(q.prompt.Model) != p.version || q.gate.residency.CachedTokensOf(u.ID, keys, last) == 0 {
 			continue
 		}
 		if u.FailureDomain == p.upstream.FailureDomain {
--- a/loomgate/limits.go
+++ b/loomgate/limits.go
@@ -4,6 +4,7 @@
 	"math"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"swiftloom/loomlimit"
@@ -27,6 +28,9 @@
 	gate  *Gate
 	parts limitParts
 
+	// hasHeard is set once any upstream has named a limit. Until then none holds.
+	hasHeard atomic.Bool
+
 	mu sync.RWMutex
 	// byID is keyed by upstream ID.
 	byID map[string]*upstreamLimit
@@ -94,6 +98,7 @@
 	}
 	s := loomlimit.LimitStatement{IsLimited: limit.IsNamed, Rate: limit.PerSecond, HeardAt: now}
 	before := e.rate.Statement()
+	l.hasHeard.Store(true)
 	if e.rate.Hear(now, s) {
 		l.logChange(now, e, before, "")
 	}
@@ -111,6 +116,7 @@
 		e.mu.Lock()
 		if e.setIncarnation(m.GetIncarnation()) {
 			before := e.rate.Statement()
+			l.hasHeard.Store(true)
 			s := loomlimit.LimitStatement{
 				IsLimited: m.GetIsLimited(),
 				Rate:      m.GetRequestsPerSecond(),
@@ -172,6 +178,9 @@
 
 // delay returns how long requests to an upstream are held here.
 func (l *upstreamLimits) delay(now time.Time, u loommember.Upstream) limitDelay {
+	if !l.hasHeard.Load() {
+		return limitDelay{}
+	}
 	e := l.entry(u)
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/loomgate/placement.go
+++ b/loomgate/placement.go
@@ -43,6 +43,8 @@
 	// prefersIdle is set once the request has waited for so long that it would be refused
 	// soon. It then goes to an upstream without any work, if there is one.
 	prefersIdle bool
+	// weights holds the options of the versions of the weights, during a choice.
+	weights map[uint64]*weightsOption
 	// isWanted is set once the demand of the attempt has been counted at the upstream
 	// that it would go to without limits.
 	isWanted bool
--- a/loomroute/fleet.go
+++ b/loomroute/fleet.go
@@ -70,6 +70,35 @@
 	// peers holds the load that other instances reported to have at this
 	// upstream, by the ID of the instance.
 	peers map[string]peerLoad
+	// peerSum is the sum over peers.
+	peerSum peerSum
+}
+
+// peerSum is the sum of the loads of peers at an upstream. A choice reads it for each
+// candidate, so it is kept up to date in place of being computed.
+type peerSum struct {
+	outstanding, tokens, memory int
+	// oldestAt is no later than the oldest of the reports, latestAt the time of the latest.
+	oldestAt, latestAt time.Time
+}
+
+func (s *peerSum) add(p peerLoad) {
+	s.outstanding += p.outstanding
+	s.tokens += p.tokens
+	s.memory += p.memory
+	if s.oldestAt.IsZero() || p.at.Before(s.oldestAt) {
+		s.oldestAt = p.at
+	}
+	if p.at.After(s.latestAt) {
+		s.latestAt = p.at
+	}
+}
+
+// remove removes a load, whose time may stay the oldest or the latest.
+func (s *peerSum) remove(p peerLoad) {
+	s.outstanding -= p.outstanding
+	s.tokens -= p.tokens
+	s.memory -= p.memory
 }
 
 type peerLoad struct {
@@ -118,39 +147,57 @@
 	defer s.mu.Unlock()
 	for id, l := range s.upstreams {
 		if _, ok := byUpstream[id]; !ok {
-			delete(l.peers, peer)
+			l.removePeerLoad(peer)
 		}
 	}
 }
 
+func (l *upstreamLoad) removePeerLoad(peer string) {
+	p, ok := l.peers[peer]
+	if !ok {
+		return
+	}
+	delete(l.peers, peer)
+	l.peerSum.remove(p)
+	if len(l.peers) == 0 {
+		l.peerSum = peerSum{}
+	}
+}
+
 func (l *upstreamLoad) setPeerLoad(peer string, p peerLoad) {
 	if l.peers == nil {
 		l.peers = make(map[string]peerLoad)
 	}
+	l.peerSum.remove(l.peers[peer])
 	l.peers[peer] = p
+	l.peerSum.add(p)
 }
 
 // peerTotals sums the load of all peers and deletes expired reports. The wait
 // is reduced by the time since the latest report, in which the upstream has
 // continued to compute.
 func (l *upstreamLoad) peerTotals(now time.Time, tokenTime time.Duration) (wait time.Duration, outstanding, memory int) {
-	var latest time.Time
+	if now.Sub(l.peerSum.oldestAt) > peerLoadTTL {
+		l.removeExpiredPeers(now)
+	}
+	sum := l.peerSum
+	wait = time.Duration(sum.tokens) * tokenTime
+	if wait > 0 {
+		wait = max(wait-now.Sub(sum.latestAt), 0)
+	}
+	return wait, sum.outstanding, sum.memory
+}
+
+// removeExpiredPeers deletes expired reports and computes the sum anew.
+func (l *upstreamLoad) removeExpiredPeers(now time.Time) {
+	l.peerSum = peerSum{}
 	for peer, p := range l.peers {
 		if now.Sub(p.at) > peerLoadTTL {
 			delete(l.peers, peer)
 			continue
 		}
-		wait += time.Duration(p.tokens) * tokenTime
-		outstanding += p.outstanding
-		memory += p.memory
-		if p.at.After(latest) {
-			latest = p.at
-		}
+		l.peerSum.add(p)
 	}
-	if wait > 0 {
-		wait = max(wait-now.Sub(latest), 0)
-	}
-	return wait, outstanding, memory
 }
 
 // LocalLoads returns the load of this instance at each upstream where it has
@@ -434,9 +481,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l, ok := s.upstreams[id]
-	if !ok {
-		return false
-	}
+	return ok && l.isSuspect(now)
+}
+
+func (l *upstreamLoad) isSuspect(now time.Time) bool {
 	return now.Before(l.unreachableUntil) || (l.connectFailures > 0 && len(l.inFlight) > 0) || l.isSilent(now)
 }
 
@@ -519,6 +567,8 @@
 	// Memory is the number of tokens that the requests of this instance and its
 	// peers occupy in the upstream's cache memory.
 	Memory int
+	// IsSuspect is as Fleet.IsSuspect returns it.
+	IsSuspect bool
 }
 
 // Estimate returns the estimated load of an upstream. The reported queue is
@@ -551,7 +601,7 @@
 	if over := outstanding - l.report.BatchLimit; l.report.BatchLimit > 0 && over > 0 {
 		wait += time.Duration(over) * batchSlotTime
 	}
-	return Estimate{Known: !l.reportedAt.IsZero(), Wait: wait, Outstanding: outstanding, Memory: memory + peerMemory}
+	return Estimate{Known: !l.reportedAt.IsZero(), Wait: wait, Outstanding: outstanding, Memory: memory + peerMemory, IsSuspect: l.isSuspect(now)}
 }
 
 // batchSlotTime is the expected time until the next slot of a full batch becomes
