Let the instances of a domain learn together which upstreams are silent

Cause: each instance learned by its own lost requests that an upstream accepts no connections or answers none. At 295 instances and 192 engines nearly every first request to a silent engine was lost for 0.4 s, and the two unanswered requests that make an upstream suspect hardly ever came together at one instance.

Change: exchanges carry which upstreams have sent anything and which are not reached. Two peers of the domain that fail make an upstream suspect for all, with the known backoff, unless one has reached it in the last 0.4 s; afterwards one failure is enough until it is reached again.

--- a/loomgate/exchange.go
+++ b/loomgate/exchange.go
@@ -89,6 +89,9 @@
 	p.pendingPlacements, p.pendingSamples = nil, nil
 	p.mu.Unlock()
 	g := p.gate
+	now := time.Now()
+	reached, failing := g.fleet.Contacts(now, p.contactsAt)
+	p.contactsAt = now
 	r := &loompb.ExchangeRequest{
 		From:             g.settings.ID,
 		Incarnation:      g.incarnation,
@@ -100,6 +103,8 @@
 		Weights:          g.rollout.loadingReports(time.Now()),
 		Limits:           g.limits.reports(time.Now()),
 		Leaving:          g.view.leavingReports(time.Now()),
+		ReachedIds:       reached,
+		FailingIds:       failing,
 	}
 	for _, l := range p.reportedLoads() {
 		r.Loads = append(r.Loads, &loompb.UpstreamLoad{UpstreamId: l.ID, Outstanding: uint32(l.Outstanding), PendingTokens: uint32(l.Tokens), MemoryTokens: uint32(l.Memory)})
@@ -299,6 +304,9 @@
 	}
 	g.queues.elsewhere.set(now, r.GetFrom(), r.GetQueued())
 	g.fleet.SetPeerLoads(now, r.GetFrom(), loads)
+	if g.peers.isNear(r.GetFrom()) {
+		g.fleet.ApplyPeerContacts(now, r.GetFrom(), r.GetReachedIds(), r.GetFailingIds())
+	}
 	for _, pl := range r.GetPlacements() {
 		g.residency.RecordPrompt(pl.GetUpstreamId(), pl.GetSalt(), []PromptPart{{ID: pl.GetPart(), Tokens: int(pl.GetTokens())}}, g.cacheCapacityOf(pl.GetUpstreamId()))
 	}
--- a/loomgate/peers.go
+++ b/loomgate/peers.go
@@ -56,6 +56,9 @@
 	// hasRows is closed once the instance rows have been read.
 	hasRows     chan struct{}
 	hasRowsOnce sync.Once
+	// contactsAt is when the contact with upstreams was last reported. Only exchangeLoop
+	// uses it.
+	contactsAt time.Time
 	// own is the platform's row of this instance. Only watchInstances uses it.
 	own ownRow
 }
@@ -265,6 +268,15 @@
 	p.gate.log.Info("peer_found", "peer", id, "address", r.Address, "incarnation", r.Incarnation)
 }
 
+// isNear reports whether a peer is known to be in this instance's failure domain, so that the
+// same upstreams are reachable from both unless one of them fails.
+func (p *peers) isNear(id string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	peer, ok := p.byID[id]
+	return ok && peer.row.FailureDomain == p.gate.settings.FailureDomain
+}
+
 func (p *peer) close() {
 	_ = p.conn.Close()
 }
--- a/loomgate/place_test.go
+++ b/loomgate/place_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"swiftloom/loomcatalogue"
+	"swiftloom/loomupstream"
 )
 
 // largeFleet is a fleet with more instances than may watch an upstream. Its callers
@@ -25,6 +26,9 @@
 	// coordinatorsDown is the number of coordinators that answer no calls in the
 	// second half.
 	coordinatorsDown int
+	// silentEngines is the number of engines to which no connection can be opened after a
+	// quarter of the time.
+	silentEngines int
 }
 
 // fleetResult is what the callers and the engines of a largeFleet saw.
@@ -38,6 +42,8 @@
 	readAgain float64
 	// busiest is the ratio of the tokens read at the busiest engine to the mean.
 	busiest float64
+	// lost is the number of attempts at silent engines.
+	lost int
 }
 
 // play plays twenty seconds at 40 instances of two failure domains before 20 engines.
@@ -70,6 +76,10 @@
 	random := rand.New(rand.NewPCG(1, 1))
 	var onTime, failed, total atomic.Int64
 	shared := 0
+	var lost atomic.Int64
+	for _, g := range gates {
+		g.runner = silentEngines{modelEngines: model, from: time.Now().Add(length / 4), count: f.silentEngines, lost: &lost}
+	}
 	var running sync.WaitGroup
 	start := time.Now()
 	for n := 0; time.Since(start) < length; n++ {
@@ -97,7 +107,7 @@
 		time.Sleep(time.Duration(random.ExpFloat64() * float64(meanGap)))
 	}
 	running.Wait()
-	result := fleetResult{onTime: float64(onTime.Load()) / float64(total.Load()), failed: int(failed.Load())}
+	result := fleetResult{lost: int(lost.Load()), onTime: float64(onTime.Load()) / float64(total.Load()), failed: int(failed.Load())}
 	read, most := 0, 0
 	for _, e := range model.engines {
 		result.readAgain += float64(e.readAgain) / float64(shared)
@@ -150,6 +160,45 @@
 	}
 }
 
+// silentEngines are engines of which some accept no connections from a time on.
+type silentEngines struct {
+	*modelEngines
+
+	from  time.Time
+	count int
+	lost  *atomic.Int64
+}
+
+// Send implements loomupstream.Runner.
+func (m silentEngines) Send(ctx context.Context, address string, s loomupstream.Send) (*loomupstream.Reply, error) {
+	const dialTimeout = 400 * time.Millisecond
+	for i := range m.count {
+		if s.Upstream == fmt.Sprint("e", i) && time.Now().After(m.from) {
+			m.lost.Add(1)
+			if err := sleep(ctx, dialTimeout); err != nil {
+				return nil, &loomupstream.SendError{Cause: err}
+			}
+			return nil, &loomupstream.SendError{Unreachable: true, Cause: errDown}
+		}
+	}
+	return m.modelEngines.Send(ctx, address, s)
+}
+
+// TestSilentEnginesAreLearntTogether answers the load of a fleet of which a quarter of the
+// engines falls silent: an instance learns of it from the others, and doesn't lose a request
+// to each of them.
+func TestSilentEnginesAreLearntTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		result := largeFleet{hasCoordinators: true, silentEngines: 5}.play(t)
+		t.Logf("%+v", result)
+		// Each coordinator may lose two requests until it hears of both failures, and one each
+		// time that it tries an engine again, six times in fifteen seconds.
+		const engines, coordinators, first, again = 5, 4, 2, 6
+		assert.Check(t, result.lost <= engines*coordinators*(first+again), "%d attempts at silent engines", result.lost)
+		assert.Check(t, result.onTime >= 0.9, "on time: %.3f", result.onTime)
+	})
+}
+
 // TestRequestLeavesEngineThatStaysFull guards against a request that waits until its
 // caller leaves for the engine that caches its prompt, while another one is idle.
 func TestRequestLeavesEngineThatStaysFull(t *testing.T) {
--- a/loomroute/fleet.go
+++ b/loomroute/fleet.go
@@ -71,7 +71,8 @@
 	// upstream, by the ID of the instance.
 	peers map[string]peerLoad
 	// peerSum is the sum over peers.
-	peerSum peerSum
+	peerSum  peerSum
+	contacts peerContacts
 }
 
 // peerSum is the sum of the loads of peers at an upstream. A choice reads it for each
@@ -442,10 +443,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.upstream(id)
-	l.unreachableUntil = now.Add(min(minUnreachableTime<<min(l.connectFailures, maxUnreachableDoublings), maxUnreachableTime))
+	l.unreachableUntil = now.Add(unreachableTime(l.connectFailures))
 	l.connectFailures++
 }
 
+// unreachableTime returns how long an upstream is suspect after a number of earlier failures.
+func unreachableTime(failures int) time.Duration {
+	return min(minUnreachableTime<<min(failures, maxUnreachableDoublings), maxUnreachableTime)
+}
+
 // maxUnreachableDoublings bounds the exponent of the unreachable time, so that
 // the shift does not overflow.
 const maxUnreachableDoublings = 4
@@ -470,6 +476,7 @@
 	l.receivedAt = now
 	l.unreachableUntil = time.Time{}
 	l.connectFailures = 0
+	l.contacts.reached(now)
 }
 
 // IsSuspect reports whether a recent connection to an upstream failed, or the
@@ -485,7 +492,8 @@
 }
 
 func (l *upstreamLoad) isSuspect(now time.Time) bool {
-	return now.Before(l.unreachableUntil) || (l.connectFailures > 0 && len(l.inFlight) > 0) || l.isSilent(now)
+	return now.Before(l.unreachableUntil) || (l.connectFailures > 0 && len(l.inFlight) > 0) || l.isSilent(now) ||
+		l.contacts.isSuspect(now, len(l.inFlight))
 }
 
 // isSilent reports whether the upstream has sent nothing for silenceTimeout
