Read the instance rows every 15 s where a coordinator is

Cause: renewals of the rollout lease change the table of the instance rows, so each of 289 instances that have a coordinator read it every 5 s through a rollout.

Change: every 15 s, and at once after the loss of all coordinators.

--- a/loomgate/peers.go
+++ b/loomgate/peers.go
@@ -23,7 +23,7 @@
 	// instanceRowsInterval is the least time between two reads of the instance
 	// rows, and reporterRowsInterval that of an instance that has a coordinator.
 	instanceRowsInterval = time.Second
-	reporterRowsInterval = 5 * time.Second
+	reporterRowsInterval = 15 * time.Second
 	// peerBufferBytes is the size in bytes of each read and write buffer of a
 	// connection between peers.
 	peerBufferBytes = 4 << 10
@@ -145,7 +145,7 @@
 			full = false
 			p.applyPage(page)
 			p.announceAgain(ctx)
-			if loomkernel.Sleep(ctx, p.gate.jitter(p.rowsInterval())) != nil {
+			if p.awaitNextRead(ctx) != nil {
 				return
 			}
 		case errors.Is(err, ErrHistoryLost):
@@ -163,6 +163,20 @@
 	}
 }
 
+// awaitNextRead waits until the instance rows are to be read again. It ends early when the
+// instance loses its coordinators, since others may have been elected.
+func (p *peers) awaitNextRead(ctx context.Context) error {
+	for start := time.Now(); ; {
+		rest := p.rowsInterval() - time.Since(start)
+		if rest <= 0 {
+			return nil
+		}
+		if err := loomkernel.Sleep(ctx, p.gate.jitter(min(rest, instanceRowsInterval))); err != nil {
+			return err
+		}
+	}
+}
+
 // rowsInterval returns the least time between two reads of the instance rows.
 func (p *peers) rowsInterval() time.Duration {
 	if p.gate.coordinators.hasCoordinator() {
