Draw on the retry budget only for attempts that have reached an upstream

Cause: the budget bounds what upstreams get beyond the first sends, but an attempt that could not connect, or wrote nothing, drew on it too. With a quarter of the engines unreachable, a quarter of the attempts must go elsewhere and the budget allows 16 in 100, so requests were refused that any other engine would have served.

Change: an unsent attempt is followed by another one while fewer than four were made.

Result: TestUnsentAttemptsDrawOnNoBudget failed with one attempt and passes with four.

--- a/loomstream/lifecycle.go
+++ b/loomstream/lifecycle.go
@@ -329,6 +329,10 @@
 	}
 	if l.state == Sending {
 		l.state = Queued
+		if l.attempts < MaxAttempts {
+			// Nothing has arrived, so the budget is not touched.
+			return l.retryAfterPause()
+		}
 		return l.retry(now, loomerror.New(loomerror.NoUpstream, "upstream unreachable after %d of %d attempts", l.attempts, MaxAttempts))
 	}
 	if l.state == Queued {
@@ -385,11 +389,11 @@
 	return Fail{Err: loomerror.New(loomerror.OutcomeUnknown, "connection to the upstream lost before the answer; the request may have run")}
 }
 
-// retry requests another attempt if the number of attempts and the retry budget
-// allow one, and otherwise fails the request with err.
+// retry requests another attempt after one that an upstream has received, if the number of
+// attempts and the retry budget allow one, and otherwise fails the request with err.
 func (l *Lifecycle) retry(now time.Time, err *loomerror.Error) Action {
 	if l.attempts < MaxAttempts && l.budget.Withdraw(now) {
-		return Retry{After: l.backoff.Pause(l.attempts), Pinned: len(l.answer) > 0}
+		return l.retryAfterPause()
 	}
 	if len(l.answer) > 0 {
 		return l.cut("answer truncated: connection to the upstream lost")
@@ -399,6 +403,11 @@
 	return Fail{Err: err.WithNotRun(notRun).WithRetryAfter(retryAfter)}
 }
 
+// retryAfterPause requests another attempt.
+func (l *Lifecycle) retryAfterPause() Action {
+	return Retry{After: l.backoff.Pause(l.attempts), Pinned: len(l.answer) > 0}
+}
+
 // cut fails a request whose answer was relayed in part.
 func (l *Lifecycle) cut(message string) Action {
 	l.state = Answered
--- a/loomstream/lifecycle_test.go
+++ b/loomstream/lifecycle_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -327,3 +328,32 @@
 		})
 	}
 }
+
+// TestUnsentAttemptsDrawOnNoBudget checks that a request reaches another upstream although the
+// retry budget is used up, as long as none of its attempts has reached one: the budget
+// bounds what upstreams get, and a quarter of them may be unreachable at once.
+func TestUnsentAttemptsDrawOnNoBudget(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, tt := range []struct {
+		name string
+		end  func(attempt string) loomstream.Event
+		want int
+	}{
+		{"not connected", func(a string) loomstream.Event { return loomstream.Broken{Attempt: a} }, loomstream.MaxAttempts},
+		{"refused", func(a string) loomstream.Event { return loomstream.Refused{Attempt: a} }, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			budget := loomstream.NewRetryBudgetOf(0, 0)
+			l := loomstream.NewLifecycle(false, budget, loomstream.NewBackoff(rand.New(rand.NewPCG(1, 1))))
+			attempts := 0
+			for again := true; again; {
+				attempts++
+				a := strconv.Itoa(attempts)
+				l.Apply(now, loomstream.Dispatched{Attempt: a})
+				_, again = l.Apply(now, tt.end(a)).(loomstream.Retry)
+			}
+			assert.Equal(t, attempts, tt.want)
+			assert.Equal(t, budget.Balance(), 0.0)
+		})
+	}
+}
