--- a/loomgate/relay.go
+++ b/loomgate/relay.go
@@ -24,13 +24,7 @@
 		d.gate.log.Debug("upstream_closes", "upstream", d.upstream.ID, "request_id", d.req.RequestID)
 	}
 	isOwn := reply.RequestID == d.req.RequestID
-	if isOwn {
-		d.hearLimit(now, reply)
-	}
-	isOther := reply.UpstreamID != "" && reply.UpstreamID != d.upstream.ID
-	if !isOther && (isOwn || (reply.NotRun && reply.RequestID == "")) {
-		d.gate.hear(now, d.upstream, reply.Said, "answer")
-	}
+	d.hear(now, reply)
 	if reply.NotRun && (isOwn || reply.RequestID == "") {
 		return d.handleRefusal(ctx, now, reply)
 	}
@@ -50,14 +44,19 @@
 	return d.relayBuffered(ctx, reply)
 }
 
-// hearLimit applies what a response to the current attempt says about the limit of the
-// upstream, if the upstream itself has sent it.
-func (d *dispatch) hearLimit(now time.Time, reply *loomupstream.Reply) {
-	isOther := reply.UpstreamID != "" && reply.UpstreamID != d.upstream.ID
-	if isOther || (!reply.Stamped && !reply.NotRun) {
+// hear applies what a response to the current attempt says of the upstream, if the upstream
+// itself has sent it for this request.
+func (d *dispatch) hear(now time.Time, reply *loomupstream.Reply) {
+	if reply.UpstreamID != "" && reply.UpstreamID != d.upstream.ID {
 		return
 	}
-	d.gate.limits.hear(now, d.upstream, reply)
+	isOwn := reply.RequestID == d.req.RequestID
+	if isOwn && (reply.Stamped || reply.NotRun) {
+		d.gate.limits.hear(now, d.upstream, reply)
+	}
+	if isOwn || (reply.NotRun && reply.RequestID == "") {
+		d.gate.hear(now, d.upstream, reply.Said, "answer")
+	}
 }
 
 // handleFailedContinuation handles a response to an attempt that was to continue a
--- a/loomgate/rollout_test.go
+++ b/loomgate/rollout_test.go
@@ -57,6 +57,7 @@
 // engines: orders come evenly over the share of the time that is meant for them, however
 // many engines there are and whether some of them don't answer.
 func TestRolloutKeepsItsPaceInLargeGroups(t *testing.T) {
+	t.Parallel()
 	const (
 		engines = 192
 		ttl     = 5 * time.Second
--- a/loommember/statement_test.go
+++ b/loommember/statement_test.go
@@ -14,7 +14,7 @@
 
 func TestHoldOffWait(t *testing.T) {
 	start := time.Unix(100, 0)
-	at := func(d time.Duration) time.Time { return start.Add(d) }
+	at := start.Add
 	held := loommember.HoldOff{}.WithRefusal(start, 1, 2*time.Second)
 	tests := []struct {
 		name        string
--- a/loomroute/contact_test.go
+++ b/loomroute/contact_test.go
@@ -11,7 +11,7 @@
 
 func TestPeerContacts(t *testing.T) {
 	at := time.Unix(1000, 0)
-	after := func(d time.Duration) time.Time { return at.Add(d) }
+	after := at.Add
 	fail := func(f *loomroute.Fleet, d time.Duration, peer string) {
 		f.ApplyPeerContacts(after(d), peer, nil, []string{"a"})
 	}
