Keep plain calls and most event polls away from coordinators

A coordinator makes the choices of some 50 instances, a quarter of them for plain calls, and polls the events of 233 engines and stores up to four times a second each.

Change: an instance chooses the upstream of a plain call itself unless a limit has been heard of. The pause between two polls that bring events grows with the number of watches.

--- a/loomgate/place.go
+++ b/loomgate/place.go
@@ -39,6 +39,9 @@
 // instance is to choose by itself: it is a coordinator, the fleet has none, or
 // none answers.
 func (d *dispatch) askCoordinator(ctx context.Context, now time.Time, mode placeMode) (placement, bool) {
+	if !d.needsCoordinator() {
+		return placement{}, false
+	}
 	choices := d.gate.coordinators.choices()
 	if len(choices) == 0 {
 		return placement{}, false
@@ -61,6 +64,13 @@
 	return placement{}, false
 }
 
+// needsCoordinator reports whether the choice depends on what only coordinators know: what
+// engines cache and how much they have to read, or the parts of limits. A plain call takes
+// a few milliseconds at any upstream, so a call to a coordinator would cost it as much.
+func (d *dispatch) needsCoordinator() bool {
+	return d.hasPrompt || d.gate.limits.hasHeard.Load()
+}
+
 // newPlaceRequest returns the message that asks for an upstream.
 func (d *dispatch) newPlaceRequest(now time.Time, mode placeMode) *loompb.PlaceRequest {
 	r := &loompb.PlaceRequest{
--- a/loomgate/stores.go
+++ b/loomgate/stores.go
@@ -19,8 +19,10 @@
 	// events. Stores treat shorter calls as probes.
 	watchHoldTime = 900 * time.Millisecond
 	// busyWatchPause separates the calls to a busy store, whose events would
-	// otherwise be answered at once.
-	busyWatchPause = 250 * time.Millisecond
+	// otherwise be answered at once. busyWatchSpacing is the least time for each
+	// watch, which bounds the calls of an instance that has many.
+	busyWatchPause   = 250 * time.Millisecond
+	busyWatchSpacing = 6 * time.Millisecond
 	// watchRetryDelay is the mean pause after a failed call.
 	watchRetryDelay = 400 * time.Millisecond
 	// watchStartDelay is how long the watches wait for the instance rows, which
@@ -226,12 +228,19 @@
 		isDown = false
 		answeredAt = time.Now()
 		since = s.applyEvents(time.Now(), address, since, events)
-		if len(events.Events) > 0 && loomkernel.Sleep(ctx, busyWatchPause) != nil {
+		if len(events.Events) > 0 && loomkernel.Sleep(ctx, s.busyPause()) != nil {
 			return
 		}
 	}
 }
 
+// busyPause returns the pause between two calls of a watch that brings events.
+func (s *storeWatcher) busyPause() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(busyWatchPause, time.Duration(len(s.watched))*busyWatchSpacing)
+}
+
 // engineAt returns the engine at a watched address, or false if that is a store.
 func (s *storeWatcher) engineAt(address string) (loommember.Upstream, bool) {
 	s.mu.Lock()
