Use all watches that upstreams accept for coordinators

Cause: with 12 watches and 6 failure domains, 0.6 of the watches make one coordinator a domain.

None have to be kept for a change of coordinators: those of a failed one end within 0.9 s, and its successor is elected 8 s after it falls silent.

--- a/loomgate/coordinators.go
+++ b/loomgate/coordinators.go
@@ -8,10 +8,6 @@
 )
 
 const (
-	// coordinatorShare is the share of the event watches that an upstream
-	// accepts which the coordinators of all failure domains use together. The
-	// rest is left for times at which instances disagree on who coordinates.
-	coordinatorShare = 0.6
 	// instancesPerCoordinator is the number of instances of a failure domain that
 	// one coordinator serves, and minCoordinators the number that a domain has in
 	// any case, so that one may fail.
@@ -70,13 +66,14 @@
 
 // electCoordinators returns the coordinators of each failure domain, in order,
 // when all of them together may use a number of event watches of an upstream. Each
-// domain has at least one.
+// domain has at least one. None are kept back: the watches of a coordinator that fails
+// end within watchHoldTime, and its successor is elected later.
 func electCoordinators(members []fleetMember, watches int) map[string][]string {
 	elected := make(map[string][]string)
 	for _, m := range members {
 		elected[m.failureDomain] = nil
 	}
-	most := max(int(coordinatorShare*float64(watches))/max(len(elected), 1), 1)
+	most := max(watches/max(len(elected), 1), 1)
 	for domain := range elected {
 		ranked := rankCoordinators(members, domain)
 		wanted := max((len(ranked)+instancesPerCoordinator-1)/instancesPerCoordinator, minCoordinators)
--- a/loomgate/coordinators_test.go
+++ b/loomgate/coordinators_test.go
@@ -36,6 +36,7 @@
 		{"more watches", 1400, 7, 0, 200, 10},
 		{"one watch for each domain at least", 30, 4, 0, 3, 1},
 		{"two for a small domain", 24, 3, 0, 12, 2},
+		{"all watches of a large fleet", 295, 6, 3, 12, 2},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
