Check queues less often while coordinators have no capacity

Change: the time between two checks by way of a coordinator doubles with each in vain, up to 240 ms; a first event of one engine triggers no call.

--- a/loomgate/queue.go
+++ b/loomgate/queue.go
@@ -26,9 +26,11 @@
 	maxUrgentRank = 1
 	// queueInterval is the time between two checks of a queue when no other
 	// event triggers one, and remoteQueueInterval the time if each check is a
-	// call to a coordinator.
-	queueInterval       = 20 * time.Millisecond
-	remoteQueueInterval = 60 * time.Millisecond
+	// call to a coordinator. That time doubles with each check in vain, up to
+	// maxRemoteQueueInterval.
+	queueInterval          = 20 * time.Millisecond
+	remoteQueueInterval    = 60 * time.Millisecond
+	maxRemoteQueueInterval = 240 * time.Millisecond
 	// A caller abandons a stream that has not started after abandonFactor times
 	// the objective or abandonPauseFactor times the pause objective of the
 	// route, whichever is longer, but not before minAbandonTime.
@@ -63,6 +65,10 @@
 	heldDemand loomlimit.Demand
 	// isTicking is set while a goroutine checks the queue periodically.
 	isTicking bool
+	// isRemote is set if the latest check was a call to a coordinator, and vainChecks the
+	// number of checks since a request last had its turn.
+	isRemote   bool
+	vainChecks int
 }
 
 func newQueues(g *Gate) *queues {
@@ -152,11 +158,8 @@
 	wake := make(chan struct{}, 1)
 	q.waiters.Push(waiter)
 	q.wakeups[waiter.ID] = wake
-	interval := queueInterval
-	if d.coordinator != "" {
-		interval = remoteQueueInterval
-	}
-	q.startTicker(interval)
+	q.isRemote = d.coordinator != ""
+	q.startTicker()
 	q.mu.Unlock()
 	return d.waitTurn(ctx, q, waiter, wake)
 }
@@ -312,12 +315,39 @@
 		if err := d.place(ctx, now, placeIfFree); err != nil {
 			return err
 		}
-		if d.tryStart(now) {
+		hasStarted := d.tryStart(now)
+		q.recordCheck(d.coordinator != "", hasStarted)
+		if hasStarted {
 			return nil
 		}
 	}
 }
 
+// recordCheck records a check of the queue, by way of a coordinator if isRemote is set, and
+// whether a request had its turn.
+func (q *groupQueue) recordCheck(isRemote, hasStarted bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.isRemote = isRemote
+	q.vainChecks++
+	if hasStarted {
+		q.vainChecks = 0
+	}
+}
+
+// checkInterval returns the time until the next check. A coordinator hears of capacity sooner
+// than the instances that ask it, of which the next one takes it, so the checks of all of
+// them in vain would only keep it busy.
+func (q *groupQueue) checkInterval() time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.isRemote {
+		return queueInterval
+	}
+	const maxDoublings = 8
+	return min(remoteQueueInterval<<min(q.vainChecks, maxDoublings), maxRemoteQueueInterval)
+}
+
 // remove removes a request from the queue.
 func (q *groupQueue) remove(id string) {
 	q.mu.Lock()
@@ -326,17 +356,17 @@
 	delete(q.wakeups, id)
 }
 
-// startTicker starts the goroutine that checks the queue at an interval for as long
+// startTicker starts the goroutine that checks the queue at checkInterval for as long
 // as it is not empty. The caller holds mu.
-func (q *groupQueue) startTicker(interval time.Duration) {
+func (q *groupQueue) startTicker() {
 	if q.isTicking {
 		return
 	}
 	q.isTicking = true
+	q.vainChecks = 0
 	go func() {
-		ticker := time.NewTicker(interval)
-		defer ticker.Stop()
-		for range ticker.C {
+		for {
+			time.Sleep(q.checkInterval())
 			if !q.wakeNext(time.Now()) {
 				return
 			}
--- a/loomgate/relay.go
+++ b/loomgate/relay.go
@@ -149,7 +149,10 @@
 	}
 	d.firstAt = now
 	d.gate.fleet.Started(d.ticket)
-	d.gate.queues.wakeFirst(d.req.group.Name)
+	if d.coordinator == "" {
+		// A coordinator has more to go by than one upstream's progress.
+		d.gate.queues.wakeFirst(d.req.group.Name)
+	}
 	d.gate.metrics.firstByte(d.req.group.Name, d.req.route.Kind, now.Sub(d.req.Received))
 	d.gate.observePrefill(d, now)
 }
