--- a/loomgate/events.go
+++ b/loomgate/events.go
@@ -1,6 +1,7 @@
 package loomgate
 
 import (
+	"strings"
 	"time"
 
 	"swiftloom/loomerror"
@@ -54,6 +55,35 @@
 		"cause", d.cause)
 }
 
+// logAttemptBroken logs what an attempt held whose connection ended before its answer was
+// complete, so that the requests that were in progress when an upstream ended can be told.
+func (g *Gate) logAttemptBroken(d *dispatch) {
+	g.metrics.brokenAttempts.Inc(1)
+	g.log.Info("attempt_broken",
+		"request_id", d.req.RequestID,
+		"attempt", d.attempts,
+		"upstream", d.upstream.ID,
+		"incarnation", d.upstream.Incarnation,
+		"status", d.status,
+		"attempt_events", d.lifecycle.Relayed()-d.relayedBefore,
+		"sent_ms", time.Since(d.sentAt).Milliseconds(),
+		"weights", d.version,
+		"parts", partIDs(d.req.Prompt),
+		"cause", d.cause)
+}
+
+// maxLoggedParts bounds the parts of a prompt in a line.
+const maxLoggedParts = 16
+
+// partIDs returns the IDs of the parts of a prompt for a line, separated by commas.
+func partIDs(p Prompt) string {
+	ids := make([]string, 0, min(len(p.Parts), maxLoggedParts))
+	for _, part := range p.Parts[:min(len(p.Parts), maxLoggedParts)] {
+		ids = append(ids, part.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // logDone logs the end of a request and updates the metrics.
 func (g *Gate) logDone(d *dispatch, failure *loomerror.Error) {
 	r := d.req
--- a/loomgate/metrics.go
+++ b/loomgate/metrics.go
@@ -36,6 +36,9 @@
 	retries  tally.Counter
 	revision tally.Gauge
 	holdOffs tally.Counter
+	// brokenAttempts counts the attempts that had been sent and whose connections ended
+	// before their answers were complete.
+	brokenAttempts tally.Counter
 
 	mu sync.Mutex
 	// groups is keyed by label. It has at most maxGroupLabels+2 entries: the
@@ -66,7 +69,10 @@
 		retries:  scope.Counter("retries_total"),
 		revision: scope.Gauge("catalogue_revision"),
 		holdOffs: scope.Counter("upstream_hold_offs_total"),
-		groups:   make(map[string]*groupMetrics),
+
+		brokenAttempts: scope.Counter("attempts_broken_total"),
+
+		groups: make(map[string]*groupMetrics),
 	}
 }
 
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -59,6 +59,8 @@
 	// written. The answer can only continue with that status.
 	streamStatus int
 	firstAt      time.Time
+	// relayedBefore is the number of events that were relayed before the current attempt.
+	relayedBefore int
 	// status and framing are those of the response to the last attempt. They are
 	// zero if it got none.
 	status  int
@@ -176,6 +178,7 @@
 	d.attempts++
 	d.attemptID = strconv.Itoa(d.attempts)
 	d.sentAt = now
+	d.relayedBefore = d.lifecycle.Relayed()
 	d.status, d.framing, d.cause = 0, loomupstream.FramingUnknown, ""
 	d.triedIDs = append(d.triedIDs, d.upstream.ID)
 	d.isWanted = false
@@ -252,6 +255,9 @@
 		d.cause = cause
 		return d.breakAttempt(now)
 	}
+	if sendErr != nil && sendErr.Delivered {
+		d.gate.logAttemptBroken(d)
+	}
 	if sendErr != nil && (sendErr.Unreachable || d.gate.fleet.IsSilent(now, d.upstream.ID)) {
 		d.gate.fleet.Unreachable(now, d.upstream.ID)
 	}
