Quarantine parts of prompts under which engines end

Cause: nothing connected the end of an upstream with what it ran, so the means that mend faults spread them. New requests with the part went to the engine that had just started, since it was idle; repeats and continuations took the part to the next one.

The evidence: attempts that break with their upstream's process, checked by a refused connection. loomquarantine merges what all instances had in progress at each end and decides: a part that was in progress at three separate ends, more than any other, and that no answer has been complete for with these weights, is refused at once with 503, also in queues and before repeats. Ends within 150 ms count as one, since a failure of power ends many; ends that a part explains say nothing of the parts beside it; parts that always came together are refused together only. A complete answer lifts it. A request that may have ended its upstream is not repeated while one of its parts has never been answered.

--- a/loomerror/kind.go
+++ b/loomerror/kind.go
@@ -35,6 +35,7 @@
 	StreamCut
 	OutcomeUnknown
 	ShuttingDown
+	PromptQuarantined
 	Canceled
 	kindCount
 )
@@ -104,6 +105,7 @@
 	StreamCut:           {"stream_cut", http.StatusBadGateway, false, NotRunFalse},
 	OutcomeUnknown:      {"outcome_unknown", http.StatusBadGateway, false, NotRunUnknown},
 	ShuttingDown:        {"shutting_down", http.StatusServiceUnavailable, true, NotRunTrue},
+	PromptQuarantined:   {"prompt_quarantined", http.StatusServiceUnavailable, false, NotRunTrue},
 	Canceled:            {"canceled", statusClientClosedRequest, false, NotRunUnknown},
 }
 
--- a/loomgate/exchange.go
+++ b/loomgate/exchange.go
@@ -71,6 +71,7 @@
 		p.gate.view.evictExpired(now)
 		request := p.newExchangeRequest()
 		targets := p.nextPeers()
+		p.gate.quarantine.judge(now)
 		for _, peer := range targets {
 			go p.exchange(ctx, peer, request)
 		}
@@ -172,10 +173,9 @@
 // newer.
 func (p *peers) exchange(ctx context.Context, peer *peer, r *loompb.ExchangeRequest) {
 	sentAt := time.Now()
-	if leases := p.gate.limits.leaseRequests(sentAt, peer.id); len(leases) > 0 {
-		r = proto.CloneOf(r)
-		r.LeaseRequests = leases
-	}
+	r = proto.CloneOf(r)
+	r.LeaseRequests = p.gate.limits.leaseRequests(sentAt, peer.id)
+	p.evidenceFor(sentAt, peer, r)
 	call, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	reply, err := peer.client.Exchange(call, r)
 	cancel()
@@ -200,6 +200,7 @@
 	p.gate.view.applyLeaving(receivedAt, peer.id, reply.GetLeaving())
 	p.gate.limits.apply(receivedAt, peer.id, reply.GetLimits())
 	p.gate.limits.accept(sentAt, peer.id, reply.GetLeases())
+	p.applyEvidence(receivedAt, peer, r, reply)
 	p.syncRows(ctx, peer, sentAt, reply)
 }
 
@@ -316,6 +317,7 @@
 	g.rollout.applyPeerReports(now, r.GetWeights())
 	g.view.applyLeaving(now, r.GetFrom(), r.GetLeaving())
 	g.limits.apply(now, r.GetFrom(), r.GetLimits())
+	g.quarantine.apply(now, r.GetEvidence())
 	// Read before the version, so that the age is never that of a later list.
 	asOf := *g.view.upstreamsAsOf.Load()
 	reply := &loompb.ExchangeReply{
@@ -328,6 +330,7 @@
 
 		NamedWeights: g.view.namedReports(now),
 		Leaving:      g.view.leavingReports(now),
+		Evidence:     g.quarantine.evidenceSince(now, r.GetEvidenceFrom(), r.GetEvidenceIncarnation()),
 	}
 	if since, answeredAt, ok := g.view.contact().OwnAnswers(); ok {
 		reply.PlatformAnswersMs, reply.PlatformAnsweredMs = max(ageMillis(now, since), 1), ageMillis(now, answeredAt)
--- a/loomgate/gate.go
+++ b/loomgate/gate.go
@@ -80,6 +80,8 @@
 	queues    *queues
 	limits    *upstreamLimits
 	holdOffs  *holdOffs
+
+	quarantine *quarantine
 	// coordinators decides which instances choose upstreams for others.
 	coordinators *coordinators
 	prefill      prefillModels
@@ -122,6 +124,9 @@
 	g.queues = newQueues(g)
 	g.limits = newUpstreamLimits(g)
 	g.holdOffs = newHoldOffs(g)
+	if g.quarantine, err = newQuarantine(g); err != nil {
+		return nil, errors.Trace(err)
+	}
 	return g, nil
 }
 
--- a/loomgate/gate_test.go
+++ b/loomgate/gate_test.go
@@ -137,6 +137,11 @@
 	return nil, &loomupstream.SendError{Unreachable: true, Cause: errDown}
 }
 
+// HasEnded implements loomupstream.Runner.
+func (r *fakeRunner) HasEnded(context.Context, string) (bool, error) {
+	return false, nil
+}
+
 // Report implements loomupstream.Runner.
 func (r *fakeRunner) Report(_ context.Context, address, _ string) (loomupstream.EngineState, error) {
 	r.mu.Lock()
--- a/loomgate/load_test.go
+++ b/loomgate/load_test.go
@@ -46,6 +46,11 @@
 	return m
 }
 
+// HasEnded implements loomupstream.Runner.
+func (m *simulatedEngines) HasEnded(context.Context, string) (bool, error) {
+	return false, nil
+}
+
 // Send implements loomupstream.Runner.
 func (m *simulatedEngines) Send(_ context.Context, _ string, s loomupstream.Send) (*loomupstream.Reply, error) {
 	m.engines[s.Upstream].prefill(time.Duration(len(s.Body)) * simulatedTokenTime)
--- a/loomgate/metrics.go
+++ b/loomgate/metrics.go
@@ -39,6 +39,9 @@
 	// brokenAttempts counts the attempts that had been sent and whose connections ended
 	// before their answers were complete.
 	brokenAttempts tally.Counter
+	// upstreamEnds counts the upstreams that ended under requests with parts that are not
+	// known to be sound, and quarantines the sets of parts that were quarantined.
+	upstreamEnds, quarantines tally.Counter
 
 	mu sync.Mutex
 	// groups is keyed by label. It has at most maxGroupLabels+2 entries: the
@@ -71,6 +74,8 @@
 		holdOffs: scope.Counter("upstream_hold_offs_total"),
 
 		brokenAttempts: scope.Counter("attempts_broken_total"),
+		upstreamEnds:   scope.Counter("upstream_ends_total"),
+		quarantines:    scope.Counter("quarantines_total"),
 
 		groups: make(map[string]*groupMetrics),
 	}
--- a/loomgate/peers.go
+++ b/loomgate/peers.go
@@ -79,6 +79,11 @@
 	inFlight     bool
 	// placeFailedAt is when the peer last failed to choose an upstream in time.
 	placeFailedAt time.Time
+	// evidenceSent is the number of the first change of this instance that the peer lacks,
+	// evidenceSeen that of the peer's incarnation evidenceIncarnation that this
+	// instance lacks.
+	evidenceSent, evidenceSeen uint64
+	evidenceIncarnation        uint64
 }
 
 func newPeers(g *Gate) *peers {
--- /dev/null
+++ b/loomgate/quarantine.go
@@ -0,0 +1,169 @@
+package loomgate
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"swiftloom/loomerror"
+	"swiftloom/loommember"
+	"swiftloom/loomquarantine"
+	"swiftloom/loomupstream"
+)
+
+const (
+	// quarantineRetryAfter is the retry delay given to a caller whose prompt is quarantined.
+	// It will be refused again until the part is found sound, so a short delay would only
+	// bring more requests.
+	quarantineRetryAfter = 30 * time.Second
+	// endCheckTTL is how long the result of a check whether an upstream has ended is used
+	// again, since its end breaks many attempts at once.
+	endCheckTTL = 500 * time.Millisecond
+	// begunWindow is the time after the first event of an answer in which it counts as just
+	// begun, and soundAge the time after which an answer in progress is no reason for the end
+	// of its upstream.
+	begunWindow = 250 * time.Millisecond
+	soundAge    = time.Second
+	// maxEvidenceChanges bounds the changes of evidence in one message.
+	maxEvidenceChanges = 256
+)
+
+// quarantine keeps requests away from upstreams whose prompts hold a part that ends them.
+type quarantine struct {
+	gate   *Gate
+	ledger *loomquarantine.Ledger
+
+	mu     sync.Mutex
+	checks map[endCheckKey]*endCheck
+}
+
+// endCheckKey identifies an incarnation of an upstream.
+type endCheckKey struct {
+	upstream    string
+	incarnation uint64
+}
+
+// endCheck is a check whether an upstream has ended. done is closed once hasEnded is set.
+type endCheck struct {
+	at       time.Time
+	done     chan struct{}
+	hasEnded bool
+}
+
+func newQuarantine(g *Gate) (*quarantine, error) {
+	ledger, err := loomquarantine.NewLedger()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return &quarantine{gate: g, ledger: ledger, checks: make(map[endCheckKey]*endCheck)}, nil
+}
+
+// hasEnded reports whether an upstream has ended that has just closed a connection. Attempts
+// that end together share one check.
+func (q *quarantine) hasEnded(ctx context.Context, now time.Time, u loommember.Upstream) bool {
+	key := endCheckKey{upstream: u.ID, incarnation: u.Incarnation}
+	q.mu.Lock()
+	check, ok := q.checks[key]
+	if !ok || now.Sub(check.at) > endCheckTTL {
+		check = &endCheck{at: now, done: make(chan struct{})}
+		q.checks[key] = check
+		go q.check(context.WithoutCancel(ctx), check, u)
+	}
+	for k, c := range q.checks {
+		if now.Sub(c.at) > endCheckTTL {
+			delete(q.checks, k)
+		}
+	}
+	q.mu.Unlock()
+	select {
+	case <-check.done:
+		return check.hasEnded
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// check carries out a check.
+func (q *quarantine) check(ctx context.Context, c *endCheck, u loommember.Upstream) {
+	defer close(c.done)
+	ctx, cancel := context.WithTimeout(ctx, endCheckTTL)
+	defer cancel()
+	hasEnded, err := q.gate.runner.HasEnded(ctx, u.Address)
+	if c.hasEnded = err == nil && hasEnded; c.hasEnded {
+		q.gate.metrics.upstreamEnds.Inc(1)
+		q.gate.log.Info("upstream_ended", "upstream", u.ID, "incarnation", u.Incarnation)
+	}
+}
+
+// sharedPartIDs returns the parts of the request's prompt that other requests may hold.
+func (d *dispatch) sharedPartIDs() []string {
+	parts := d.req.Prompt.Parts
+	if n := len(parts); n > 0 && !d.gate.partReuse.IsReused(d.req.route.Name) {
+		parts = parts[:n-1]
+	}
+	ids := make([]string, 0, len(parts))
+	for _, part := range parts {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
+// checkQuarantine returns the error with which the request is refused if its prompt is
+// quarantined, or nil.
+func (d *dispatch) checkQuarantine(now time.Time) *loomerror.Error {
+	if !d.req.HasPrompt {
+		return nil
+	}
+	found, ok := d.gate.quarantine.ledger.Find(now, d.req.Prompt.Model, d.sharedPartIDs())
+	if !ok {
+		return nil
+	}
+	d.cause = "quarantined part " + strings.Join(found.Parts, ",")
+	return loomerror.New(loomerror.PromptQuarantined, "%d engines have ended under a part of the prompt", found.Ends).
+		WithNotRun(d.lifecycle.NotRun()).WithRetryAfter(quarantineRetryAfter)
+}
+
+// recordSound records that the answer was complete.
+func (d *dispatch) recordSound(now time.Time, reply *loomupstream.Reply) {
+	if d.req.HasPrompt && isSuccess(reply) {
+		d.gate.quarantine.ledger.RecordSound(now, d.req.Prompt.Model, d.sharedPartIDs(), max(d.version, reply.Version))
+	}
+}
+
+// mayHaveEndedUpstream records what the request shows if its upstream has ended under it, and
+// reports whether it may be the reason, so that another attempt could end another upstream.
+// An answer that has been in progress for some time is none.
+func (d *dispatch) mayHaveEndedUpstream(ctx context.Context, now time.Time) bool {
+	if !d.req.HasPrompt || (!d.attemptFirstAt.IsZero() && now.Sub(d.attemptFirstAt) > soundAge) {
+		return false
+	}
+	ledger := d.gate.quarantine.ledger
+	unsound := ledger.Unsound(now, d.req.Prompt.Model, d.sharedPartIDs(), d.version)
+	if len(unsound) == 0 || !d.gate.quarantine.hasEnded(ctx, now, d.upstream) {
+		return false
+	}
+	hasBegun := d.status != 0 && (d.attemptFirstAt.IsZero() || now.Sub(d.attemptFirstAt) < begunWindow)
+	end := loomquarantine.End{Upstream: d.upstream.ID, Incarnation: d.upstream.Incarnation, At: now}
+	for _, p := range unsound {
+		end.Exposures = append(end.Exposures, loomquarantine.Exposure{Part: p, Version: d.version, HasBegun: hasBegun})
+	}
+	ledger.RecordEnd(now, end)
+	const suspiciousEnds = 2
+	return hasBegun || ledger.IsExposed(unsound, suspiciousEnds)
+}
+
+// judge decides by the evidence of all instances. Requests that wait with a prompt that is
+// quarantined now are refused at once.
+func (q *quarantine) judge(now time.Time) {
+	decided := q.ledger.Judge(now)
+	for _, d := range decided {
+		q.gate.metrics.quarantines.Inc(1)
+		q.gate.log.Warn("prompt_part_quarantined", "model", d.Model, "parts", strings.Join(d.Parts, ","), "weights", d.Version, "ends", d.Ends)
+	}
+	if len(decided) > 0 {
+		q.gate.queues.wakeAll()
+	}
+}
--- a/loomgate/queue.go
+++ b/loomgate/queue.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -307,6 +308,9 @@
 		case <-wake:
 		}
 		now := time.Now()
+		if err := d.checkQuarantine(now); err != nil {
+			return err
+		}
 		if waiter.Until.Before(now) {
 			return loomerror.New(loomerror.DeadlineUnmeetable, "no engine had capacity within %s", now.Sub(waiter.Arrived).Round(time.Millisecond)).
 				WithRetryAfter(minRetryAfter)
@@ -401,6 +405,20 @@
 	}
 }
 
+// wakeAll wakes all requests, which then check whether they are to be refused.
+func (q *queues) wakeAll() {
+	q.mu.Lock()
+	groups := slices.Collect(maps.Values(q.byGroup))
+	q.mu.Unlock()
+	for _, gq := range groups {
+		gq.mu.Lock()
+		for id := range gq.wakeups {
+			gq.signal(id)
+		}
+		gq.mu.Unlock()
+	}
+}
+
 // wakeFirst wakes the first request in the queue of a group, which then checks
 // for capacity.
 func (q *queues) wakeFirst(group string) {
--- a/loomgate/relay.go
+++ b/loomgate/relay.go
@@ -134,6 +134,7 @@
 		}
 	} else {
 		d.gate.fleet.RecordSuccess(d.upstream.ID)
+		d.recordSound(now, reply)
 	}
 	if err := d.w.WriteAnswer(reply, body); err != nil {
 		d.cause = "the caller's connection broke: " + err.Error()
@@ -201,7 +202,7 @@
 			event.Comments = nil
 		}
 		if errors.Is(err, io.EOF) {
-			return d.handleStreamEnd(now, reply.Framing, d.lifecycle.Relayed()-relayedBefore, event.Comments)
+			return d.handleStreamEnd(now, reply, d.lifecycle.Relayed()-relayedBefore, event.Comments)
 		}
 		if err != nil {
 			d.gate.metrics.streamEnded(d.req.group.Name, streamEndCut)
@@ -226,6 +227,9 @@
 func (d *dispatch) relayEvent(ctx context.Context, now time.Time, reply *loomupstream.Reply, text []byte) (loomstream.Action, bool) {
 	d.start.stop()
 	d.recordFirstByte(now)
+	if d.attemptFirstAt.IsZero() {
+		d.attemptFirstAt = now
+	}
 	d.recordEvent(now)
 	action := d.lifecycle.Apply(now, loomstream.Token{Attempt: d.attemptID, Version: d.version, Offset: d.lifecycle.Relayed()})
 	if _, ok := action.(loomstream.Relay); !ok {
@@ -253,9 +257,9 @@
 // handleStreamEnd handles a stream that ended after a complete event, or before the
 // first one. An attempt that brought no event doesn't show that the stream is whole,
 // even if it was to continue the stream. The comments are those after the last event.
-func (d *dispatch) handleStreamEnd(now time.Time, framing loomupstream.Framing, events int, comments []byte) loomstream.Action {
+func (d *dispatch) handleStreamEnd(now time.Time, reply *loomupstream.Reply, events int, comments []byte) loomstream.Action {
 	end := streamEndFramed
-	if framing == loomupstream.FramingUntilClose {
+	if reply.Framing == loomupstream.FramingUntilClose {
 		end = streamEndUntilClose
 	}
 	d.gate.metrics.streamEnded(d.req.group.Name, end)
@@ -264,6 +268,7 @@
 		return d.breakAttempt(now)
 	}
 	d.gate.fleet.RecordSuccess(d.upstream.ID)
+	d.recordSound(now, reply)
 	action := d.lifecycle.Apply(now, loomstream.Finished{Attempt: d.attemptID, Tokens: d.lifecycle.Relayed()})
 	if _, ok := action.(loomstream.Complete); !ok {
 		return action
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -61,6 +61,8 @@
 	firstAt      time.Time
 	// relayedBefore is the number of events that were relayed before the current attempt.
 	relayedBefore int
+	// attemptFirstAt is when the first event of the current attempt arrived, or zero.
+	attemptFirstAt time.Time
 	// status and framing are those of the response to the last attempt. They are
 	// zero if it got none.
 	status  int
@@ -125,6 +127,9 @@
 // the caller, or nil.
 func (d *dispatch) run(ctx context.Context) *loomerror.Error {
 	for {
+		if err := d.checkQuarantine(time.Now()); err != nil {
+			return err
+		}
 		if err := d.waitForEngine(ctx); err != nil {
 			return err.WithNotRun(d.lifecycle.NotRun())
 		}
@@ -179,6 +184,7 @@
 	d.attemptID = strconv.Itoa(d.attempts)
 	d.sentAt = now
 	d.relayedBefore = d.lifecycle.Relayed()
+	d.attemptFirstAt = time.Time{}
 	d.status, d.framing, d.cause = 0, loomupstream.FramingUnknown, ""
 	d.triedIDs = append(d.triedIDs, d.upstream.ID)
 	d.isWanted = false
@@ -262,6 +268,9 @@
 		d.gate.fleet.Unreachable(now, d.upstream.ID)
 	}
 	d.gate.fleet.RecordFailure(now, d.upstream.ID)
+	if sendErr != nil && sendErr.Delivered && d.mayHaveEndedUpstream(ctx, now) {
+		return d.lifecycle.Apply(now, loomstream.Broken{Attempt: d.attemptID, Final: true})
+	}
 	return d.breakAttempt(now)
 }
 
--- /dev/null
+++ b/loomquarantine/ledger_test.go
@@ -0,0 +1,223 @@
+package loomquarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"swiftloom/loomquarantine"
+)
+
+const model = "m"
+
+// settled is longer than it takes until an end counts.
+const settled = 400 * time.Millisecond
+
+func newLedger(t *testing.T) *loomquarantine.Ledger {
+	t.Helper()
+	l, err := loomquarantine.NewLedger()
+	assert.NilError(t, err)
+	return l
+}
+
+// exposures returns begun exposures of parts.
+func exposures(ids ...string) []loomquarantine.Exposure {
+	all := make([]loomquarantine.Exposure, 0, len(ids))
+	for _, id := range ids {
+		all = append(all, loomquarantine.Exposure{Part: loomquarantine.Part{Model: model, ID: id}, Version: 1, HasBegun: true})
+	}
+	return all
+}
+
+// endUnder records the end of an upstream under a request with parts.
+func endUnder(l *loomquarantine.Ledger, at time.Time, upstream string, ids ...string) {
+	l.RecordEnd(at, loomquarantine.End{Upstream: upstream, At: at, Exposures: exposures(ids...)})
+}
+
+// quarantined returns the parts of each quarantine.
+func quarantined(l *loomquarantine.Ledger) []string {
+	sets := []string{}
+	for _, q := range l.Quarantines() {
+		sets = append(sets, fmt.Sprint(q.Parts))
+	}
+	return sets
+}
+
+// endSpec is the end of an upstream under the given parts at a time.
+type endSpec struct {
+	at    time.Duration
+	parts []string
+}
+
+func TestJudge(t *testing.T) {
+	tests := []struct {
+		name string
+		// sound are parts to which answers were complete before.
+		sound []string
+		ends  []endSpec
+		want  []string
+	}{
+		{"two ends", nil, []endSpec{{0, []string{"x"}}, {time.Second, []string{"x"}}}, []string{}},
+		{"three ends", nil, []endSpec{{0, []string{"x"}}, {time.Second, []string{"x"}}, {2 * time.Second, []string{"x"}}}, []string{"[x]"}},
+		{
+			"the part beside it was in progress less often", nil,
+			[]endSpec{{0, []string{"x", "y"}}, {time.Second, []string{"x", "y"}}, {2 * time.Second, []string{"x", "y"}}, {3 * time.Second, []string{"x"}}},
+			[]string{"[x]"},
+		},
+		{
+			"parts that always come together", nil,
+			[]endSpec{{0, []string{"x", "y"}}, {time.Second, []string{"x", "y"}}, {2 * time.Second, []string{"x", "y"}}},
+			[]string{"[x y]"},
+		},
+		{
+			"two parts in turn", nil,
+			[]endSpec{
+				{0, []string{"x"}}, {time.Second, []string{"y"}}, {2 * time.Second, []string{"x"}},
+				{3 * time.Second, []string{"y"}}, {4 * time.Second, []string{"x"}}, {5 * time.Second, []string{"y"}},
+			},
+			[]string{"[x]", "[y]"},
+		},
+		{
+			"a sound part beside it", []string{"a"},
+			[]endSpec{{0, []string{"a", "x"}}, {time.Second, []string{"a", "x"}}, {2 * time.Second, []string{"a", "x"}}, {3 * time.Second, []string{"a"}}},
+			[]string{"[x]"},
+		},
+		{"sound parts only", []string{"a"}, []endSpec{{0, []string{"a"}}, {time.Second, []string{"a"}}, {2 * time.Second, []string{"a"}}}, []string{}},
+		{
+			"many upstreams end at once", nil,
+			[]endSpec{
+				{0, []string{"x"}}, {20 * time.Millisecond, []string{"x"}}, {60 * time.Millisecond, []string{"x"}}, {140 * time.Millisecond, []string{"x"}},
+			},
+			[]string{},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			start := time.Now()
+			l := newLedger(t)
+			l.RecordSound(start, model, tt.sound, 1)
+			last := start
+			for i, e := range tt.ends {
+				last = start.Add(e.at)
+				endUnder(l, last, fmt.Sprint("e", i), e.parts...)
+			}
+			l.Judge(last.Add(settled))
+			assert.DeepEqual(t, quarantined(l), tt.want)
+		})
+	}
+}
+
+// quarantinePart lets engines end under a part until it is quarantined.
+func quarantinePart(t *testing.T, l *loomquarantine.Ledger, now time.Time, id string) time.Time {
+	t.Helper()
+	for i := range 3 {
+		endUnder(l, now, fmt.Sprint("engine-", i), id)
+		now = now.Add(time.Second)
+	}
+	l.Judge(now)
+	_, ok := l.Find(now, model, []string{"a", id})
+	assert.Assert(t, ok)
+	return now
+}
+
+func TestCompleteAnswerLiftsQuarantine(t *testing.T) {
+	l := newLedger(t)
+	now := quarantinePart(t, l, time.Now(), "x")
+	l.RecordSound(now, model, []string{"a", "x"}, 1)
+	_, ok := l.Find(now, model, []string{"x"})
+	assert.Assert(t, !ok)
+	l.Judge(now.Add(settled))
+	assert.DeepEqual(t, quarantined(l), []string{})
+}
+
+func TestAnswerByOlderWeightsDoesNotLiftQuarantine(t *testing.T) {
+	l := newLedger(t)
+	now := time.Now()
+	l.RecordSound(now, model, []string{"x"}, 1)
+	for i := range 3 {
+		e := loomquarantine.End{Upstream: fmt.Sprint("engine-", i), At: now, Exposures: exposures("x")}
+		e.Exposures[0].Version = 2
+		l.RecordEnd(now, e)
+		now = now.Add(time.Second)
+	}
+	l.Judge(now)
+	l.RecordSound(now, model, []string{"x"}, 1)
+	_, ok := l.Find(now, model, []string{"x"})
+	assert.Assert(t, ok)
+}
+
+func TestQuarantineLastsWhileRequestsCome(t *testing.T) {
+	l := newLedger(t)
+	now := quarantinePart(t, l, time.Now(), "x")
+	for range 60 {
+		now = now.Add(time.Minute)
+		l.Judge(now)
+		_, ok := l.Find(now, model, []string{"x"})
+		assert.Assert(t, ok)
+	}
+	now = now.Add(11 * time.Minute)
+	l.Judge(now)
+	_, ok := l.Find(now, model, []string{"x"})
+	assert.Assert(t, !ok)
+}
+
+// pass tells l the changes of other from a number on, and returns the next number.
+func pass(l, other *loomquarantine.Ledger, now time.Time, from uint64) uint64 {
+	changes, next := other.Changes(from, 1000)
+	l.Apply(now, changes)
+	return next
+}
+
+func TestInstancesDecideTogether(t *testing.T) {
+	now := time.Now()
+	ledgers := []*loomquarantine.Ledger{newLedger(t), newLedger(t), newLedger(t)}
+	for i, l := range ledgers {
+		endUnder(l, now.Add(time.Duration(i)*time.Second), fmt.Sprint("e", i), "x", "a")
+	}
+	// Only the last one has seen that a is sound.
+	ledgers[2].RecordSound(now, model, []string{"a"}, 1)
+	now = now.Add(3 * time.Second)
+	for range 2 {
+		for _, l := range ledgers {
+			for _, other := range ledgers {
+				pass(l, other, now, 0)
+			}
+		}
+	}
+	for _, l := range ledgers {
+		l.Judge(now)
+		assert.DeepEqual(t, quarantined(l), []string{"[x]"})
+	}
+	// One that starts later learns it without the evidence.
+	late := newLedger(t)
+	pass(late, ledgers[0], now.Add(time.Minute*5), 0)
+	assert.DeepEqual(t, quarantined(late), []string{"[x]"})
+}
+
+func TestEndSeenByTwoInstancesCountsOnce(t *testing.T) {
+	now := time.Now()
+	l := newLedger(t)
+	for i := range 4 {
+		endUnder(l, now.Add(time.Duration(i)*200*time.Millisecond), "e1", "x")
+	}
+	l.Judge(now.Add(2 * time.Second))
+	assert.DeepEqual(t, quarantined(l), []string{})
+}
+
+func TestLedgerIsBounded(t *testing.T) {
+	l := newLedger(t)
+	now := time.Now()
+	for i := range 2500 {
+		now = now.Add(10 * time.Millisecond)
+		ids := make([]string, 0, 50)
+		for k := range 50 {
+			ids = append(ids, fmt.Sprintf("p%d-%d", i, k))
+		}
+		endUnder(l, now, fmt.Sprint("e", i), ids...)
+		l.Judge(now)
+	}
+	changes, _ := l.Changes(0, 1<<20)
+	assert.Assert(t, len(changes) <= 2100, "%d changes", len(changes))
+}
--- a/loomupstream/body.go
+++ b/loomupstream/body.go
@@ -54,7 +54,7 @@
 	}
 }
 
-// listenerCheckDelays are the times after the end of a body at which its upstream is
+// listenerCheckDelays are the times after the end of a connection at which its upstream is
 // checked, each from the one before. The operating system closes the sockets of a
 // killed process one after the other, its listener among them.
 var listenerCheckDelays = []time.Duration{5 * time.Millisecond, 10 * time.Millisecond, 35 * time.Millisecond}
@@ -83,25 +83,35 @@
 // Read implements io.Reader.
 func (b *untilCloseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != io.EOF {
+	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
-	for _, d := range listenerCheckDelays {
-		if err := loomkernel.Sleep(b.ctx, d); err != nil {
-			return n, err
-		}
-		if b.isRefused() {
-			return n, errors.Annotatef(io.ErrUnexpectedEOF, "body without length ended and %s refuses connections", b.address)
-		}
+	hasEnded, err := HasEnded(b.ctx, b.dial, b.address)
+	switch {
+	case err != nil:
+		return n, err
+	case hasEnded:
+		return n, errors.Annotatef(io.ErrUnexpectedEOF, "body without length ended and %s refuses connections", b.address)
+	default:
+		return n, io.EOF
 	}
-	return n, io.EOF
 }
 
-// isRefused reports whether no process listens on the address.
-func (b *untilCloseBody) isRefused() bool {
-	conn, err := b.dial(b.ctx, b.address)
-	if err == nil {
-		_ = conn.Close()
+// HasEnded reports whether the process at an address, which has just ended a connection, has
+// ended itself: nothing listens there any more. A process that has started again by then
+// hides the end. The error is that of ctx.
+func HasEnded(ctx context.Context, d loomplatform.Dialer, address string) (bool, error) {
+	for _, delay := range listenerCheckDelays {
+		if err := loomkernel.Sleep(ctx, delay); err != nil {
+			return false, err
+		}
+		conn, err := d(ctx, address)
+		if err == nil {
+			_ = conn.Close()
+		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return true, nil
+		}
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return false, nil
 }
--- a/loomupstream/runner.go
+++ b/loomupstream/runner.go
@@ -229,4 +229,7 @@
 	// Order sends an order. The reply is valid also when the error is not nil; the error
 	// then tells what failed, for example why the outcome is unknown.
 	Order(ctx context.Context, address string, o Order) (OrderReply, error)
+	// HasEnded reports whether the upstream's process, which has just ended a connection,
+	// has ended itself. The error is that of ctx.
+	HasEnded(ctx context.Context, address string) (bool, error)
 }
