Keep quarantined parts in the platform's table and try uncertain ones

One instance writes a row for each quarantine, by compare and set, and instances read the rows with those of their peers.

Parts that are quarantined together are told apart by the first end under some of them. A quarantine that another part may explain, or that was decided under older weights, lets a request through to show whether the part is sound: at one instance, 3 s after the decision at the earliest, two requests at most over its life, since each may end an engine.

--- a/loomgate/evidence.go
+++ b/loomgate/evidence.go
@@ -81,6 +81,7 @@
 	case loomquarantine.Quarantine:
 		q := &loompb.QuarantinedParts{
 			Model: c.Model, Parts: c.Parts, Version: c.Version, Ends: uint32(c.Ends), Trials: uint32(c.Trials), IdleMs: ageMillis(now, c.UsedAt),
+			IsCertain: c.IsCertain,
 		}
 		return &loompb.EvidenceChange{Change: &loompb.EvidenceChange_Quarantine{Quarantine: q}}
 	default:
@@ -107,7 +108,7 @@
 		q := c.Quarantine
 		return loomquarantine.Quarantine{
 			Model: q.GetModel(), Parts: q.GetParts(), Version: q.GetVersion(), Ends: int(q.GetEnds()), Trials: int(q.GetTrials()),
-			UsedAt: now.Add(-milliseconds(q.GetIdleMs())),
+			UsedAt: now.Add(-milliseconds(q.GetIdleMs())), IsCertain: q.GetIsCertain(),
 		}, true
 	default:
 		return nil, false
--- a/loomgate/gate.go
+++ b/loomgate/gate.go
@@ -139,6 +139,7 @@
 	kernel.Add("peers", loomkernel.ComponentFunc(g.peers.run))
 	kernel.Add("stores", loomkernel.ComponentFunc(g.stores.run))
 	kernel.Add("rollout", loomkernel.ComponentFunc(g.rollout.run))
+	kernel.Add("quarantine", loomkernel.ComponentFunc(g.quarantine.run))
 	kernel.Add("gauges", loomkernel.ComponentFunc(g.runGauges))
 	return kernel.Run(ctx)
 }
--- a/loomgate/peers.go
+++ b/loomgate/peers.go
@@ -148,6 +148,7 @@
 				p.own = ownRow{mayBeLost: p.isNewEpoch(page)}
 			}
 			p.gate.view.applyNamedRows(time.Now(), page, full)
+			p.gate.quarantine.applyRows(time.Now(), page, full)
 			full = false
 			failures = 0
 			p.applyPage(page)
--- a/loomgate/quarantine.go
+++ b/loomgate/quarantine.go
@@ -38,6 +38,9 @@
 
 	mu     sync.Mutex
 	checks map[endCheckKey]*endCheck
+	// rows holds the platform's rows, by key, and dueAt when this instance is to write one.
+	rows  map[string]quarantineRow
+	dueAt map[string]time.Time
 }
 
 // endCheckKey identifies an incarnation of an upstream.
@@ -58,7 +61,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &quarantine{gate: g, ledger: ledger, checks: make(map[endCheckKey]*endCheck)}, nil
+	return &quarantine{gate: g, ledger: ledger, checks: make(map[endCheckKey]*endCheck), rows: make(map[string]quarantineRow), dueAt: make(map[string]time.Time)}, nil
 }
 
 // hasEnded reports whether an upstream has ended that has just closed a connection. Attempts
@@ -117,8 +120,12 @@
 	if !d.req.HasPrompt {
 		return nil
 	}
-	found, ok := d.gate.quarantine.ledger.Find(now, d.req.Prompt.Model, d.sharedPartIDs())
-	if !ok {
+	parts := d.sharedPartIDs()
+	found, ok := d.gate.quarantine.ledger.Find(now, d.req.Prompt.Model, parts)
+	if !ok || d.isTrial {
+		return nil
+	}
+	if d.isTrial = d.attempts == 0 && d.gate.quarantine.tries(now, found, parts, d.oldestWeights(now)); d.isTrial {
 		return nil
 	}
 	d.cause = "quarantined part " + strings.Join(found.Parts, ",")
@@ -126,6 +133,28 @@
 		WithNotRun(d.lifecycle.NotRun()).WithRetryAfter(quarantineRetryAfter)
 }
 
+// tries reports whether a request is sent in spite of a quarantine, to show whether its parts
+// are sound.
+func (q *quarantine) tries(now time.Time, found loomquarantine.Quarantine, parts []string, version uint64) bool {
+	if q.writerRank(found) != 0 || !q.ledger.Try(now, found, parts, version) {
+		return false
+	}
+	q.gate.log.Info("quarantine_tried", "model", found.Model, "parts", strings.Join(found.Parts, ","), "weights", version)
+	return true
+}
+
+// oldestWeights returns the oldest version of the weights at the upstreams that the request
+// may be sent to.
+func (d *dispatch) oldestWeights(now time.Time) uint64 {
+	var oldest uint64
+	for i, u := range d.gate.usableUpstreams(now, d.req.group.Name) {
+		if version := u.Version(d.req.Prompt.Model); i == 0 || version < oldest {
+			oldest = version
+		}
+	}
+	return oldest
+}
+
 // recordSound records that the answer was complete.
 func (d *dispatch) recordSound(now time.Time, reply *loomupstream.Reply) {
 	if d.req.HasPrompt && isSuccess(reply) {
@@ -145,6 +174,9 @@
 	if len(unsound) == 0 || !d.gate.quarantine.hasEnded(ctx, now, d.upstream) {
 		return false
 	}
+	if d.isTrial {
+		d.gate.log.Info("quarantine_confirmed", "upstream", d.upstream.ID, "request_id", d.req.RequestID)
+	}
 	hasBegun := d.status != 0 && (d.attemptFirstAt.IsZero() || now.Sub(d.attemptFirstAt) < begunWindow)
 	end := loomquarantine.End{Upstream: d.upstream.ID, Incarnation: d.upstream.Incarnation, At: now}
 	for _, p := range unsound {
@@ -152,7 +184,7 @@
 	}
 	ledger.RecordEnd(now, end)
 	const suspiciousEnds = 2
-	return hasBegun || ledger.IsExposed(unsound, suspiciousEnds)
+	return hasBegun || d.isTrial || ledger.IsExposed(unsound, suspiciousEnds)
 }
 
 // judge decides by the evidence of all instances. Requests that wait with a prompt that is
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -63,6 +63,8 @@
 	relayedBefore int
 	// attemptFirstAt is when the first event of the current attempt arrived, or zero.
 	attemptFirstAt time.Time
+	// isTrial is set if the request is sent to show whether a quarantined part is sound.
+	isTrial bool
 	// status and framing are those of the response to the last attempt. They are
 	// zero if it got none.
 	status  int
--- a/loomquarantine/judge.go
+++ b/loomquarantine/judge.go
@@ -42,11 +42,14 @@
 	}
 	open := l.clusters(now)
 	for _, r := range l.quarantines {
-		open = slices.DeleteFunc(open, func(c cluster) bool { return c.has(r.Quarantine) })
+		open = withoutExplained(open, r.Quarantine)
 	}
 	var decided []Quarantine
 	for {
-		q, ok := mostExposed(open)
+		q, ok := l.separated(open)
+		if !ok {
+			q, ok = mostExposed(open)
+		}
 		if !ok {
 			return decided
 		}
@@ -54,8 +57,34 @@
 		l.put(q, now)
 		l.append(now, q)
 		decided = append(decided, q)
-		open = slices.DeleteFunc(open, func(c cluster) bool { return c.has(q) })
+		open = withoutExplained(open, q)
+	}
+}
+
+// withoutExplained returns the clusters that q doesn't explain. It may change the slice.
+func withoutExplained(clusters []cluster, q Quarantine) []cluster {
+	return slices.DeleteFunc(clusters, func(c cluster) bool { return c.has(q) })
+}
+
+// separated returns the parts of a quarantine under which an upstream has ended without the
+// other parts, or false if there are none. The caller holds mu.
+func (l *Ledger) separated(clusters []cluster) (Quarantine, bool) {
+	for _, c := range clusters {
+		for _, r := range l.quarantines {
+			q := Quarantine{Model: r.Model, Ends: 1}
+			for _, id := range r.Parts {
+				if x, ok := c[Part{Model: r.Model, ID: id}]; ok && x.HasBegun {
+					q.Parts = append(q.Parts, id)
+					q.Version = max(q.Version, x.Version)
+				}
+			}
+			if len(q.Parts) > 0 && len(q.Parts) < len(r.Parts) {
+				q.IsCertain = len(c) == len(q.Parts)
+				return q, true
+			}
+		}
 	}
+	return Quarantine{}, false
 }
 
 // clusters returns the clusters of all ends that have settled. The caller holds mu.
@@ -127,6 +156,7 @@
 		}
 	}
 	slices.Sort(q.Parts)
+	q.IsCertain = slices.ContainsFunc(clusters, func(c cluster) bool { return c.has(q) && len(c) == len(q.Parts) })
 	return q, true
 }
 
--- a/loomquarantine/ledger.go
+++ b/loomquarantine/ledger.go
@@ -63,6 +63,9 @@
 type quarantineRecord struct {
 	Quarantine
 	announcedAt time.Time
+	// knownAt is when this instance decided or learned it, and triedAt when a request was
+	// last sent in spite of it.
+	knownAt, triedAt time.Time
 }
 
 // logged is a change with the time at which it was added.
@@ -173,7 +176,7 @@
 		found = true
 		l.remove(key)
 		if rest := r.without(s.Part.ID); len(rest.Parts) > 0 {
-			l.put(rest, r.announcedAt)
+			l.put(rest, r.knownAt)
 		}
 	}
 	return found
@@ -263,20 +266,23 @@
 
 // put adds a quarantine, or joins it with the known one of the same parts. It reports whether
 // that was not known or has changed. The caller holds mu.
-func (l *Ledger) put(q Quarantine, announcedAt time.Time) bool {
+func (l *Ledger) put(q Quarantine, now time.Time) bool {
 	key := q.key()
 	if known, ok := l.quarantines[key]; ok {
 		before := known.Quarantine
 		known.UsedAt = known.WithUse(q.UsedAt).UsedAt
 		known.Version = max(known.Version, q.Version)
 		known.Ends = max(known.Ends, q.Ends)
-		known.Trials = max(known.Trials, q.Trials)
-		return known.Version != before.Version || known.Trials != before.Trials
+		known.IsCertain = known.IsCertain || q.IsCertain
+		if q.Trials > known.Trials {
+			known.Trials, known.triedAt = q.Trials, now
+		}
+		return known.Version != before.Version || known.Trials != before.Trials || known.IsCertain != before.IsCertain
 	}
 	if len(l.quarantines) >= maxQuarantines {
 		l.remove(l.leastUsed())
 	}
-	l.quarantines[key] = &quarantineRecord{Quarantine: q, announcedAt: announcedAt}
+	l.quarantines[key] = &quarantineRecord{Quarantine: q, announcedAt: now, knownAt: now}
 	for _, id := range q.Parts {
 		p := Part{Model: q.Model, ID: id}
 		l.byPart[p] = append(l.byPart[p], key)
--- a/loomquarantine/ledger_test.go
+++ b/loomquarantine/ledger_test.go
@@ -221,3 +221,90 @@
 	changes, _ := l.Changes(0, 1<<20)
 	assert.Assert(t, len(changes) <= 2100, "%d changes", len(changes))
 }
+
+// TestSeparatedPartsAreToldApart guards against a part that ends engines on its own once it
+// comes without the part that it always came with.
+func TestSeparatedPartsAreToldApart(t *testing.T) {
+	l := newLedger(t)
+	now := time.Now()
+	for i := range 3 {
+		endUnder(l, now, fmt.Sprint("e", i), "x", "y")
+		now = now.Add(time.Second)
+	}
+	l.Judge(now)
+	assert.DeepEqual(t, quarantined(l), []string{"[x y]"})
+	_, ok := l.Find(now, model, []string{"y", "z"})
+	assert.Assert(t, !ok, "a request with one of the parts must be sent")
+	endUnder(l, now, "e4", "x", "z")
+	now = now.Add(settled)
+	l.Judge(now)
+	assert.DeepEqual(t, quarantined(l), []string{"[x]", "[x y]"})
+	l.RecordSound(now, model, []string{"y"}, 1)
+	assert.DeepEqual(t, quarantined(l), []string{"[x]"})
+}
+
+func TestTry(t *testing.T) {
+	const before, after = 1 * time.Second, 4 * time.Second
+	tests := []struct {
+		name string
+		// beside is a part that is in progress at the first ends, where it is none of the
+		// request.
+		beside  []string
+		parts   []string
+		after   time.Duration
+		version uint64
+		want    bool
+	}{
+		{"certain", []string{}, []string{"x"}, after, 1, false},
+		{"uncertain", []string{"y"}, []string{"x"}, after, 1, true},
+		{"uncertain, beside a suspicious part", []string{"y"}, []string{"x", "y"}, after, 1, false},
+		{"uncertain, engines may be down still", []string{"y"}, []string{"x"}, before, 1, false},
+		{"newer weights", []string{}, []string{"x"}, after, 2, true},
+		{"newer weights, engines may be down still", []string{}, []string{"x"}, before, 2, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := newLedger(t)
+			now := time.Now()
+			for i := range 4 {
+				ids := []string{"x"}
+				if i < 3 {
+					ids = append(ids, tt.beside...)
+				} else if len(tt.beside) > 0 {
+					ids = append(ids, "other")
+				}
+				endUnder(l, now, fmt.Sprint("e", i), ids...)
+				now = now.Add(time.Second)
+			}
+			decided := l.Judge(now)
+			assert.Equal(t, len(decided), 1)
+			assert.DeepEqual(t, decided[0].Parts, []string{"x"})
+			assert.Equal(t, l.Try(now.Add(tt.after), decided[0], tt.parts, tt.version), tt.want)
+		})
+	}
+}
+
+// TestTrialsAreBounded guards against engines that end under trials again and again.
+func TestTrialsAreBounded(t *testing.T) {
+	l := newLedger(t)
+	now := quarantinePart(t, l, time.Now(), "x")
+	trials := 0
+	for version := uint64(2); version < 50; version++ {
+		for range 20 {
+			now = now.Add(time.Second)
+			q, ok := l.Find(now, model, []string{"x"})
+			assert.Assert(t, ok)
+			if l.Try(now, q, []string{"x"}, version) {
+				trials++
+			}
+			l.Judge(now)
+		}
+	}
+	assert.Equal(t, trials, 2)
+	// Another instance that learns of the quarantine knows of them.
+	other := newLedger(t)
+	pass(other, l, now, 0)
+	q, ok := other.Find(now, model, []string{"x"})
+	assert.Assert(t, ok)
+	assert.Assert(t, !other.Try(now.Add(time.Minute), q, []string{"x"}, 100))
+}
--- a/loomquarantine/part.go
+++ b/loomquarantine/part.go
@@ -63,6 +63,8 @@
 	Version uint64
 	// Ends is the number of separate ends that it was decided by.
 	Ends int
+	// IsCertain is set if an upstream has ended with no other suspicious part in progress.
+	IsCertain bool
 	// Trials is the number of requests that were sent in spite of it.
 	Trials int
 	// UsedAt is when it was decided, or when a request was last refused.
--- /dev/null
+++ b/loomquarantine/trial.go
@@ -0,0 +1,45 @@
+package loomquarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// maxTrials bounds the requests that are sent in spite of a quarantine, over all
+	// instances and for as long as it lasts. Each may end an engine.
+	maxTrials = 2
+	// trialDelay is the time from the decision until the first trial, so that engines have
+	// started again, and trialInterval the least time between two.
+	trialDelay    = 3 * time.Second
+	trialInterval = 10 * time.Second
+)
+
+// Try reports whether a request may be sent in spite of a quarantine that applies to it, to
+// show whether its parts are sound, and counts the trial. That is so if other parts may have
+// been the reason for the ends, or if the weights, of which version is the oldest in use, are
+// newer than those under which engines have ended. No other part of the prompt may be
+// suspicious. Only one instance may ask for a quarantine.
+func (l *Ledger) Try(now time.Time, q Quarantine, parts []string, version uint64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, ok := l.quarantines[q.key()]
+	if !ok || r.Trials >= maxTrials || now.Sub(r.knownAt) < trialDelay || now.Sub(r.triedAt) < trialInterval {
+		return false
+	}
+	hasNewerWeights := version > r.Version
+	isOpen := !r.IsCertain && r.Trials == 0
+	if !hasNewerWeights && !isOpen {
+		return false
+	}
+	for _, id := range parts {
+		p := Part{Model: q.Model, ID: id}
+		if !slices.Contains(r.Parts, id) && (l.exposed[p] > 0 || len(l.byPart[p]) > 0) {
+			return false
+		}
+	}
+	r.Quarantine = r.WithTrial(version)
+	r.triedAt = now
+	l.announce(now, r)
+	return true
+}
