Play parts that end engines against fleets in virtual time

Requests that wait are refused as soon as there is a new quarantine, without taking their turn. The ledger copies the IDs that it keeps, which are parts of callers' headers.

--- a/loomgate/evidence.go
+++ b/loomgate/evidence.go
@@ -1,6 +1,7 @@
 package loomgate
 
 import (
+	"slices"
 	"time"
 
 	"swiftloom/loompb"
@@ -63,9 +64,17 @@
 		return
 	}
 	q.ledger.Apply(now, changes)
+	if slices.ContainsFunc(changes, isQuarantine) {
+		q.announceDecision()
+	}
 	q.judge(now)
 }
 
+func isQuarantine(c loomquarantine.Change) bool {
+	_, ok := c.(loomquarantine.Quarantine)
+	return ok
+}
+
 // encodeEvidence converts a change to its message.
 func encodeEvidence(now time.Time, c loomquarantine.Change) *loompb.EvidenceChange {
 	switch c := c.(type) {
--- a/loomgate/leaving_test.go
+++ b/loomgate/leaving_test.go
@@ -308,18 +308,7 @@
 // instance in touch uses an upstream whose requests would arrive later than the limit
 // after its removal. SWIFTLOOM_HISTORIES sets their number, or FIRST-LAST.
 func TestFleetStopsUsingRemovedUpstreams(t *testing.T) {
-	first, last := 1, 200
-	if text := os.Getenv("SWIFTLOOM_HISTORIES"); text != "" {
-		from, to, isRange := strings.Cut(text, "-")
-		if !isRange {
-			from, to = "1", from
-		}
-		var err error
-		first, err = strconv.Atoi(from)
-		assert.NilError(t, err)
-		last, err = strconv.Atoi(to)
-		assert.NilError(t, err)
-	}
+	first, last := historySeeds(t, 200)
 	for seed := first; seed <= last; seed++ {
 		random := rand.New(rand.NewPCG(uint64(seed), 1))
 		h := newLeavingHistory(random)
@@ -328,3 +317,22 @@
 		assert.Check(t, failure == "", "seed %d, %+v: %s", seed, h, failure)
 	}
 }
+
+// historySeeds returns the first and the last seed of the random histories to play: a number
+// of them unless SWIFTLOOM_HISTORIES sets their number, or FIRST-LAST.
+func historySeeds(t *testing.T, count int) (first, last int) {
+	t.Helper()
+	text := os.Getenv("SWIFTLOOM_HISTORIES")
+	if text == "" {
+		return 1, count
+	}
+	from, to, isRange := strings.Cut(text, "-")
+	if !isRange {
+		from, to = "1", from
+	}
+	first, err := strconv.Atoi(from)
+	assert.NilError(t, err)
+	last, err = strconv.Atoi(to)
+	assert.NilError(t, err)
+	return first, last
+}
--- a/loomgate/quarantine.go
+++ b/loomgate/quarantine.go
@@ -41,6 +41,8 @@
 	// rows holds the platform's rows, by key, and dueAt when this instance is to write one.
 	rows  map[string]quarantineRow
 	dueAt map[string]time.Time
+	// decided is closed and replaced when there is a new quarantine.
+	decided chan struct{}
 }
 
 // endCheckKey identifies an incarnation of an upstream.
@@ -61,7 +63,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &quarantine{gate: g, ledger: ledger, checks: make(map[endCheckKey]*endCheck), rows: make(map[string]quarantineRow), dueAt: make(map[string]time.Time)}, nil
+	return &quarantine{gate: g, ledger: ledger, checks: make(map[endCheckKey]*endCheck), rows: make(map[string]quarantineRow), dueAt: make(map[string]time.Time), decided: make(chan struct{})}, nil
 }
 
 // hasEnded reports whether an upstream has ended that has just closed a connection. Attempts
@@ -187,8 +189,22 @@
 	return hasBegun || d.isTrial || ledger.IsExposed(unsound, suspiciousEnds)
 }
 
-// judge decides by the evidence of all instances. Requests that wait with a prompt that is
-// quarantined now are refused at once.
+// nextDecision returns a channel that is closed once there is a new quarantine.
+func (q *quarantine) nextDecision() <-chan struct{} {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.decided
+}
+
+// announceDecision lets requests that wait check whether they are to be refused.
+func (q *quarantine) announceDecision() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	close(q.decided)
+	q.decided = make(chan struct{})
+}
+
+// judge decides by the evidence of all instances.
 func (q *quarantine) judge(now time.Time) {
 	decided := q.ledger.Judge(now)
 	for _, d := range decided {
@@ -196,6 +212,6 @@
 		q.gate.log.Warn("prompt_part_quarantined", "model", d.Model, "parts", strings.Join(d.Parts, ","), "weights", d.Version, "ends", d.Ends)
 	}
 	if len(decided) > 0 {
-		q.gate.queues.wakeAll()
+		q.announceDecision()
 	}
 }
--- /dev/null
+++ b/loomgate/quarantine_test.go
@@ -0,0 +1,404 @@
+package loomgate
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"swiftloom/loomcatalogue"
+	"swiftloom/loomerror"
+	"swiftloom/loomupstream"
+)
+
+const (
+	// deadPrefix begins the IDs of the parts that end engines.
+	deadPrefix = "dead"
+	// crashDelay is the time after which a request with such a part ends its engine, and
+	// crashRestart how long that is down.
+	crashDelay   = 60 * time.Millisecond
+	crashRestart = 2500 * time.Millisecond
+)
+
+// crashingEngines are engines that end under requests with certain parts.
+type crashingEngines struct {
+	*modelEngines
+
+	mu sync.Mutex
+	// downUntil is when an engine that has ended is back, and ended is closed at the next
+	// end of an engine.
+	downUntil map[string]time.Time
+	ended     map[string]chan struct{}
+	// ends are the times of ends under each such part, arrivals those of requests with it.
+	ends     map[string][]time.Time
+	arrivals map[string][]time.Time
+	// isSound is set once no part ends engines any more.
+	isSound bool
+}
+
+func newCrashingEngines(n int) *crashingEngines {
+	c := &crashingEngines{
+		modelEngines: newModelEngines(n, 50_000), downUntil: make(map[string]time.Time), ended: make(map[string]chan struct{}),
+		ends: make(map[string][]time.Time), arrivals: make(map[string][]time.Time),
+	}
+	for id := range c.engines {
+		c.ended[id] = make(chan struct{})
+	}
+	return c
+}
+
+// HasEnded implements loomupstream.Runner.
+func (c *crashingEngines) HasEnded(_ context.Context, address string) (bool, error) {
+	return c.isDown(address), nil
+}
+
+func (c *crashingEngines) isDown(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Now().Before(c.downUntil[id])
+}
+
+// end ends an engine under a part, or for another reason if that is empty.
+func (c *crashingEngines) end(id, part string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Now().Before(c.downUntil[id]) {
+		return
+	}
+	if part != "" {
+		c.ends[part] = append(c.ends[part], time.Now())
+	}
+	c.downUntil[id] = time.Now().Add(crashRestart)
+	close(c.ended[id])
+	c.ended[id] = make(chan struct{})
+}
+
+// Send implements loomupstream.Runner.
+func (c *crashingEngines) Send(ctx context.Context, address string, s loomupstream.Send) (*loomupstream.Reply, error) {
+	if c.isDown(s.Upstream) {
+		return nil, &loomupstream.SendError{Unreachable: true, Cause: errDown}
+	}
+	var p modelPrompt
+	if err := json.Unmarshal(s.Body, &p); err != nil {
+		return nil, &loomupstream.SendError{Cause: err}
+	}
+	c.mu.Lock()
+	ended := c.ended[s.Upstream]
+	dead := ""
+	for _, part := range p.Parts {
+		if strings.HasPrefix(part.ID, deadPrefix) {
+			dead = part.ID
+			c.arrivals[dead] = append(c.arrivals[dead], time.Now())
+		}
+	}
+	isDead := dead != "" && !c.isSound
+	c.mu.Unlock()
+	if isDead {
+		time.AfterFunc(crashDelay, func() {
+			select {
+			case <-ended:
+			default:
+				c.end(s.Upstream, dead)
+			}
+		})
+	}
+	reply, err := c.modelEngines.Send(ctx, address, s)
+	if err != nil {
+		return nil, err
+	}
+	reply.Body = &breakingBody{ReadCloser: reply.Body, ended: ended, isSilent: isDead}
+	return reply, nil
+}
+
+// breakingBody is a body that breaks when its engine ends.
+type breakingBody struct {
+	io.ReadCloser
+
+	ended chan struct{}
+	// isSilent is set if the engine ends before the first event.
+	isSilent bool
+}
+
+// Read implements io.Reader.
+func (b *breakingBody) Read(p []byte) (int, error) {
+	type result struct {
+		n   int
+		err error
+	}
+	if b.isSilent {
+		<-b.ended
+		return 0, io.ErrUnexpectedEOF
+	}
+	read := make(chan result, 1)
+	buffer := make([]byte, len(p))
+	go func() {
+		n, err := b.ReadCloser.Read(buffer)
+		read <- result{n, err}
+	}()
+	select {
+	case r := <-read:
+		return copy(p, buffer[:r.n]), r.err
+	case <-b.ended:
+		return 0, io.ErrUnexpectedEOF
+	}
+}
+
+// crashPlay is a load with requests that end engines.
+type crashPlay struct {
+	instances, domains, engines int
+	hasCoordinators             bool
+	// gap is the mean time between requests that end engines, soundGap that between others.
+	gap, soundGap time.Duration
+	// parts returns the parts of the requests that end engines, but for the last one, and
+	// sound those of others.
+	parts, sound func(n int) []string
+	// newParts is set if no answer to the sound requests is complete before the first
+	// request that ends an engine.
+	newParts bool
+	// cutAt is when the first failure domain is cut off from the others for four seconds, or
+	// zero. Engines are reachable from everywhere.
+	cutAt time.Duration
+	// racksAt are times at which a third of the engines end at once.
+	racksAt []time.Duration
+	length  time.Duration
+}
+
+// crashCounts is the outcome of a crashPlay.
+type crashCounts struct {
+	ends int
+	// late is the largest number of requests with one part that arrived too late.
+	late int
+	// served and all count the sound requests from twice contactTime after the fifth end.
+	served, all int
+	// refused is the number of sound requests that were refused as quarantined.
+	refused int
+	// wrong are the quarantined sets without a part that ends engines.
+	wrong []string
+}
+
+// play plays a load in virtual time.
+func (p crashPlay) play(t *testing.T, random *rand.Rand) crashCounts {
+	t.Helper()
+	engines := newCrashingEngines(p.engines)
+	var stores []loomcatalogue.KVStore
+	if p.hasCoordinators {
+		stores = append(stores, loomcatalogue.KVStore{Name: "store", MaxWatches: 12})
+	}
+	var gates []*Gate
+	for i := range p.instances {
+		g := newModelGate(t, fmt.Sprint("i", i), engines.modelEngines, pauseObjective, stores...)
+		g.runner = engines
+		g.settings.FailureDomain = fmt.Sprint("d", i%p.domains)
+		g.settings.ProcessorCores = 1
+		g.random = rand.New(rand.NewPCG(random.Uint64(), 1))
+		gates = append(gates, g)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	start := time.Now()
+	isCut := func(at time.Time) bool {
+		return p.cutAt > 0 && at.Sub(start) > p.cutAt && at.Sub(start) < p.cutAt+4*time.Second
+	}
+	connectCut(ctx, gates, func(from, to *Gate) bool {
+		return isCut(time.Now()) && (from.settings.FailureDomain == "d0") != (to.settings.FailureDomain == "d0")
+	})
+	for _, at := range p.racksAt {
+		time.AfterFunc(at, func() {
+			for i := range p.engines / 3 {
+				engines.end(fmt.Sprint("e", 3*i), "")
+			}
+		})
+	}
+	var mu sync.Mutex
+	type outcome struct {
+		at     time.Time
+		served bool
+	}
+	var outcomes []outcome
+	refused := 0
+	var running sync.WaitGroup
+	var numbers atomic.Int64
+	send := func(parts []string, isSound bool) {
+		n := numbers.Add(1)
+		prompt := modelPrompt{Output: 12}
+		for _, id := range append(slices.Clone(parts), fmt.Sprint("request", n)) {
+			prompt.Parts = append(prompt.Parts, PromptPart{ID: id, Tokens: 300})
+		}
+		g := gates[random.IntN(len(gates))]
+		running.Go(func() {
+			at := time.Now()
+			w := serveModel(t.Context(), t, g, "report", fmt.Sprint("r", n), prompt)
+			if isSound {
+				mu.Lock()
+				defer mu.Unlock()
+				outcomes = append(outcomes, outcome{at: at, served: w.failure == nil})
+				if w.failure != nil && w.failure.Kind() == loomerror.PromptQuarantined {
+					refused++
+				}
+			}
+		})
+	}
+	deadFrom := 2 * time.Second
+	if p.newParts {
+		deadFrom = 0
+	}
+	nextSound, nextDead := start, start.Add(deadFrom)
+	for n := 0; time.Since(start) < p.length; n++ {
+		now := time.Now()
+		if !now.Before(nextDead) {
+			send(p.parts(n), false)
+			nextDead = now.Add(time.Duration(random.ExpFloat64() * float64(p.gap)))
+		}
+		if !now.Before(nextSound) {
+			send(p.sound(n), true)
+			nextSound = now.Add(time.Duration(random.ExpFloat64() * float64(p.soundGap)))
+		}
+		time.Sleep(time.Millisecond)
+	}
+	running.Wait()
+	result := crashCounts{refused: refused}
+	var limit time.Time
+	for part, ends := range engines.ends {
+		result.ends += len(ends)
+		fifth := ends[min(len(ends), 5)-1]
+		if fifth.After(limit) {
+			limit = fifth
+		}
+		late := 0
+		for _, at := range engines.arrivals[part] {
+			isInTouch := p.cutAt == 0 || at.Sub(start) < p.cutAt || at.Sub(start) > p.cutAt+4*time.Second+contactTime
+			if len(ends) >= 5 && isInTouch && at.After(fifth.Add(contactTime)) {
+				late++
+			}
+		}
+		result.late = max(result.late, late)
+	}
+	for _, o := range outcomes {
+		if o.at.After(limit.Add(2 * contactTime)) {
+			result.all++
+			if o.served {
+				result.served++
+			}
+		}
+	}
+	for _, g := range gates {
+		for _, q := range g.quarantine.ledger.Quarantines() {
+			if !slices.ContainsFunc(q.Parts, func(id string) bool { return strings.HasPrefix(id, deadPrefix) }) {
+				result.wrong = append(result.wrong, fmt.Sprint(g.settings.ID, q.Parts))
+			}
+		}
+	}
+	return result
+}
+
+// check fails t if a bound was broken.
+func (r crashCounts) check(t *testing.T) {
+	t.Helper()
+	t.Logf("%d engines ended, %d requests arrived late, %d of %d sound ones served, %d refused, wrong quarantines %v", r.ends, r.late, r.served, r.all, r.refused, r.wrong)
+	assert.Check(t, r.ends > 0)
+	assert.Check(t, r.late <= 3, "%d requests arrived late, allowed 3", r.late)
+	assert.Check(t, r.all >= 20 && 2*r.served >= r.all, "%d of %d sound requests served", r.served, r.all)
+	assert.Check(t, len(r.wrong) == 0, "%v", r.wrong)
+}
+
+// TestFleetContainsPartsThatEndEngines guards against a part that ends engines which some
+// instances go on to send, since they have seen none of the ends.
+func TestFleetContainsPartsThatEndEngines(t *testing.T) {
+	inTheMiddle := func(n int) []string { return []string{"a", "dead", fmt.Sprint("b", n%8)} }
+	shared := func(n int) []string { return []string{"a", fmt.Sprint("b", n%8)} }
+	base := crashPlay{instances: 8, domains: 4, engines: 12, gap: 62 * time.Millisecond, soundGap: 30 * time.Millisecond, parts: inTheMiddle, sound: shared, length: 12 * time.Second}
+	with := func(change func(*crashPlay)) crashPlay {
+		p := base
+		change(&p)
+		return p
+	}
+	tests := []struct {
+		name string
+		play crashPlay
+	}{
+		{"8 instances", base},
+		{"new sound parts", with(func(p *crashPlay) { p.newParts = true })},
+		{"slowly", with(func(p *crashPlay) { p.gap, p.length = time.Second, 20*time.Second })},
+		{"two parts in turn", with(func(p *crashPlay) {
+			p.parts = func(n int) []string { return []string{"a", fmt.Sprint("dead", n%2), fmt.Sprint("b", n%8)} }
+		})},
+		{"two parts in turn, new sound parts", with(func(p *crashPlay) {
+			p.newParts = true
+			p.parts = func(n int) []string { return []string{"a", fmt.Sprint("dead", n%2), fmt.Sprint("b", n%8)} }
+		})},
+		{"a cut", with(func(p *crashPlay) { p.cutAt, p.length = 1800*time.Millisecond, 16*time.Second })},
+		{"racks", with(func(p *crashPlay) { p.racksAt = []time.Duration{time.Second, 2500 * time.Millisecond, 5 * time.Second} })},
+		{"83 instances with coordinators", with(func(p *crashPlay) {
+			p.instances, p.engines, p.hasCoordinators = 83, 60, true
+			p.gap, p.soundGap = 20*time.Millisecond, 10*time.Millisecond
+		})},
+		{"295 instances with coordinators", with(func(p *crashPlay) {
+			p.instances, p.engines, p.hasCoordinators = 295, 190, true
+			p.gap, p.soundGap = 20*time.Millisecond, 10*time.Millisecond
+		})},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tt.play.play(t, rand.New(rand.NewPCG(1, 1))).check(t)
+			})
+		})
+	}
+}
+
+// randomCrashPlay returns a play with random disturbances.
+func randomCrashPlay(random *rand.Rand) crashPlay {
+	between := func(from, to time.Duration) time.Duration {
+		return from + time.Duration(random.Int64N(int64(to-from)))
+	}
+	p := crashPlay{
+		instances: 2 + random.IntN(9), domains: 1 + random.IntN(4), engines: 6 + random.IntN(14),
+		gap: between(40*time.Millisecond, 800*time.Millisecond), soundGap: between(15*time.Millisecond, 60*time.Millisecond),
+		newParts: random.IntN(4) == 0, length: 20 * time.Second,
+	}
+	if random.IntN(6) == 0 {
+		p.instances, p.engines, p.hasCoordinators = 30, 30, true
+	}
+	if random.IntN(3) == 0 {
+		p.cutAt = between(time.Second, 5*time.Second)
+	}
+	for range random.IntN(4) {
+		p.racksAt = append(p.racksAt, between(0, 10*time.Second))
+	}
+	dead, accounts, sessions := 1+random.IntN(3), 1+random.IntN(4), 1+random.IntN(20)
+	place := random.IntN(3)
+	p.sound = func(n int) []string {
+		return []string{fmt.Sprint("account", n%accounts), fmt.Sprint("session", n%sessions)}
+	}
+	p.parts = func(n int) []string {
+		return slices.Insert(p.sound(n), place, fmt.Sprint(deadPrefix, n%dead))
+	}
+	return p
+}
+
+// TestFleetContainsPartsInAnyHistory plays random histories in virtual time.
+// SWIFTLOOM_HISTORIES sets their number, or FIRST-LAST.
+func TestFleetContainsPartsInAnyHistory(t *testing.T) {
+	first, last := historySeeds(t, 40)
+	for seed := first; seed <= last; seed++ {
+		random := rand.New(rand.NewPCG(uint64(seed), 2))
+		p := randomCrashPlay(random)
+		var result crashCounts
+		synctest.Test(t, func(t *testing.T) { result = p.play(t, random) })
+		isSound := result.late <= 3 && 2*result.served >= result.all && len(result.wrong) == 0
+		if result.refused > 0 {
+			t.Logf("seed %d: %+v", seed, result)
+		}
+		assert.Check(t, isSound, "seed %d: %+v: %+v", seed, p, result)
+	}
+}
--- a/loomgate/queue.go
+++ b/loomgate/queue.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -302,15 +301,18 @@
 func (d *dispatch) waitTurn(ctx context.Context, q *groupQueue, waiter loomlimit.Waiter, wake chan struct{}) *loomerror.Error {
 	defer q.remove(waiter.ID)
 	for {
+		decision := d.gate.quarantine.nextDecision()
+		if err := d.checkQuarantine(time.Now()); err != nil {
+			return err
+		}
 		select {
 		case <-ctx.Done():
 			return loomerror.From(ctx.Err()).WithNotRun(loomerror.NotRunTrue)
+		case <-decision:
+			continue
 		case <-wake:
 		}
 		now := time.Now()
-		if err := d.checkQuarantine(now); err != nil {
-			return err
-		}
 		if waiter.Until.Before(now) {
 			return loomerror.New(loomerror.DeadlineUnmeetable, "no engine had capacity within %s", now.Sub(waiter.Arrived).Round(time.Millisecond)).
 				WithRetryAfter(minRetryAfter)
@@ -405,20 +407,6 @@
 	}
 }
 
-// wakeAll wakes all requests, which then check whether they are to be refused.
-func (q *queues) wakeAll() {
-	q.mu.Lock()
-	groups := slices.Collect(maps.Values(q.byGroup))
-	q.mu.Unlock()
-	for _, gq := range groups {
-		gq.mu.Lock()
-		for id := range gq.wakeups {
-			gq.signal(id)
-		}
-		gq.mu.Unlock()
-	}
-}
-
 // wakeFirst wakes the first request in the queue of a group, which then checks
 // for capacity.
 func (q *queues) wakeFirst(group string) {
--- a/loomquarantine/ledger.go
+++ b/loomquarantine/ledger.go
@@ -215,14 +215,16 @@
 		}
 		known, isKnown := record.exposures[x.Part]
 		joined := known.join(x)
-		joined.Part = x.Part
+		if !isKnown {
+			joined.Part = x.Part.clone()
+		}
 		if (isKnown && joined == known) || (!isKnown && len(record.exposures) >= maxExposures) {
 			continue
 		}
 		if !isKnown {
-			l.exposed[x.Part]++
+			l.exposed[joined.Part]++
 		}
-		record.exposures[x.Part] = joined
+		record.exposures[joined.Part] = joined
 		news.Exposures = append(news.Exposures, joined)
 	}
 	if len(news.Exposures) > 0 {
--- a/loomquarantine/part.go
+++ b/loomquarantine/part.go
@@ -15,6 +15,11 @@
 	ID    string
 }
 
+// clone returns a copy of p that keeps no text alive of which its fields are parts.
+func (p Part) clone() Part {
+	return Part{Model: strings.Clone(p.Model), ID: strings.Clone(p.ID)}
+}
+
 // Exposure is a part of a request that was in progress at an upstream when that ended.
 type Exposure struct {
 	Part Part
--- a/loomquarantine/sound.go
+++ b/loomquarantine/sound.go
@@ -38,6 +38,8 @@
 func (s *soundParts) add(now time.Time, p Part, version uint64) {
 	if known, ok := s.recent.Get(p); ok {
 		version = max(version, known.version)
+	} else {
+		p = p.clone()
 	}
 	s.recent.Add(p, soundRecord{version: version, at: now})
 }
