--- a/loomplatform/grpc.go
+++ b/loomplatform/grpc.go
@@ -54,9 +54,11 @@
 }
 
 // NewServer returns a server that bounds what it reads for a call as clients from Dial
-// do.
+// do. A handler that panics ends only its call.
 func NewServer(extra ...grpc.ServerOption) *grpc.Server {
-	options := append([]grpc.ServerOption{grpc.MaxHeaderListSize(maxHeaderListBytes), grpc.MaxRecvMsgSize(maxMessageBytes)}, extra...)
+	options := append([]grpc.ServerOption{
+		grpc.MaxHeaderListSize(maxHeaderListBytes), grpc.MaxRecvMsgSize(maxMessageBytes), grpc.ChainUnaryInterceptor(recoverCall),
+	}, extra...)
 	return grpc.NewServer(options...)
 }
 
