Share a round's request among the calls to peers again

The evidence for each peer made every call clone the whole request of the round. Now a request for a peer shares all that is the same for all of them.

--- a/loomgate/evidence.go
+++ b/loomgate/evidence.go
@@ -8,16 +8,6 @@
 	"swiftloom/loomquarantine"
 )
 
-// evidenceFor returns the changes of evidence that a peer lacks, and which of the peer's
-// changes this instance lacks.
-func (p *peers) evidenceFor(now time.Time, peer *peer, r *loompb.ExchangeRequest) {
-	p.mu.Lock()
-	from := peer.evidenceSent
-	r.EvidenceFrom, r.EvidenceIncarnation = peer.evidenceSeen, peer.evidenceIncarnation
-	p.mu.Unlock()
-	r.Evidence = p.gate.quarantine.evidence(now, from)
-}
-
 // applyEvidence applies the evidence in the reply of a peer to r.
 func (p *peers) applyEvidence(now time.Time, peer *peer, r *loompb.ExchangeRequest, reply *loompb.ExchangeReply) {
 	e := reply.GetEvidence()
--- a/loomgate/exchange.go
+++ b/loomgate/exchange.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"swiftloom/loomkernel"
 	"swiftloom/loompb"
 	"swiftloom/loomroute"
@@ -173,9 +171,7 @@
 // newer.
 func (p *peers) exchange(ctx context.Context, peer *peer, r *loompb.ExchangeRequest) {
 	sentAt := time.Now()
-	r = proto.CloneOf(r)
-	r.LeaseRequests = p.gate.limits.leaseRequests(sentAt, peer.id)
-	p.evidenceFor(sentAt, peer, r)
+	r = p.requestFor(sentAt, peer, r)
 	call, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	reply, err := peer.client.Exchange(call, r)
 	cancel()
@@ -204,6 +200,34 @@
 	p.syncRows(ctx, peer, sentAt, reply)
 }
 
+// requestFor returns the request of a round with what is only for one peer. It shares the rest
+// with r, which all calls of the round read.
+func (p *peers) requestFor(now time.Time, peer *peer, r *loompb.ExchangeRequest) *loompb.ExchangeRequest {
+	p.mu.Lock()
+	sent, seen, incarnation := peer.evidenceSent, peer.evidenceSeen, peer.evidenceIncarnation
+	p.mu.Unlock()
+	return &loompb.ExchangeRequest{
+		From:             r.GetFrom(),
+		Incarnation:      r.GetIncarnation(),
+		CatalogueVersion: r.GetCatalogueVersion(),
+		UpstreamsVersion: r.GetUpstreamsVersion(),
+		Loads:            r.GetLoads(),
+		Placements:       r.GetPlacements(),
+		Weights:          r.GetWeights(),
+		Samples:          r.GetSamples(),
+		Queued:           r.GetQueued(),
+		Limits:           r.GetLimits(),
+		Leaving:          r.GetLeaving(),
+		ReachedIds:       r.GetReachedIds(),
+		FailingIds:       r.GetFailingIds(),
+
+		LeaseRequests:       p.gate.limits.leaseRequests(now, peer.id),
+		Evidence:            p.gate.quarantine.evidence(now, sent),
+		EvidenceFrom:        seen,
+		EvidenceIncarnation: incarnation,
+	}
+}
+
 // recordFailure records a failed call to a peer.
 func (p *peers) recordFailure(peer *peer, cause error) {
 	p.mu.Lock()
--- a/loomgate/exchange_test.go
+++ b/loomgate/exchange_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"sync/atomic"
+	"testing"
+	"time"
 
 	"google.golang.org/grpc"
+	"gotest.tools/v3/assert"
 
 	"swiftloom/loompb"
 )
@@ -78,3 +81,23 @@
 	}
 	return isDown
 }
+
+// TestRequestForPeerHasAllFields guards against a field of a round's request that is not
+// passed on to the peers.
+func TestRequestForPeerHasAllFields(t *testing.T) {
+	g := newTestGate(t, "a", newFakeSource(), &fakeRunner{})
+	r := &loompb.ExchangeRequest{
+		From: "a", Incarnation: 1, CatalogueVersion: 2, UpstreamsVersion: 3,
+		Loads: []*loompb.UpstreamLoad{{UpstreamId: "e"}}, Placements: []*loompb.Placement{{UpstreamId: "e"}},
+		Weights: []*loompb.WeightsSeen{{UpstreamId: "e"}}, Samples: []*loompb.PrefillSample{{UpstreamId: "e"}},
+		Queued: []*loompb.QueuedWork{{Group: "g"}}, Limits: []*loompb.UpstreamLimit{{UpstreamId: "e"}},
+		Leaving: []*loompb.LeavingStatement{{UpstreamId: "e"}}, ReachedIds: []string{"e"}, FailingIds: []string{"f"},
+	}
+	sent := g.peers.requestFor(time.Now(), &peer{id: "b", evidenceSeen: 4, evidenceIncarnation: 5}, r)
+	fields := r.ProtoReflect().Descriptor().Fields()
+	for i := range fields.Len() {
+		field := fields.Get(i)
+		isForPeer := field.Name() == "lease_requests" || field.Name() == "evidence"
+		assert.Check(t, isForPeer || sent.ProtoReflect().Has(field), "field %s is missing", field.Name())
+	}
+}
--- a/loomgate/quarantine.go
+++ b/loomgate/quarantine.go
@@ -119,7 +119,7 @@
 // checkQuarantine returns the error with which the request is refused if its prompt is
 // quarantined, or nil.
 func (d *dispatch) checkQuarantine(now time.Time) *loomerror.Error {
-	if !d.req.HasPrompt {
+	if !d.req.HasPrompt || d.gate.quarantine.ledger.IsEmpty() {
 		return nil
 	}
 	parts := d.sharedPartIDs()
--- a/loomquarantine/ledger.go
+++ b/loomquarantine/ledger.go
@@ -89,10 +89,15 @@
 	}, nil
 }
 
+// IsEmpty reports whether there are no quarantines.
+func (l *Ledger) IsEmpty() bool {
+	return l.active.Load() == 0
+}
+
 // Find returns the quarantine that applies to a prompt, if there is one, and counts
 // its use.
 func (l *Ledger) Find(now time.Time, model string, parts []string) (Quarantine, bool) {
-	if l.active.Load() == 0 {
+	if l.IsEmpty() {
 		return Quarantine{}, false
 	}
 	l.mu.Lock()
