--- a/loomgate/evidence.go
+++ b/loomgate/evidence.go
@@ -53,7 +53,9 @@
 	if len(changes) == 0 {
 		return
 	}
-	q.ledger.Apply(now, changes)
+	if q.ledger.Apply(now, changes) && q.gate.coordinators.elected() != nil {
+		q.announceNews()
+	}
 	if slices.ContainsFunc(changes, isQuarantine) {
 		q.announceDecision()
 	}
--- a/loomgate/exchange.go
+++ b/loomgate/exchange.go
@@ -15,6 +15,8 @@
 	// exchangeInterval is the minimum time between two rounds of calls to
 	// peers.
 	exchangeInterval = 80 * time.Millisecond
+	// minExchangeInterval is the same if there is evidence that a peer needs at once.
+	minExchangeInterval = 25 * time.Millisecond
 	// exchangeSpacing is the time per peer in a round. It limits one instance
 	// to about eighty calls per second.
 	exchangeSpacing = 12 * time.Millisecond
@@ -64,7 +66,7 @@
 // ctx ends.
 func (p *peers) exchangeLoop(ctx context.Context) {
 	interval := exchangeInterval
-	for loomkernel.Sleep(ctx, interval) == nil {
+	for p.awaitRound(ctx, interval) == nil {
 		now := time.Now()
 		p.gate.view.evictExpired(now)
 		request := p.newExchangeRequest()
@@ -80,6 +82,23 @@
 	}
 }
 
+// awaitRound waits until the next round is due, at most for an interval. Evidence of the end of
+// an upstream is told sooner.
+func (p *peers) awaitRound(ctx context.Context, interval time.Duration) error {
+	if err := loomkernel.Sleep(ctx, minExchangeInterval); err != nil {
+		return err
+	}
+	timer := time.NewTimer(interval - minExchangeInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-p.gate.quarantine.news:
+	case <-timer.C:
+	}
+	return nil
+}
+
 // newExchangeRequest returns the request of a round. It takes all pending
 // placements.
 func (p *peers) newExchangeRequest() *loompb.ExchangeRequest {
--- a/loomgate/quarantine.go
+++ b/loomgate/quarantine.go
@@ -41,6 +41,8 @@
 	// rows holds the platform's rows, by key, and dueAt when this instance is to write one.
 	rows  map[string]quarantineRow
 	dueAt map[string]time.Time
+	// news holds a value once there is evidence of an end that peers lack.
+	news chan struct{}
 	// decided is closed and replaced when there is a new quarantine.
 	decided chan struct{}
 }
@@ -63,7 +65,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &quarantine{gate: g, ledger: ledger, checks: make(map[endCheckKey]*endCheck), rows: make(map[string]quarantineRow), dueAt: make(map[string]time.Time), decided: make(chan struct{})}, nil
+	return &quarantine{gate: g, ledger: ledger, checks: make(map[endCheckKey]*endCheck), rows: make(map[string]quarantineRow), dueAt: make(map[string]time.Time), news: make(chan struct{}, 1), decided: make(chan struct{})}, nil
 }
 
 // hasEnded reports whether an upstream has ended that has just closed a connection. Attempts
@@ -184,11 +186,21 @@
 	for _, p := range unsound {
 		end.Exposures = append(end.Exposures, loomquarantine.Exposure{Part: p, Version: d.version, HasBegun: hasBegun})
 	}
-	ledger.RecordEnd(now, end)
+	if ledger.RecordEnd(now, end) {
+		d.gate.quarantine.announceNews()
+	}
 	const suspiciousEnds = 2
 	return hasBegun || d.isTrial || ledger.IsExposed(unsound, suspiciousEnds)
 }
 
+// announceNews makes the next round of calls to peers begin soon.
+func (q *quarantine) announceNews() {
+	select {
+	case q.news <- struct{}{}:
+	default:
+	}
+}
+
 // nextDecision returns a channel that is closed once there is a new quarantine.
 func (q *quarantine) nextDecision() <-chan struct{} {
 	q.mu.Lock()
--- a/loomquarantine/ledger.go
+++ b/loomquarantine/ledger.go
@@ -195,21 +195,21 @@
 }
 
 // RecordEnd records that an upstream ended under a request, of which exposures holds the
-// parts that are not known to be sound.
-func (l *Ledger) RecordEnd(now time.Time, e End) {
+// parts that are not known to be sound. It reports whether that is new.
+func (l *Ledger) RecordEnd(now time.Time, e End) bool {
 	if len(e.Exposures) == 0 {
-		return
+		return false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.addEnd(now, e)
+	return l.addEnd(now, e)
 }
 
-// addEnd merges an end. Parts that are known to be sound are told to peers as such. The
-// caller holds mu.
-func (l *Ledger) addEnd(now time.Time, e End) {
+// addEnd merges an end and reports whether a part of it is new. Parts that are known to be
+// sound are told to peers as such. The caller holds mu.
+func (l *Ledger) addEnd(now time.Time, e End) bool {
 	if now.Sub(e.At) > evidenceTTL {
-		return
+		return false
 	}
 	record := l.endOf(e)
 	news := End{Upstream: e.Upstream, Incarnation: e.Incarnation, At: record.At}
@@ -236,6 +236,7 @@
 		l.changedAt = now
 		l.append(now, news)
 	}
+	return len(news.Exposures) > 0
 }
 
 // endOf returns the record of an end, which it adds if necessary. The caller holds mu.
@@ -395,18 +396,21 @@
 	return changes, from + uint64(len(rest))
 }
 
-// Apply merges the changes of a peer.
-func (l *Ledger) Apply(now time.Time, changes []Change) {
+// Apply merges the changes of a peer and reports whether they tell of an end, or of a part of
+// one, that was not known.
+func (l *Ledger) Apply(now time.Time, changes []Change) bool {
+	hasNews := false
 	for _, c := range changes {
 		switch c := c.(type) {
 		case End:
-			l.RecordEnd(now, c)
+			hasNews = l.RecordEnd(now, c) || hasNews
 		case Sound:
 			l.addSound(now, c)
 		case Quarantine:
 			l.addQuarantine(now, c)
 		}
 	}
+	return hasNews
 }
 
 // addQuarantine merges a quarantine that a peer has decided. It is lifted if a part is known
