--- a/loomquarantine/judge.go
+++ b/loomquarantine/judge.go
@@ -44,6 +44,7 @@
 		return nil
 	}
 	open := l.clusters(now)
+	l.withdraw(open)
 	for _, r := range l.quarantines {
 		open = withoutExplained(open, r.Quarantine)
 	}
@@ -64,6 +65,42 @@
 	}
 }
 
+// withdraw removes quarantines for which the evidence no longer speaks, since later ends have
+// shown that other parts explain theirs. The caller holds mu.
+func (l *Ledger) withdraw(clusters []cluster) {
+	explaining := explanation(clusters)
+	for key, r := range l.quarantines {
+		ends, explained := 0, 0
+		for _, c := range clusters {
+			if !c.has(r.Quarantine) {
+				continue
+			}
+			ends++
+			if slices.ContainsFunc(explaining, func(q Quarantine) bool { return q.key() != key && c.has(q) }) {
+				explained++
+			}
+		}
+		isChosen := slices.ContainsFunc(explaining, func(q Quarantine) bool { return q.key() == key })
+		if !isChosen && ends >= minEnds && explained == ends {
+			l.remove(key)
+		}
+	}
+}
+
+// explanation returns the parts that explain the clusters if nothing was decided before.
+func explanation(clusters []cluster) []Quarantine {
+	open := slices.Clone(clusters)
+	var explaining []Quarantine
+	for {
+		q, ok := mostExposed(open)
+		if !ok {
+			return explaining
+		}
+		explaining = append(explaining, q)
+		open = withoutExplained(open, q)
+	}
+}
+
 // withoutExplained returns the clusters that q doesn't explain. It may change the slice.
 func withoutExplained(clusters []cluster, q Quarantine) []cluster {
 	return slices.DeleteFunc(clusters, func(c cluster) bool { return c.has(q) })
--- a/loomquarantine/ledger.go
+++ b/loomquarantine/ledger.go
@@ -429,6 +429,7 @@
 		}
 	}
 	if len(q.Parts) > 0 && l.put(q, now) {
+		l.changedAt = now
 		l.append(now, q)
 	}
 }
