--- a/loomgate/quarantine.go
+++ b/loomgate/quarantine.go
@@ -166,10 +166,10 @@
 	}
 }
 
-// mayHaveEndedUpstream records what the request shows if its upstream has ended under it, and
+// recordUpstreamEnd records what the request shows if its upstream has ended under it, and
 // reports whether it may be the reason, so that another attempt could end another upstream.
 // An answer that has been in progress for some time is none.
-func (d *dispatch) mayHaveEndedUpstream(ctx context.Context, now time.Time) bool {
+func (d *dispatch) recordUpstreamEnd(ctx context.Context, now time.Time) bool {
 	if !d.req.HasPrompt || (!d.attemptFirstAt.IsZero() && now.Sub(d.attemptFirstAt) > soundAge) {
 		return false
 	}
--- a/loomgate/quarantine_row.go
+++ b/loomgate/quarantine_row.go
@@ -91,14 +91,14 @@
 	}
 }
 
-// writerRank returns how many live instances are to write the row of q, or to try it, before
-// this one.
-func (q *quarantine) writerRank(found loomquarantine.Quarantine) int {
+// writerRank returns how many live instances are to write the row of an entry, or to try it,
+// before this one.
+func (q *quarantine) writerRank(entry loomquarantine.Quarantine) int {
 	ids := q.gate.peers.liveInstances()
 	if all := q.gate.coordinators.all(); all != nil {
 		ids = all
 	}
-	key := quarantineRowKey(found)
+	key := quarantineRowKey(entry)
 	own := hashString(key + q.gate.settings.ID)
 	rank := 0
 	for _, id := range ids {
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -270,7 +270,7 @@
 		d.gate.fleet.Unreachable(now, d.upstream.ID)
 	}
 	d.gate.fleet.RecordFailure(now, d.upstream.ID)
-	if sendErr != nil && sendErr.Delivered && d.mayHaveEndedUpstream(ctx, now) {
+	if sendErr != nil && sendErr.Delivered && d.recordUpstreamEnd(ctx, now) {
 		return d.lifecycle.Apply(now, loomstream.Broken{Attempt: d.attemptID, Final: true})
 	}
 	return d.breakAttempt(now)
--- /dev/null
+++ b/loomquarantine/changes.go
@@ -0,0 +1,56 @@
+package loomquarantine
+
+import "time"
+
+// logged is a change with the time at which it was added.
+type logged struct {
+	change Change
+	at     time.Time
+}
+
+// append adds a change to the log. The caller holds mu.
+func (l *Ledger) append(now time.Time, c Change) {
+	l.log = append(l.log, logged{change: c, at: now})
+	l.next++
+}
+
+// Changes returns the changes from number from on, at most limit of them, and the
+// number from which the next call continues. The first call passes zero and gets all
+// quarantines, also those that were decided long before.
+func (l *Ledger) Changes(from uint64, limit int) (changes []Change, next uint64) {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	if from == 0 {
+		for _, r := range l.quarantines {
+			changes = append(changes, r.Quarantine)
+		}
+	}
+	first := l.next - uint64(len(l.log))
+	from = max(from, first)
+	if from >= l.next {
+		return changes, l.next
+	}
+	rest := l.log[from-first:]
+	rest = rest[:min(len(rest), limit)]
+	for _, entry := range rest {
+		changes = append(changes, entry.change)
+	}
+	return changes, from + uint64(len(rest))
+}
+
+// Apply merges the changes of a peer and reports whether they tell of an end, or of a part of
+// one, that was not known.
+func (l *Ledger) Apply(now time.Time, changes []Change) bool {
+	hasNews := false
+	for _, c := range changes {
+		switch c := c.(type) {
+		case End:
+			hasNews = l.RecordEnd(now, c) || hasNews
+		case Sound:
+			l.addSound(now, c)
+		case Quarantine:
+			l.addQuarantine(now, c)
+		}
+	}
+	return hasNews
+}
--- a/loomquarantine/ledger.go
+++ b/loomquarantine/ledger.go
@@ -60,20 +60,6 @@
 	exposures map[Part]Exposure
 }
 
-type quarantineRecord struct {
-	Quarantine
-	announcedAt time.Time
-	// knownAt is when this instance decided or learned it, and triedAt when a request was
-	// last sent in spite of it.
-	knownAt, triedAt time.Time
-}
-
-// logged is a change with the time at which it was added.
-type logged struct {
-	change Change
-	at     time.Time
-}
-
 // NewLedger returns a ledger without evidence.
 func NewLedger() (*Ledger, error) {
 	sound, err := newSoundParts()
@@ -89,35 +75,6 @@
 	}, nil
 }
 
-// IsEmpty reports whether there are no quarantines.
-func (l *Ledger) IsEmpty() bool {
-	return l.active.Load() == 0
-}
-
-// Find returns the quarantine that applies to a prompt, if there is one, and counts
-// its use.
-func (l *Ledger) Find(now time.Time, model string, parts []string) (Quarantine, bool) {
-	if l.IsEmpty() {
-		return Quarantine{}, false
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, id := range parts {
-		for _, key := range l.byPart[Part{Model: model, ID: id}] {
-			r := l.quarantines[key]
-			if !r.matches(model, parts) {
-				continue
-			}
-			r.Quarantine = r.WithUse(now)
-			if now.Sub(r.announcedAt) > announceInterval {
-				l.announce(now, r)
-			}
-			return r.Quarantine, true
-		}
-	}
-	return Quarantine{}, false
-}
-
 // Unsound returns those of a prompt's parts to which no answer with weights of a version or
 // later has been complete of late.
 func (l *Ledger) Unsound(now time.Time, model string, parts []string, version uint64) []Part {
@@ -272,62 +229,6 @@
 	})
 }
 
-// put adds a quarantine, or joins it with the known one of the same parts. It reports whether
-// that was not known or has changed. The caller holds mu.
-func (l *Ledger) put(q Quarantine, now time.Time) bool {
-	key := q.key()
-	if known, ok := l.quarantines[key]; ok {
-		before := known.Quarantine
-		known.UsedAt = known.WithUse(q.UsedAt).UsedAt
-		known.Version = max(known.Version, q.Version)
-		known.Ends = max(known.Ends, q.Ends)
-		known.IsCertain = known.IsCertain || q.IsCertain
-		if q.Trials > known.Trials {
-			known.Trials, known.triedAt = q.Trials, now
-		}
-		return known.Version != before.Version || known.Trials != before.Trials || known.IsCertain != before.IsCertain
-	}
-	if len(l.quarantines) >= maxQuarantines {
-		l.remove(l.leastUsed())
-	}
-	l.quarantines[key] = &quarantineRecord{Quarantine: q, announcedAt: now, knownAt: now}
-	for _, id := range q.Parts {
-		p := Part{Model: q.Model, ID: id}
-		l.byPart[p] = append(l.byPart[p], key)
-	}
-	l.active.Store(int64(len(l.quarantines)))
-	return true
-}
-
-// remove removes a quarantine. The caller holds mu.
-func (l *Ledger) remove(key string) {
-	r, ok := l.quarantines[key]
-	if !ok {
-		return
-	}
-	delete(l.quarantines, key)
-	for _, id := range r.Parts {
-		p := Part{Model: r.Model, ID: id}
-		l.byPart[p] = slices.DeleteFunc(l.byPart[p], func(k string) bool { return k == key })
-		if len(l.byPart[p]) == 0 {
-			delete(l.byPart, p)
-		}
-	}
-	l.active.Store(int64(len(l.quarantines)))
-}
-
-// leastUsed returns the key of the quarantine that was used least recently. The caller holds
-// mu.
-func (l *Ledger) leastUsed() string {
-	least := ""
-	for key, r := range l.quarantines {
-		if least == "" || r.UsedAt.Before(l.quarantines[least].UsedAt) {
-			least = key
-		}
-	}
-	return least
-}
-
 // expire removes evidence and quarantines that no longer count. The caller holds mu.
 func (l *Ledger) expire(now time.Time) {
 	l.drop(func(e *endRecord) bool { return now.Sub(e.At) > evidenceTTL })
@@ -342,94 +243,3 @@
 	}
 	l.log = slices.Delete(l.log, 0, kept)
 }
-
-// Quarantines returns all quarantines, sorted by model and parts.
-func (l *Ledger) Quarantines() []Quarantine {
-	l.mu.RLock()
-	defer l.mu.RUnlock()
-	all := make([]Quarantine, 0, len(l.quarantines))
-	for _, r := range l.quarantines {
-		all = append(all, r.Quarantine)
-	}
-	slices.SortFunc(all, func(a, b Quarantine) int {
-		if a.key() < b.key() {
-			return -1
-		}
-		return 1
-	})
-	return all
-}
-
-// append adds a change to the log. The caller holds mu.
-func (l *Ledger) append(now time.Time, c Change) {
-	l.log = append(l.log, logged{change: c, at: now})
-	l.next++
-}
-
-// announce adds a quarantine to the log. The caller holds mu.
-func (l *Ledger) announce(now time.Time, r *quarantineRecord) {
-	r.announcedAt = now
-	l.append(now, r.Quarantine)
-}
-
-// Changes returns the changes from number from on, at most limit of them, and the
-// number from which the next call continues. The first call passes zero and gets all
-// quarantines, also those that were decided long before.
-func (l *Ledger) Changes(from uint64, limit int) (changes []Change, next uint64) {
-	l.mu.RLock()
-	defer l.mu.RUnlock()
-	if from == 0 {
-		for _, r := range l.quarantines {
-			changes = append(changes, r.Quarantine)
-		}
-	}
-	first := l.next - uint64(len(l.log))
-	from = max(from, first)
-	if from >= l.next {
-		return changes, l.next
-	}
-	rest := l.log[from-first:]
-	rest = rest[:min(len(rest), limit)]
-	for _, entry := range rest {
-		changes = append(changes, entry.change)
-	}
-	return changes, from + uint64(len(rest))
-}
-
-// Apply merges the changes of a peer and reports whether they tell of an end, or of a part of
-// one, that was not known.
-func (l *Ledger) Apply(now time.Time, changes []Change) bool {
-	hasNews := false
-	for _, c := range changes {
-		switch c := c.(type) {
-		case End:
-			hasNews = l.RecordEnd(now, c) || hasNews
-		case Sound:
-			l.addSound(now, c)
-		case Quarantine:
-			l.addQuarantine(now, c)
-		}
-	}
-	return hasNews
-}
-
-// addQuarantine merges a quarantine that a peer has decided. It is lifted if a part is known
-// to be sound.
-func (l *Ledger) addQuarantine(now time.Time, q Quarantine) {
-	if len(q.Parts) == 0 || now.Sub(q.UsedAt) > quarantineTTL {
-		return
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, id := range slices.Clone(q.Parts) {
-		p := Part{Model: q.Model, ID: id}
-		if version, ok := l.sound.clears(now, p, q.Version); ok {
-			l.append(now, Sound{Part: p, Version: version})
-			q = q.without(id)
-		}
-	}
-	if len(q.Parts) > 0 && l.put(q, now) {
-		l.changedAt = now
-		l.append(now, q)
-	}
-}
