Tell all quarantines to a peer that was cut off for long

Changes are kept for a minute, and only a peer that had started again got all quarantines. One that was cut off for longer missed those decided at the beginning of the cut until they were announced again. TestPeerLearnsQuarantineAfterLongCut failed before.

--- a/loomquarantine/changes.go
+++ b/loomquarantine/changes.go
@@ -15,17 +15,17 @@
 }
 
 // Changes returns the changes from number from on, at most limit of them, and the
-// number from which the next call continues. The first call passes zero and gets all
-// quarantines, also those that were decided long before.
+// number from which the next call continues. The first call passes zero. If changes since
+// from are no longer kept, all quarantines come first.
 func (l *Ledger) Changes(from uint64, limit int) (changes []Change, next uint64) {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	if from == 0 {
+	first := l.next - uint64(len(l.log))
+	if from < first {
 		for _, r := range l.quarantines {
 			changes = append(changes, r.Quarantine)
 		}
 	}
-	first := l.next - uint64(len(l.log))
 	from = max(from, first)
 	if from >= l.next {
 		return changes, l.next
--- a/loomquarantine/ledger_test.go
+++ b/loomquarantine/ledger_test.go
@@ -231,6 +231,18 @@
 	assert.DeepEqual(t, quarantined(late), []string{"[x]"})
 }
 
+// TestPeerLearnsQuarantineAfterLongCut guards against an instance that was cut off for longer
+// than changes are kept.
+func TestPeerLearnsQuarantineAfterLongCut(t *testing.T) {
+	now := time.Now()
+	l, cut := newLedger(t), newLedger(t)
+	next := pass(cut, l, now, 0)
+	now = quarantinePart(t, l, now, "x").Add(2 * time.Minute)
+	l.Judge(now)
+	pass(cut, l, now, next)
+	assert.DeepEqual(t, quarantined(cut), []string{"[x]"})
+}
+
 func TestEndSeenByTwoInstancesCountsOnce(t *testing.T) {
 	now := time.Now()
 	l := newLedger(t)
