--- a/loomgate/quarantine.go
+++ b/loomgate/quarantine.go
@@ -65,7 +65,15 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &quarantine{gate: g, ledger: ledger, checks: make(map[endCheckKey]*endCheck), rows: make(map[string]quarantineRow), dueAt: make(map[string]time.Time), news: make(chan struct{}, 1), decided: make(chan struct{})}, nil
+	return &quarantine{
+		gate:    g,
+		ledger:  ledger,
+		checks:  make(map[endCheckKey]*endCheck),
+		rows:    make(map[string]quarantineRow),
+		dueAt:   make(map[string]time.Time),
+		news:    make(chan struct{}, 1),
+		decided: make(chan struct{}),
+	}, nil
 }
 
 // hasEnded reports whether an upstream has ended that has just closed a connection. Attempts
--- a/loomquarantine/ledger_test.go
+++ b/loomquarantine/ledger_test.go
@@ -128,22 +128,22 @@
 	}
 }
 
-// quarantinePart lets engines end under a part until it is quarantined.
-func quarantinePart(t *testing.T, l *loomquarantine.Ledger, now time.Time, id string) time.Time {
+// quarantineX lets engines end under the part x until it is quarantined.
+func quarantineX(t *testing.T, l *loomquarantine.Ledger, now time.Time) time.Time {
 	t.Helper()
 	for i := range 3 {
-		endUnder(l, now, fmt.Sprint("engine-", i), id)
+		endUnder(l, now, fmt.Sprint("engine-", i), "x")
 		now = now.Add(time.Second)
 	}
 	l.Judge(now)
-	_, ok := l.Find(now, model, []string{"a", id})
+	_, ok := l.Find(now, model, []string{"a", "x"})
 	assert.Assert(t, ok)
 	return now
 }
 
 func TestCompleteAnswerLiftsQuarantine(t *testing.T) {
 	l := newLedger(t)
-	now := quarantinePart(t, l, time.Now(), "x")
+	now := quarantineX(t, l, time.Now())
 	l.RecordSound(now, model, []string{"a", "x"}, 1)
 	_, ok := l.Find(now, model, []string{"x"})
 	assert.Assert(t, !ok)
@@ -185,7 +185,7 @@
 
 func TestQuarantineLastsWhileRequestsCome(t *testing.T) {
 	l := newLedger(t)
-	now := quarantinePart(t, l, time.Now(), "x")
+	now := quarantineX(t, l, time.Now())
 	for range 60 {
 		now = now.Add(time.Minute)
 		l.Judge(now)
@@ -237,7 +237,7 @@
 	now := time.Now()
 	l, cut := newLedger(t), newLedger(t)
 	next := pass(cut, l, now, 0)
-	now = quarantinePart(t, l, now, "x").Add(2 * time.Minute)
+	now = quarantineX(t, l, now).Add(2 * time.Minute)
 	l.Judge(now)
 	pass(cut, l, now, next)
 	assert.DeepEqual(t, quarantined(cut), []string{"[x]"})
@@ -335,7 +335,7 @@
 // TestTrialsAreBounded guards against engines that end under trials again and again.
 func TestTrialsAreBounded(t *testing.T) {
 	l := newLedger(t)
-	now := quarantinePart(t, l, time.Now(), "x")
+	now := quarantineX(t, l, time.Now())
 	trials := 0
 	for version := uint64(2); version < 50; version++ {
 		for range 20 {
