Log the digest of requests whose attempts break

The logs of the incident tell by accident only (the URL in the text of an error) that the same request was in progress at each end of a service; they tell neither its body nor its account. attempt_broken now names a digest of account, method, host, target and body.

--- a/loomgate/events.go
+++ b/loomgate/events.go
@@ -68,6 +68,7 @@
 		"attempt_events", d.lifecycle.Relayed()-d.relayedBefore,
 		"sent_ms", time.Since(d.sentAt).Milliseconds(),
 		"weights", d.version,
+		"digest", d.req.digest(),
 		"parts", partIDs(d.req.Prompt),
 		"cause", d.cause)
 }
