--- a/loomerror/kind.go
+++ b/loomerror/kind.go
@@ -36,6 +36,7 @@
 	OutcomeUnknown
 	ShuttingDown
 	PromptQuarantined
+	RequestQuarantined
 	Canceled
 	kindCount
 )
@@ -106,6 +107,7 @@
 	OutcomeUnknown:      {"outcome_unknown", http.StatusBadGateway, false, NotRunUnknown},
 	ShuttingDown:        {"shutting_down", http.StatusServiceUnavailable, true, NotRunTrue},
 	PromptQuarantined:   {"prompt_quarantined", http.StatusServiceUnavailable, false, NotRunTrue},
+	RequestQuarantined:  {"request_quarantined", http.StatusServiceUnavailable, false, NotRunTrue},
 	Canceled:            {"canceled", statusClientClosedRequest, false, NotRunUnknown},
 }
 
--- a/loomgate/digest.go
+++ b/loomgate/digest.go
@@ -1,23 +1,23 @@
 package loomgate
 
 import (
-	"crypto/sha256"
 	"encoding/binary"
-	"encoding/hex"
-)
+	"strconv"
 
-// digestBytes is the length in bytes of a request's digest.
-const digestBytes = 16
+	"github.com/cespare/xxhash/v2"
+)
 
 // digest returns what identifies the request to upstreams: the client account, and a hash of
-// the method, host, target and body. Requests of different accounts have different digests.
+// the method, host, target and body. Requests of different accounts have different digests,
+// whatever their callers choose.
 func (r *request) digest() string {
-	h := sha256.New()
-	for _, field := range [][]byte{[]byte(r.account.Name), []byte(r.Method), []byte(r.Host), []byte(r.RequestTarget), r.Body} {
+	h := xxhash.New()
+	for _, field := range [...]string{r.Method, r.Host, r.RequestTarget} {
 		var length [8]byte
 		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
 		_, _ = h.Write(length[:])
-		_, _ = h.Write(field)
+		_, _ = h.WriteString(field)
 	}
-	return r.account.Name + "/" + hex.EncodeToString(h.Sum(nil)[:digestBytes])
+	_, _ = h.Write(r.Body)
+	return r.account.Name + "/" + strconv.FormatUint(h.Sum64(), 16)
 }
--- a/loomgate/evidence.go
+++ b/loomgate/evidence.go
@@ -73,16 +73,19 @@
 	case loomquarantine.End:
 		end := &loompb.UpstreamEnd{UpstreamId: c.Upstream, Incarnation: c.Incarnation, AgeMs: ageMillis(now, c.At)}
 		for _, x := range c.Exposures {
-			end.Exposures = append(end.Exposures, &loompb.ExposedPart{Model: x.Part.Model, Part: x.Part.ID, Version: x.Version, HasBegun: x.HasBegun})
+			end.Exposures = append(end.Exposures, &loompb.ExposedPart{
+				Model: x.Suspect.Model, Part: x.Suspect.ID, IsRequest: x.Suspect.Kind == loomquarantine.Request,
+				Version: x.Version, HasBegun: x.HasBegun, SentMs: uint32(x.Sent.Milliseconds()), Parts: x.Parts,
+			})
 		}
 		return &loompb.EvidenceChange{Change: &loompb.EvidenceChange_End{End: end}}
 	case loomquarantine.Sound:
-		sound := &loompb.SoundPart{Model: c.Part.Model, Part: c.Part.ID, Version: c.Version}
+		sound := &loompb.SoundPart{Model: c.Suspect.Model, Part: c.Suspect.ID, IsRequest: c.Suspect.Kind == loomquarantine.Request, Version: c.Version}
 		return &loompb.EvidenceChange{Change: &loompb.EvidenceChange_Sound{Sound: sound}}
 	case loomquarantine.Quarantine:
 		q := &loompb.QuarantinedParts{
-			Model: c.Model, Parts: c.Parts, Version: c.Version, Ends: uint32(c.Ends), Trials: uint32(c.Trials), IdleMs: ageMillis(now, c.UsedAt),
-			IsCertain: c.IsCertain,
+			Model: c.Model(), Parts: c.Parts(), Request: c.Request(), Version: c.Version, Ends: uint32(c.Ends), Trials: uint32(c.Trials),
+			IdleMs: ageMillis(now, c.UsedAt), IsCertain: c.IsCertain,
 		}
 		return &loompb.EvidenceChange{Change: &loompb.EvidenceChange_Quarantine{Quarantine: q}}
 	default:
@@ -98,20 +101,43 @@
 		end := loomquarantine.End{Upstream: c.End.GetUpstreamId(), Incarnation: c.End.GetIncarnation(), At: now.Add(-milliseconds(c.End.GetAgeMs()))}
 		for _, x := range c.End.GetExposures() {
 			end.Exposures = append(end.Exposures, loomquarantine.Exposure{
-				Part: loomquarantine.Part{Model: x.GetModel(), ID: x.GetPart()}, Version: x.GetVersion(), HasBegun: x.GetHasBegun(),
+				Suspect: decodeSuspect(x.GetModel(), x.GetPart(), x.GetIsRequest()), Version: x.GetVersion(), HasBegun: x.GetHasBegun(),
+				Sent: milliseconds(x.GetSentMs()), Parts: x.GetParts(),
 			})
 		}
 		return end, true
 	case *loompb.EvidenceChange_Sound:
-		part := loomquarantine.Part{Model: c.Sound.GetModel(), ID: c.Sound.GetPart()}
-		return loomquarantine.Sound{Part: part, Version: c.Sound.GetVersion()}, true
+		suspect := decodeSuspect(c.Sound.GetModel(), c.Sound.GetPart(), c.Sound.GetIsRequest())
+		return loomquarantine.Sound{Suspect: suspect, Version: c.Sound.GetVersion()}, true
 	case *loompb.EvidenceChange_Quarantine:
 		q := c.Quarantine
 		return loomquarantine.Quarantine{
-			Model: q.GetModel(), Parts: q.GetParts(), Version: q.GetVersion(), Ends: int(q.GetEnds()), Trials: int(q.GetTrials()),
+			Version: q.GetVersion(), Ends: int(q.GetEnds()), Trials: int(q.GetTrials()),
 			UsedAt: now.Add(-milliseconds(q.GetIdleMs())), IsCertain: q.GetIsCertain(),
-		}, true
+		}.WithSuspects(newSuspects(q.GetModel(), q.GetParts(), q.GetRequest())...), true
 	default:
 		return nil, false
 	}
 }
+
+// decodeSuspect returns a part of prompts or a request.
+func decodeSuspect(model, id string, isRequest bool) loomquarantine.Suspect {
+	s := loomquarantine.Suspect{Kind: loomquarantine.Part, Model: model, ID: id}
+	if isRequest {
+		s.Kind = loomquarantine.Request
+	}
+	return s
+}
+
+// newSuspects returns the suspects of a request for a model: the parts of its prompt, and
+// its digest unless that is empty.
+func newSuspects(model string, partIDs []string, digest string) []loomquarantine.Suspect {
+	suspects := make([]loomquarantine.Suspect, 0, len(partIDs)+1)
+	for _, id := range partIDs {
+		suspects = append(suspects, decodeSuspect(model, id, false))
+	}
+	if digest != "" {
+		suspects = append(suspects, decodeSuspect(model, digest, true))
+	}
+	return suspects
+}
--- a/loomgate/pause_test.go
+++ b/loomgate/pause_test.go
@@ -90,16 +90,29 @@
 
 // serveModel serves one request and returns what its caller received.
 func serveModel(ctx context.Context, t *testing.T, g *Gate, route, id string, p modelPrompt) *streamResponder {
+	t.Helper()
+	r := newPlainRequest(t, route, id, p)
+	r.HasPrompt = true
+	r.Prompt = Prompt{Model: "m", Tokens: p.tokens(), MaxOutputTokens: p.Output, ExpectedOutputTokens: p.Output, Parts: p.Parts}
+	return serveNow(ctx, g, r)
+}
+
+// newPlainRequest returns a request whose prompt only the engine knows.
+func newPlainRequest(t *testing.T, route, id string, p modelPrompt) IncomingRequest {
 	t.Helper()
 	body, err := json.Marshal(p)
 	assert.NilError(t, err)
-	w := &streamResponder{received: time.Now()}
-	g.Serve(ctx, IncomingRequest{
+	return IncomingRequest{
 		RequestID: id, Host: "h", RawHost: "h", Path: "/" + route + "/x", RequestTarget: "/" + route + "/x",
-		Method: http.MethodPost, Header: http.Header{}, Body: body, HasPrompt: true,
-		Prompt:   Prompt{Model: "m", Tokens: p.tokens(), MaxOutputTokens: p.Output, ExpectedOutputTokens: p.Output, Parts: p.Parts},
-		Received: w.received, Deadline: w.received.Add(10 * time.Second),
-	}, w)
+		Method: http.MethodPost, Header: http.Header{}, Body: body,
+	}
+}
+
+// serveNow serves one request that arrives now and returns what its caller received.
+func serveNow(ctx context.Context, g *Gate, r IncomingRequest) *streamResponder {
+	w := &streamResponder{received: time.Now()}
+	r.Received, r.Deadline = w.received, w.received.Add(10*time.Second)
+	g.Serve(ctx, r, w)
 	return w
 }
 
--- a/loomgate/quarantine.go
+++ b/loomgate/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -15,9 +16,9 @@
 )
 
 const (
-	// quarantineRetryAfter is the retry delay given to a caller whose prompt is quarantined.
-	// It will be refused again until the part is found sound, so a short delay would only
-	// bring more requests.
+	// quarantineRetryAfter is the retry delay given to a caller whose request is quarantined.
+	// It will be refused again until it is found sound, so a short delay would only bring
+	// more requests.
 	quarantineRetryAfter = 30 * time.Second
 	// endCheckTTL is how long the result of a check whether an upstream has ended is used
 	// again, since its end breaks many attempts at once.
@@ -31,7 +32,8 @@
 	maxEvidenceChanges = 256
 )
 
-// quarantine keeps requests away from upstreams whose prompts hold a part that ends them.
+// quarantine keeps requests away from upstreams that end these, or whose prompts hold a part
+// that does.
 type quarantine struct {
 	gate   *Gate
 	ledger *loomquarantine.Ledger
@@ -126,32 +128,50 @@
 	return ids
 }
 
-// checkQuarantine returns the error with which the request is refused if its prompt is
-// quarantined, or nil.
+// quarantineSuspects returns what may be the reason if upstreams end under the request: the parts of
+// its prompt that other requests may hold, and the request as a whole.
+func (d *dispatch) quarantineSuspects() []loomquarantine.Suspect {
+	if d.quarantineSuspectList == nil {
+		model := ""
+		var parts []string
+		if d.req.HasPrompt {
+			model, parts = d.req.Prompt.Model, d.sharedPartIDs()
+		}
+		d.quarantineSuspectList = newSuspects(model, parts, d.req.digest())
+	}
+	return d.quarantineSuspectList
+}
+
+// checkQuarantine returns the error with which the request is refused if it is quarantined,
+// or nil.
 func (d *dispatch) checkQuarantine(now time.Time) *loomerror.Error {
-	if !d.req.HasPrompt || d.gate.quarantine.ledger.IsEmpty() {
+	if d.gate.quarantine.ledger.IsEmpty() {
 		return nil
 	}
-	parts := d.sharedPartIDs()
-	found, ok := d.gate.quarantine.ledger.Find(now, d.req.Prompt.Model, parts)
+	suspects := d.quarantineSuspects()
+	found, ok := d.gate.quarantine.ledger.Find(now, suspects)
 	if !ok || d.isTrial {
 		return nil
 	}
-	if d.isTrial = d.attempts == 0 && d.gate.quarantine.tries(now, found, parts, d.oldestWeights(now)); d.isTrial {
+	if d.isTrial = d.attempts == 0 && d.gate.quarantine.tries(now, found, suspects, d.oldestWeights(now)); d.isTrial {
 		return nil
 	}
-	d.cause = "quarantined part " + strings.Join(found.Parts, ",")
-	return loomerror.New(loomerror.PromptQuarantined, "%d engines have ended under a part of the prompt", found.Ends).
+	kind, what := loomerror.PromptQuarantined, "a part of the prompt"
+	if found.Request() != "" {
+		kind, what = loomerror.RequestQuarantined, "the same request"
+	}
+	d.cause = "quarantined " + strings.Join(append(found.Parts(), found.Request()), ",")
+	return loomerror.New(kind, "%d upstreams have ended under %s", found.Ends, what).
 		WithNotRun(d.lifecycle.NotRun()).WithRetryAfter(quarantineRetryAfter)
 }
 
-// tries reports whether a request is sent in spite of a quarantine, to show whether its parts
-// are sound.
-func (q *quarantine) tries(now time.Time, found loomquarantine.Quarantine, parts []string, version uint64) bool {
-	if q.writerRank(found) != 0 || !q.ledger.Try(now, found, parts, version) {
+// tries reports whether a request is sent in spite of a quarantine, to show whether it is
+// sound.
+func (q *quarantine) tries(now time.Time, found loomquarantine.Quarantine, suspects []loomquarantine.Suspect, version uint64) bool {
+	if q.writerRank(found) != 0 || !q.ledger.Try(now, found, suspects, version) {
 		return false
 	}
-	q.gate.log.Info("quarantine_tried", "model", found.Model, "parts", strings.Join(found.Parts, ","), "weights", version)
+	q.gate.log.Info("quarantine_tried", "model", found.Model(), "parts", strings.Join(found.Parts(), ","), "digest", found.Request(), "weights", version)
 	return true
 }
 
@@ -167,38 +187,71 @@
 	return oldest
 }
 
-// recordSound records that the answer was complete.
+// recordSound records that the answer was complete. An upstream that answers with an error
+// hasn't ended, but says nothing of the parts.
 func (d *dispatch) recordSound(now time.Time, reply *loomupstream.Reply) {
-	if d.req.HasPrompt && isSuccess(reply) {
-		d.gate.quarantine.ledger.RecordSound(now, d.req.Prompt.Model, d.sharedPartIDs(), max(d.version, reply.Version))
+	suspects := d.quarantineSuspects()
+	if !isSuccess(reply) {
+		suspects = slices.DeleteFunc(slices.Clone(suspects), func(s loomquarantine.Suspect) bool { return s.Kind == loomquarantine.Part })
 	}
+	d.gate.quarantine.ledger.RecordSound(now, suspects, max(d.version, reply.Version))
 }
 
 // recordUpstreamEnd records what the request shows if its upstream has ended under it, and
 // reports whether it may be the reason, so that another attempt could end another upstream.
 // An answer that has been in progress for some time is none.
 func (d *dispatch) recordUpstreamEnd(ctx context.Context, now time.Time) bool {
-	if !d.req.HasPrompt || (!d.attemptFirstAt.IsZero() && now.Sub(d.attemptFirstAt) > soundAge) {
+	if !d.attemptFirstAt.IsZero() && now.Sub(d.attemptFirstAt) > soundAge {
+		return false
+	}
+	q := d.gate.quarantine
+	unsound := q.ledger.Unsound(now, d.quarantineSuspects(), d.version)
+	if len(unsound) == 0 {
+		return false
+	}
+	hasBegun := d.status != 0 && (d.attemptFirstAt.IsZero() || now.Sub(d.attemptFirstAt) < begunWindow)
+	end := d.newEnd(now, unsound, hasBegun)
+	isNewPart := hasBegun && unsound[0].Kind == loomquarantine.Part
+	if !isNewPart && !d.isTrial && !q.ledger.IsExposed(unsound, 1) {
+		go q.recordEnd(context.WithoutCancel(ctx), d.upstream, end)
 		return false
 	}
-	ledger := d.gate.quarantine.ledger
-	unsound := ledger.Unsound(now, d.req.Prompt.Model, d.sharedPartIDs(), d.version)
-	if len(unsound) == 0 || !d.gate.quarantine.hasEnded(ctx, now, d.upstream) {
+	if !q.recordEnd(ctx, d.upstream, end) {
 		return false
 	}
 	if d.isTrial {
 		d.gate.log.Info("quarantine_confirmed", "upstream", d.upstream.ID, "request_id", d.req.RequestID)
 	}
-	hasBegun := d.status != 0 && (d.attemptFirstAt.IsZero() || now.Sub(d.attemptFirstAt) < begunWindow)
+	const suspiciousEnds = 2
+	return isNewPart || d.isTrial || q.ledger.IsExposed(unsound, suspiciousEnds)
+}
+
+// newEnd returns what the end of the current attempt's upstream shows.
+func (d *dispatch) newEnd(now time.Time, unsound []loomquarantine.Suspect, hasBegun bool) loomquarantine.End {
 	end := loomquarantine.End{Upstream: d.upstream.ID, Incarnation: d.upstream.Incarnation, At: now}
-	for _, p := range unsound {
-		end.Exposures = append(end.Exposures, loomquarantine.Exposure{Part: p, Version: d.version, HasBegun: hasBegun})
+	var parts []string
+	for _, s := range unsound {
+		x := loomquarantine.Exposure{Suspect: s, Version: d.version, HasBegun: hasBegun, Sent: now.Sub(d.sentAt)}
+		if s.Kind == loomquarantine.Part {
+			parts = append(parts, s.ID)
+		} else {
+			x.Parts = parts
+		}
+		end.Exposures = append(end.Exposures, x)
+	}
+	return end
+}
+
+// recordEnd records the end of an upstream that has just closed a connection, if it has ended,
+// and reports whether it has.
+func (q *quarantine) recordEnd(ctx context.Context, u loommember.Upstream, end loomquarantine.End) bool {
+	if !q.hasEnded(ctx, end.At, u) {
+		return false
 	}
-	if ledger.RecordEnd(now, end) {
-		d.gate.quarantine.announceNews()
+	if q.ledger.RecordEnd(end.At, end) {
+		q.announceNews()
 	}
-	const suspiciousEnds = 2
-	return hasBegun || d.isTrial || ledger.IsExposed(unsound, suspiciousEnds)
+	return true
 }
 
 // announceNews makes the next round of calls to peers begin soon.
@@ -229,9 +282,19 @@
 	decided := q.ledger.Judge(now)
 	for _, d := range decided {
 		q.gate.metrics.quarantines.Inc(1)
-		q.gate.log.Warn("prompt_part_quarantined", "model", d.Model, "parts", strings.Join(d.Parts, ","), "weights", d.Version, "ends", d.Ends)
+		q.logDecision(d)
 	}
 	if len(decided) > 0 {
 		q.announceDecision()
 	}
 }
+
+// logDecision logs a new quarantine.
+func (q *quarantine) logDecision(d loomquarantine.Quarantine) {
+	attributes := []any{"model", d.Model(), "parts", strings.Join(d.Parts(), ","), "digest", d.Request(), "weights", d.Version, "ends", d.Ends}
+	if d.Request() == "" {
+		q.gate.log.Warn("prompt_part_quarantined", attributes...)
+		return
+	}
+	q.gate.log.Warn("request_quarantined", attributes...)
+}
--- a/loomgate/quarantine_row.go
+++ b/loomgate/quarantine_row.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// quarantineKeyPrefix begins the keys of the rows with quarantined parts, so that these
+	// quarantineKeyPrefix begins the keys of the rows about quarantines, so that these
 	// are known after all instances have started again.
 	quarantineKeyPrefix = "quarantine/"
 	// maxQuarantineRows bounds the rows.
@@ -27,10 +27,11 @@
 	writerStep = time.Second
 )
 
-// quarantineRow is the platform's row about a set of parts.
+// quarantineRow is the platform's row about a quarantine.
 type quarantineRow struct {
 	Model     string   `json:"model"`
 	Parts     []string `json:"parts"`
+	Request   string   `json:"request,omitempty"`
 	Version   uint64   `json:"weights"`
 	Ends      int      `json:"ends"`
 	Trials    int      `json:"trials"`
@@ -40,22 +41,23 @@
 }
 
 func newQuarantineRow(q loomquarantine.Quarantine) quarantineRow {
-	return quarantineRow{Model: q.Model, Parts: q.Parts, Version: q.Version, Ends: q.Ends, Trials: q.Trials, IsCertain: q.IsCertain}
+	return quarantineRow{Model: q.Model(), Parts: q.Parts(), Request: q.Request(), Version: q.Version, Ends: q.Ends, Trials: q.Trials, IsCertain: q.IsCertain}
 }
 
 // quarantine returns the content of the row.
 func (r quarantineRow) quarantine(now time.Time) loomquarantine.Quarantine {
-	return loomquarantine.Quarantine{Model: r.Model, Parts: r.Parts, Version: r.Version, Ends: r.Ends, Trials: r.Trials, IsCertain: r.IsCertain, UsedAt: now}
+	return loomquarantine.Quarantine{Version: r.Version, Ends: r.Ends, Trials: r.Trials, IsCertain: r.IsCertain, UsedAt: now}.
+		WithSuspects(newSuspects(r.Model, r.Parts, r.Request)...)
 }
 
-// isOutdated reports whether the row lacks what an instance knows of the same parts.
+// isOutdated reports whether the row lacks what an instance knows of the same quarantine.
 func (r quarantineRow) isOutdated(q loomquarantine.Quarantine) bool {
 	return r.position == 0 || q.Trials > r.Trials || q.Version > r.Version
 }
 
-// quarantineRowKey returns the key of the row about a set of parts.
+// quarantineRowKey returns the key of the row about a quarantine.
 func quarantineRowKey(q loomquarantine.Quarantine) string {
-	return quarantineKeyPrefix + strconv.FormatUint(hashString(q.Model+"\x00"+strings.Join(q.Parts, "\x00")), 36)
+	return quarantineKeyPrefix + strconv.FormatUint(hashString(q.Key()), 36)
 }
 
 // applyRows applies the rows about quarantines in a page of TopicInstances. If full is set,
--- a/loomgate/quarantine_test.go
+++ b/loomgate/quarantine_test.go
@@ -188,7 +188,26 @@
 	// part ends an engine with them.
 	newWeightsAt time.Duration
 	areSound     bool
-	length       time.Duration
+	// isPlain is set if no request has a prompt that the instances know, and repeatsWhole if
+	// the requests that end engines are the same each time. Sound ones that fail are then
+	// sent again by their callers, up to maxReturns times.
+	isPlain, repeatsWhole bool
+	// repeatsSound is set if the sound requests with the same parts are the same.
+	repeatsSound bool
+	// singlesAt are times at which one engine ends for another reason.
+	singlesAt []time.Duration
+	length    time.Duration
+}
+
+// maxReturns is how often the caller of a sound request sends it again.
+const maxReturns = 3
+
+// knownEnds returns the number of ends after which what ends engines counts as known.
+func (p crashPlay) knownEnds() int {
+	if p.repeatsWhole {
+		return 3
+	}
+	return 5
 }
 
 // crashCounts is the outcome of a crashPlay.
@@ -196,7 +215,8 @@
 	ends int
 	// late is the largest number of requests with one part that arrived too late.
 	late int
-	// served and all count the sound requests from twice contactTime after the fifth end.
+	// served and all count the sound requests from twice contactTime after the end that made
+	// the requests known.
 	served, all int
 	// refused is the number of sound requests that were refused as quarantined.
 	refused int
@@ -239,6 +259,9 @@
 			}
 		})
 	}
+	for n, at := range p.singlesAt {
+		time.AfterFunc(at, func() { engines.end(fmt.Sprint("e", n%p.engines), "") })
+	}
 	if p.newWeightsAt > 0 {
 		time.AfterFunc(p.newWeightsAt, func() { engines.loadWeights(gates, 2, p.areSound) })
 	}
@@ -251,16 +274,32 @@
 	refused, servedDead := 0, 0
 	var running sync.WaitGroup
 	var numbers atomic.Int64
+	serve := func(g *Gate, prompt modelPrompt) *streamResponder {
+		id := fmt.Sprint("r", numbers.Add(1))
+		if p.isPlain {
+			return serveNow(t.Context(), g, newPlainRequest(t, "report", id, prompt))
+		}
+		return serveModel(t.Context(), t, g, "report", id, prompt)
+	}
 	send := func(parts []string, isSound bool) {
-		n := numbers.Add(1)
 		prompt := modelPrompt{Output: 12}
-		for _, id := range append(slices.Clone(parts), fmt.Sprint("request", n)) {
+		if (isSound && !p.repeatsSound) || (!isSound && !p.repeatsWhole) {
+			parts = append(slices.Clone(parts), fmt.Sprint("request", numbers.Add(1)))
+		}
+		for _, id := range parts {
 			prompt.Parts = append(prompt.Parts, PromptPart{ID: id, Tokens: 300})
 		}
-		g := gates[random.IntN(len(gates))]
+		first, next := gates[random.IntN(len(gates))], gates[random.IntN(len(gates))]
 		running.Go(func() {
 			at := time.Now()
-			w := serveModel(t.Context(), t, g, "report", fmt.Sprint("r", n), prompt)
+			w := serve(first, prompt)
+			for range maxReturns {
+				if w.failure == nil || !isSound || !p.repeatsWhole {
+					break
+				}
+				time.Sleep(100 * time.Millisecond)
+				w = serve(next, prompt)
+			}
 			mu.Lock()
 			defer mu.Unlock()
 			if !isSound && w.failure == nil {
@@ -268,7 +307,7 @@
 			}
 			if isSound {
 				outcomes = append(outcomes, outcome{at: at, served: w.failure == nil})
-				if w.failure != nil && w.failure.Kind() == loomerror.PromptQuarantined {
+				if w.failure != nil && (w.failure.Kind() == loomerror.PromptQuarantined || w.failure.Kind() == loomerror.RequestQuarantined) {
 					refused++
 				}
 			}
@@ -296,14 +335,14 @@
 	var limit time.Time
 	for part, ends := range engines.ends {
 		result.ends += len(ends)
-		fifth := ends[min(len(ends), 5)-1]
-		if fifth.After(limit) {
-			limit = fifth
+		known := ends[min(len(ends), p.knownEnds())-1]
+		if known.After(limit) {
+			limit = known
 		}
 		late := 0
 		for _, at := range engines.arrivals[part] {
 			isInTouch := p.cutAt == 0 || at.Sub(start) < p.cutAt || at.Sub(start) > p.cutAt+4*time.Second+contactTime
-			if len(ends) >= 5 && isInTouch && at.After(fifth.Add(contactTime)) {
+			if len(ends) >= p.knownEnds() && isInTouch && at.After(known.Add(contactTime)) {
 				late++
 			}
 		}
@@ -319,8 +358,8 @@
 	}
 	for _, g := range gates {
 		for _, q := range g.quarantine.ledger.Quarantines() {
-			if !slices.ContainsFunc(q.Parts, func(id string) bool { return strings.HasPrefix(id, deadPrefix) }) {
-				result.wrong = append(result.wrong, fmt.Sprint(g.settings.ID, q.Parts))
+			if !p.repeatsWhole && !slices.ContainsFunc(q.Parts(), func(id string) bool { return strings.HasPrefix(id, deadPrefix) }) {
+				result.wrong = append(result.wrong, fmt.Sprint(g.settings.ID, q.Suspects))
 			}
 		}
 	}
@@ -383,6 +422,57 @@
 	}
 }
 
+// TestFleetContainsRequestsThatEndUpstreams guards against a request that ends upstreams which
+// some instances go on to send, since they have seen none of the ends.
+func TestFleetContainsRequestsThatEndUpstreams(t *testing.T) {
+	base := crashPlay{
+		instances: 8, domains: 4, engines: 4, gap: 150 * time.Millisecond, soundGap: 60 * time.Millisecond, isPlain: true, repeatsWhole: true,
+		parts: func(int) []string { return []string{"dead"} }, sound: func(n int) []string { return []string{fmt.Sprint("b", n%8)} },
+		length: 14 * time.Second,
+	}
+	with := func(change func(*crashPlay)) crashPlay {
+		p := base
+		change(&p)
+		return p
+	}
+	tests := []struct {
+		name string
+		play crashPlay
+	}{
+		{"4 engines", base},
+		{"12 engines, often", with(func(p *crashPlay) { p.engines, p.gap, p.soundGap = 12, 60*time.Millisecond, 30*time.Millisecond })},
+		{"seldom", with(func(p *crashPlay) { p.gap, p.length = 2*time.Second, 40*time.Second })},
+		{"once in 25 s", with(func(p *crashPlay) { p.gap, p.length = 25*time.Second, 5*time.Minute })},
+		{"two requests in turn", with(func(p *crashPlay) {
+			p.engines, p.length = 8, 20*time.Second
+			p.parts = func(n int) []string { return []string{fmt.Sprint("dead", n%2)} }
+		})},
+		{"a prompt", with(func(p *crashPlay) {
+			p.isPlain = false
+			p.parts = func(int) []string { return []string{"b0", "b1", "dead"} }
+		})},
+		{"a cut", with(func(p *crashPlay) { p.cutAt, p.length = 1800*time.Millisecond, 16*time.Second })},
+		{"racks", with(func(p *crashPlay) {
+			p.engines, p.racksAt = 8, []time.Duration{time.Second, 2500 * time.Millisecond, 5 * time.Second}
+		})},
+		{"83 instances with coordinators", with(func(p *crashPlay) {
+			p.instances, p.engines, p.hasCoordinators = 83, 12, true
+			p.gap, p.soundGap = 100*time.Millisecond, 20*time.Millisecond
+		})},
+		{"295 instances with coordinators", with(func(p *crashPlay) {
+			p.instances, p.engines, p.hasCoordinators = 295, 12, true
+			p.gap, p.soundGap = 100*time.Millisecond, 20*time.Millisecond
+		})},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tt.play.play(t, rand.New(rand.NewPCG(1, 1))).check(t)
+			})
+		})
+	}
+}
+
 // randomCrashPlay returns a play with random disturbances.
 func randomCrashPlay(random *rand.Rand) crashPlay {
 	between := func(from, to time.Duration) time.Duration {
@@ -430,6 +520,45 @@
 	}
 }
 
+// randomRequestPlay returns a play of requests that end engines, with random disturbances.
+func randomRequestPlay(random *rand.Rand) crashPlay {
+	p := randomCrashPlay(random)
+	p.repeatsWhole, p.isPlain, p.repeatsSound = true, random.IntN(3) > 0, random.IntN(2) == 0
+	if !p.hasCoordinators {
+		p.engines = 3 + random.IntN(12)
+	}
+	if random.IntN(3) == 0 {
+		p.gap *= 5
+		p.length *= 2
+	}
+	dead := 1 + random.IntN(2)
+	p.parts = func(n int) []string { return []string{fmt.Sprint(deadPrefix, n%dead)} }
+	for range random.IntN(8) {
+		p.singlesAt = append(p.singlesAt, time.Duration(random.Int64N(int64(12*time.Second))))
+	}
+	return p
+}
+
+// TestFleetContainsRequestsInAnyHistory plays random histories in virtual time.
+// SWIFTLOOM_HISTORIES sets their number, or FIRST-LAST.
+func TestFleetContainsRequestsInAnyHistory(t *testing.T) {
+	first, last := historySeeds(t, 40)
+	refused := 0
+	for seed := first; seed <= last; seed++ {
+		random := rand.New(rand.NewPCG(uint64(seed), 3))
+		p := randomRequestPlay(random)
+		var result crashCounts
+		synctest.Test(t, func(t *testing.T) { result = p.play(t, random) })
+		if result.refused > 0 {
+			refused++
+			t.Logf("seed %d: %+v", seed, result)
+		}
+		isContained := result.late <= 3 && 2*result.served >= result.all
+		assert.Check(t, isContained, "seed %d: %+v: %+v", seed, p, result)
+	}
+	t.Logf("sound requests were refused in %d of %d histories", refused, last-first+1)
+}
+
 // TestPartsAreTriedWithNewWeights guards against a part that stays refused although it ends no
 // engine any more, and against trials that go on ending engines.
 func TestPartsAreTriedWithNewWeights(t *testing.T) {
--- a/loomgate/relay.go
+++ b/loomgate/relay.go
@@ -126,6 +126,7 @@
 		return d.handleAttemptError(ctx, &loomupstream.SendError{Delivered: true, Cause: err})
 	}
 	d.recordFirstByte(now)
+	d.recordSound(now, reply)
 	if reply.Status >= 500 {
 		d.gate.fleet.RecordFailure(now, d.upstream.ID)
 		if retry, ok := d.lifecycle.Apply(now, loomstream.Failed{Attempt: d.attemptID}).(loomstream.Retry); ok {
@@ -134,7 +135,6 @@
 		}
 	} else {
 		d.gate.fleet.RecordSuccess(d.upstream.ID)
-		d.recordSound(now, reply)
 	}
 	if err := d.w.WriteAnswer(reply, body); err != nil {
 		d.cause = "the caller's connection broke: " + err.Error()
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -9,6 +9,7 @@
 
 	"swiftloom/loomerror"
 	"swiftloom/loomkernel"
+	"swiftloom/loomquarantine"
 	"swiftloom/loomroute"
 	"swiftloom/loomstream"
 	"swiftloom/loomupstream"
@@ -63,8 +64,12 @@
 	relayedBefore int
 	// attemptFirstAt is when the first event of the current attempt arrived, or zero.
 	attemptFirstAt time.Time
-	// isTrial is set if the request is sent to show whether a quarantined part is sound.
+	// isTrial is set if the request is sent to show whether it is sound although it is
+	// quarantined.
 	isTrial bool
+	// quarantineSuspectList is the result of quarantineSuspects, or nil before it is first
+	// needed.
+	quarantineSuspectList []loomquarantine.Suspect
 	// status and framing are those of the response to the last attempt. They are
 	// zero if it got none.
 	status  int
--- /dev/null
+++ b/loomquarantine/cluster.go
@@ -0,0 +1,164 @@
+package loomquarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// clusterWindow is the time within which the ends of several upstreams count as one. A
+	// failure of power or of a network ends many at once, whatever they run. Ends under the
+	// same request count as one within requestWindow: few requests are in progress at several
+	// upstreams before any has been answered.
+	clusterWindow = 150 * time.Millisecond
+	requestWindow = 30 * time.Millisecond
+)
+
+// cluster is a set of ends at about the same time. It is immutable.
+type cluster struct {
+	// ends are in order of time.
+	ends []clusterEnd
+	// suspects holds what the ends tell of each suspect.
+	suspects map[Suspect]*clusterEntry
+}
+
+// clusterEnd is an end in a cluster.
+type clusterEnd struct {
+	at        time.Time
+	exposures []Exposure
+	// held are the IDs of the parts that each request held.
+	held [][]string
+}
+
+// clusterEntry tells of a suspect in a cluster.
+type clusterEntry struct {
+	Exposure
+	// ends is the number of separate ends, and at the time of the latest one that counts.
+	ends int
+	at   time.Time
+}
+
+// newCluster returns the cluster of some ends.
+func newCluster(ends []clusterEnd) cluster {
+	c := cluster{ends: ends, suspects: make(map[Suspect]*clusterEntry)}
+	for _, e := range ends {
+		for _, x := range e.exposures {
+			c.add(e.at, x)
+		}
+	}
+	return c
+}
+
+// add adds an exposure in an end at a time. Ends are added in their order.
+func (c cluster) add(at time.Time, x Exposure) {
+	known, ok := c.suspects[x.Suspect]
+	if !ok {
+		c.suspects[x.Suspect] = &clusterEntry{Exposure: x, ends: 1, at: at}
+		return
+	}
+	known.Exposure = known.join(x)
+	if x.Suspect.Kind == Request && at.Sub(known.at) > requestWindow {
+		known.ends++
+		known.at = at
+	}
+}
+
+// has reports whether all suspects of q are exposed at some end.
+func (c cluster) has(q Quarantine) bool {
+	return slices.ContainsFunc(c.ends, func(e clusterEnd) bool { return e.has(q) })
+}
+
+// count returns the number of separate ends in which the suspects of q are exposed.
+func (c cluster) count(q Quarantine) int {
+	if !c.has(q) {
+		return 0
+	}
+	n := c.suspects[q.Suspects[0]].ends
+	for _, s := range q.Suspects {
+		n = min(n, c.suspects[s].ends)
+	}
+	return n
+}
+
+// isAlone reports whether no others than the suspects of q could explain the cluster.
+func (c cluster) isAlone(q Quarantine) bool {
+	for s := range c.suspects {
+		if !slices.Contains(q.Suspects, s) {
+			return false
+		}
+	}
+	return true
+}
+
+// without returns the ends that q doesn't explain, since its suspects were not in progress
+// there.
+func (c cluster) without(q Quarantine) cluster {
+	rest := slices.DeleteFunc(slices.Clone(c.ends), func(e clusterEnd) bool { return e.has(q) })
+	if len(rest) == len(c.ends) {
+		return c
+	}
+	return newCluster(rest)
+}
+
+// holds reports whether some request held all of a set of parts. Without any word of requests
+// that is assumed.
+func (c cluster) holds(parts []Suspect) bool {
+	isKnown := false
+	for _, e := range c.ends {
+		for _, held := range e.held {
+			isKnown = true
+			if !slices.ContainsFunc(parts, func(s Suspect) bool { return !slices.Contains(held, s.ID) }) {
+				return true
+			}
+		}
+	}
+	return !isKnown
+}
+
+// has reports whether all suspects of q are exposed.
+func (e clusterEnd) has(q Quarantine) bool {
+	return !slices.ContainsFunc(q.Suspects, func(s Suspect) bool {
+		return !slices.ContainsFunc(e.exposures, func(x Exposure) bool { return x.Suspect == s })
+	})
+}
+
+// clusters returns the clusters of all ends that have settled, without the requests that are
+// exposed in one end only and explain nothing. The caller holds mu.
+func (l *Ledger) clusters(now time.Time) []cluster {
+	ends := slices.Clone(l.ends)
+	slices.SortFunc(ends, func(a, b *endRecord) int {
+		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Upstream, b.Upstream))
+	})
+	var groups [][]clusterEnd
+	for _, e := range ends {
+		if now.Sub(e.At) < settleTime {
+			break
+		}
+		n := len(groups) - 1
+		if n < 0 || e.At.Sub(groups[n][0].at) > clusterWindow {
+			groups = append(groups, nil)
+			n++
+		}
+		groups[n] = append(groups[n], l.newClusterEnd(e))
+	}
+	clusters := make([]cluster, 0, len(groups))
+	for _, group := range groups {
+		clusters = append(clusters, newCluster(group))
+	}
+	return clusters
+}
+
+// newClusterEnd returns an end with what it may be explained by. The caller holds mu.
+func (l *Ledger) newClusterEnd(e *endRecord) clusterEnd {
+	result := clusterEnd{at: e.At}
+	for _, x := range e.exposures {
+		if x.Suspect.Kind == Part || l.exposed[x.Suspect] > 1 {
+			result.exposures = append(result.exposures, x)
+		}
+		if x.Suspect.Kind == Request {
+			result.held = append(result.held, x.Parts)
+		}
+	}
+	return result
+}
--- a/loomquarantine/ledger.go
+++ b/loomquarantine/ledger.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// evidenceTTL is how long the end of an upstream counts.
-	evidenceTTL = time.Minute
+	// evidenceTTL is how long the end of an upstream counts, and changeTTL how long a change
+	// waits for peers.
+	evidenceTTL = 10 * time.Minute
+	changeTTL   = time.Minute
 	// quarantineTTL is how long a quarantine lasts after the last request that it refused.
 	quarantineTTL = 10 * time.Minute
 	// announceInterval is the time after which a quarantine in use is told to peers again,
@@ -20,7 +22,7 @@
 	// mergeWindow is the greatest difference between the times at which two instances see
 	// the same end. An upstream takes longer to start again.
 	mergeWindow = 1200 * time.Millisecond
-	// maxEnds bounds the ends that are kept, maxExposures the parts of one, and
+	// maxEnds bounds the ends that are kept, maxExposures the suspects of one, and
 	// maxQuarantines the quarantines; the oldest go first.
 	maxEnds        = 128
 	maxExposures   = 64
@@ -29,23 +31,25 @@
 	maxChanges = 2048
 )
 
-// Ledger holds what an instance knows of the ends of upstreams, and decides which parts
-// are quarantined. Instances merge their ledgers by telling each other the changes;
+// Ledger holds what an instance knows of the ends of upstreams, and decides which requests and
+// parts are quarantined. Instances merge their ledgers by telling each other the changes;
 // the order in which these arrive does not matter. The methods are safe for concurrent use.
 type Ledger struct {
-	sound *soundParts
+	sound *soundSet
 	// active is the number of quarantines, so that a request needs no lock without any.
 	active atomic.Int64
 
 	mu sync.RWMutex
 	// ends is in no order.
 	ends []*endRecord
-	// exposed counts, for each part, the ends that it is exposed in.
-	exposed map[Part]int
-	// quarantines is keyed by Quarantine.key, and byPart holds the keys of those that have
-	// a part.
+	// exposed counts, for each suspect, the ends that it is exposed in.
+	exposed map[Suspect]int
+	// quarantines is keyed by Quarantine.Key, and bySuspect holds the keys of those that have
+	// a suspect.
 	quarantines map[string]*quarantineRecord
-	byPart      map[Part][]string
+	bySuspect   map[Suspect][]string
+	// withdrawn is keyed like quarantines.
+	withdrawn map[string]withdrawal
 	// log holds the latest changes in the order of their numbers, which are consecutive
 	// and begin at one; next is the number of the next one.
 	log  []logged
@@ -57,57 +61,58 @@
 // endRecord is an end as far as it is known.
 type endRecord struct {
 	End
-	exposures map[Part]Exposure
+	exposures map[Suspect]Exposure
 }
 
 // NewLedger returns a ledger without evidence.
 func NewLedger() (*Ledger, error) {
-	sound, err := newSoundParts()
+	sound, err := newSoundSet()
 	if err != nil {
-		return nil, errors.Annotate(err, "create the set of sound parts")
+		return nil, errors.Annotate(err, "create the set of sound suspects")
 	}
 	return &Ledger{
 		sound:       sound,
-		exposed:     make(map[Part]int),
+		exposed:     make(map[Suspect]int),
 		quarantines: make(map[string]*quarantineRecord),
-		byPart:      make(map[Part][]string),
+		bySuspect:   make(map[Suspect][]string),
+		withdrawn:   make(map[string]withdrawal),
 		next:        1,
 	}, nil
 }
 
-// Unsound returns those of a prompt's parts to which no answer with weights of a version or
-// later has been complete of late.
-func (l *Ledger) Unsound(now time.Time, model string, parts []string, version uint64) []Part {
-	var unsound []Part
-	for _, id := range parts {
-		p := Part{Model: model, ID: id}
-		if _, ok := l.sound.clears(now, p, version); !ok {
-			unsound = append(unsound, p)
+// Unsound returns those of a request's suspects to which no answer with weights of a version
+// or later has been complete of late.
+func (l *Ledger) Unsound(now time.Time, suspects []Suspect, version uint64) []Suspect {
+	var unsound []Suspect
+	for _, s := range suspects {
+		if _, ok := l.sound.clears(now, s, version); !ok {
+			unsound = append(unsound, s)
 		}
 	}
 	return unsound
 }
 
-// IsExposed reports whether a part of a prompt was in progress at the end of a number of
-// upstreams and is not known to be sound.
-func (l *Ledger) IsExposed(parts []Part, ends int) bool {
+// IsExposed reports whether a suspect was in progress at the end of a number of upstreams
+// and is not known to be sound.
+func (l *Ledger) IsExposed(suspects []Suspect, ends int) bool {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
-	return slices.ContainsFunc(parts, func(p Part) bool { return l.exposed[p] >= ends })
+	return slices.ContainsFunc(suspects, func(s Suspect) bool { return l.exposed[s] >= ends })
 }
 
 // RecordSound records a complete answer to a request, made with weights of a version.
-func (l *Ledger) RecordSound(now time.Time, model string, parts []string, version uint64) {
-	for _, id := range parts {
-		l.addSound(now, Sound{Part: Part{Model: model, ID: id}, Version: version})
+func (l *Ledger) RecordSound(now time.Time, suspects []Suspect, version uint64) {
+	for _, s := range suspects {
+		l.addSound(now, Sound{Suspect: s, Version: version})
 	}
 }
 
-// addSound applies a complete answer. Peers are told only of parts that are suspected.
+// addSound applies a complete answer. Peers are told only of suspects with evidence against
+// them.
 func (l *Ledger) addSound(now time.Time, s Sound) {
-	l.sound.add(now, s.Part, s.Version)
+	l.sound.add(now, s.Suspect, s.Version)
 	l.mu.RLock()
-	isSuspected := l.exposed[s.Part] > 0 || len(l.byPart[s.Part]) > 0
+	isSuspected := l.exposed[s.Suspect] > 0 || len(l.bySuspect[s.Suspect]) > 0
 	l.mu.RUnlock()
 	if !isSuspected {
 		return
@@ -120,39 +125,39 @@
 	}
 }
 
-// clear removes a part from the evidence and the quarantines up to a version of the weights,
-// and reports whether it was there. The caller holds mu.
+// clear removes a suspect from the evidence and the quarantines up to a version of the
+// weights, and reports whether it was there. The caller holds mu.
 func (l *Ledger) clear(s Sound) bool {
 	found := false
 	for _, e := range l.ends {
-		if x, ok := e.exposures[s.Part]; ok && x.Version <= s.Version {
-			l.removeExposure(e, s.Part)
+		if x, ok := e.exposures[s.Suspect]; ok && x.Version <= s.Version {
+			l.removeExposure(e, s.Suspect)
 			found = true
 		}
 	}
-	for _, key := range slices.Clone(l.byPart[s.Part]) {
+	for _, key := range slices.Clone(l.bySuspect[s.Suspect]) {
 		r := l.quarantines[key]
 		if r.Version > s.Version {
 			continue
 		}
 		found = true
 		l.remove(key)
-		if rest := r.without(s.Part.ID); len(rest.Parts) > 0 {
+		if rest := r.without(s.Suspect); len(rest.Suspects) > 0 {
 			l.put(rest, r.knownAt)
 		}
 	}
 	return found
 }
 
-func (l *Ledger) removeExposure(e *endRecord, p Part) {
-	delete(e.exposures, p)
-	if l.exposed[p]--; l.exposed[p] <= 0 {
-		delete(l.exposed, p)
+func (l *Ledger) removeExposure(e *endRecord, s Suspect) {
+	delete(e.exposures, s)
+	if l.exposed[s]--; l.exposed[s] <= 0 {
+		delete(l.exposed, s)
 	}
 }
 
 // RecordEnd records that an upstream ended under a request, of which exposures holds the
-// parts that are not known to be sound. It reports whether that is new.
+// suspects that are not known to be sound. It reports whether that is new.
 func (l *Ledger) RecordEnd(now time.Time, e End) bool {
 	if len(e.Exposures) == 0 {
 		return false
@@ -162,7 +167,7 @@
 	return l.addEnd(now, e)
 }
 
-// addEnd merges an end and reports whether a part of it is new. Parts that are known to be
+// addEnd merges an end and reports whether a suspect of it is new. Those that are known to be
 // sound are told to peers as such. The caller holds mu.
 func (l *Ledger) addEnd(now time.Time, e End) bool {
 	if now.Sub(e.At) > evidenceTTL {
@@ -171,22 +176,22 @@
 	record := l.endOf(e)
 	news := End{Upstream: e.Upstream, Incarnation: e.Incarnation, At: record.At}
 	for _, x := range e.Exposures {
-		if version, ok := l.sound.clears(now, x.Part, x.Version); ok {
-			l.append(now, Sound{Part: x.Part, Version: version})
+		if version, ok := l.sound.clears(now, x.Suspect, x.Version); ok {
+			l.append(now, Sound{Suspect: x.Suspect, Version: version})
 			continue
 		}
-		known, isKnown := record.exposures[x.Part]
+		known, isKnown := record.exposures[x.Suspect]
 		joined := known.join(x)
 		if !isKnown {
-			joined.Part = x.Part.clone()
+			joined = x.clone()
 		}
-		if (isKnown && joined == known) || (!isKnown && len(record.exposures) >= maxExposures) {
+		if (isKnown && !joined.tellsMore(known)) || (!isKnown && len(record.exposures) >= maxExposures) {
 			continue
 		}
 		if !isKnown {
-			l.exposed[joined.Part]++
+			l.exposed[joined.Suspect]++
 		}
-		record.exposures[joined.Part] = joined
+		record.exposures[joined.Suspect] = joined
 		news.Exposures = append(news.Exposures, joined)
 	}
 	if len(news.Exposures) > 0 {
@@ -199,7 +204,7 @@
 // endOf returns the record of an end, which it adds if necessary. The caller holds mu.
 func (l *Ledger) endOf(e End) *endRecord {
 	for _, known := range l.ends {
-		if known.Upstream == e.Upstream && known.Incarnation == e.Incarnation && known.At.Sub(e.At).Abs() <= mergeWindow {
+		if known.isSame(e) {
 			if e.At.Before(known.At) {
 				known.At = e.At
 			}
@@ -210,20 +215,26 @@
 		oldest := slices.MinFunc(l.ends, func(a, b *endRecord) int { return a.At.Compare(b.At) })
 		l.drop(func(r *endRecord) bool { return r == oldest })
 	}
-	record := &endRecord{End: e, exposures: make(map[Part]Exposure)}
+	record := &endRecord{End: e, exposures: make(map[Suspect]Exposure)}
 	record.Exposures = nil
 	l.ends = append(l.ends, record)
 	return record
 }
 
+// isSame reports whether e is the end of the same process. A process that is known by its
+// incarnation ends only once.
+func (r *endRecord) isSame(e End) bool {
+	return r.Upstream == e.Upstream && r.Incarnation == e.Incarnation && (e.Incarnation != 0 || r.At.Sub(e.At).Abs() <= mergeWindow)
+}
+
 // drop removes ends from the evidence. The caller holds mu.
 func (l *Ledger) drop(isDropped func(*endRecord) bool) {
 	l.ends = slices.DeleteFunc(l.ends, func(e *endRecord) bool {
 		if !isDropped(e) {
 			return false
 		}
-		for p := range e.exposures {
-			l.removeExposure(e, p)
+		for s := range e.exposures {
+			l.removeExposure(e, s)
 		}
 		return true
 	})
@@ -237,8 +248,13 @@
 			l.remove(key)
 		}
 	}
+	for key, w := range l.withdrawn {
+		if now.Sub(w.at) > evidenceTTL {
+			delete(l.withdrawn, key)
+		}
+	}
 	kept := 0
-	for kept < len(l.log) && (now.Sub(l.log[kept].at) > evidenceTTL || len(l.log)-kept > maxChanges) {
+	for kept < len(l.log) && (now.Sub(l.log[kept].at) > changeTTL || len(l.log)-kept > maxChanges) {
 		kept++
 	}
 	l.log = slices.Delete(l.log, 0, kept)
--- a/loomquarantine/ledger_test.go
+++ b/loomquarantine/ledger_test.go
@@ -23,13 +23,22 @@
 	return l
 }
 
+// parts returns the suspects of a prompt.
+func parts(ids ...string) []loomquarantine.Suspect {
+	suspects := make([]loomquarantine.Suspect, 0, len(ids))
+	for _, id := range ids {
+		suspects = append(suspects, loomquarantine.Suspect{Kind: loomquarantine.Part, Model: model, ID: id})
+	}
+	return suspects
+}
+
 // exposures returns the exposures of parts; no answer had begun to those that end with a
 // question mark.
 func exposures(ids ...string) []loomquarantine.Exposure {
 	all := make([]loomquarantine.Exposure, 0, len(ids))
 	for _, id := range ids {
 		id, isWaiting := strings.CutSuffix(id, "?")
-		all = append(all, loomquarantine.Exposure{Part: loomquarantine.Part{Model: model, ID: id}, Version: 1, HasBegun: !isWaiting})
+		all = append(all, loomquarantine.Exposure{Suspect: parts(id)[0], Version: 1, HasBegun: !isWaiting})
 	}
 	return all
 }
@@ -43,7 +52,7 @@
 func quarantined(l *loomquarantine.Ledger) []string {
 	sets := []string{}
 	for _, q := range l.Quarantines() {
-		sets = append(sets, fmt.Sprint(q.Parts))
+		sets = append(sets, fmt.Sprint(q.Parts()))
 	}
 	return sets
 }
@@ -116,7 +125,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			start := time.Now()
 			l := newLedger(t)
-			l.RecordSound(start, model, tt.sound, 1)
+			l.RecordSound(start, parts(tt.sound...), 1)
 			last := start
 			for i, e := range tt.ends {
 				last = start.Add(e.at)
@@ -136,7 +145,7 @@
 		now = now.Add(time.Second)
 	}
 	l.Judge(now)
-	_, ok := l.Find(now, model, []string{"a", "x"})
+	_, ok := l.Find(now, parts("a", "x"))
 	assert.Assert(t, ok)
 	return now
 }
@@ -144,8 +153,8 @@
 func TestCompleteAnswerLiftsQuarantine(t *testing.T) {
 	l := newLedger(t)
 	now := quarantineX(t, l, time.Now())
-	l.RecordSound(now, model, []string{"a", "x"}, 1)
-	_, ok := l.Find(now, model, []string{"x"})
+	l.RecordSound(now, parts("a", "x"), 1)
+	_, ok := l.Find(now, parts("x"))
 	assert.Assert(t, !ok)
 	l.Judge(now.Add(settled))
 	assert.DeepEqual(t, quarantined(l), []string{})
@@ -170,7 +179,7 @@
 func TestAnswerByOlderWeightsDoesNotLiftQuarantine(t *testing.T) {
 	l := newLedger(t)
 	now := time.Now()
-	l.RecordSound(now, model, []string{"x"}, 1)
+	l.RecordSound(now, parts("x"), 1)
 	for i := range 3 {
 		e := loomquarantine.End{Upstream: fmt.Sprint("engine-", i), At: now, Exposures: exposures("x")}
 		e.Exposures[0].Version = 2
@@ -178,8 +187,8 @@
 		now = now.Add(time.Second)
 	}
 	l.Judge(now)
-	l.RecordSound(now, model, []string{"x"}, 1)
-	_, ok := l.Find(now, model, []string{"x"})
+	l.RecordSound(now, parts("x"), 1)
+	_, ok := l.Find(now, parts("x"))
 	assert.Assert(t, ok)
 }
 
@@ -189,12 +198,12 @@
 	for range 60 {
 		now = now.Add(time.Minute)
 		l.Judge(now)
-		_, ok := l.Find(now, model, []string{"x"})
+		_, ok := l.Find(now, parts("x"))
 		assert.Assert(t, ok)
 	}
 	now = now.Add(11 * time.Minute)
 	l.Judge(now)
-	_, ok := l.Find(now, model, []string{"x"})
+	_, ok := l.Find(now, parts("x"))
 	assert.Assert(t, !ok)
 }
 
@@ -212,7 +221,7 @@
 		endUnder(l, now.Add(time.Duration(i)*time.Second), fmt.Sprint("e", i), "x", "a")
 	}
 	// Only the last one has seen that a is sound.
-	ledgers[2].RecordSound(now, model, []string{"a"}, 1)
+	ledgers[2].RecordSound(now, parts("a"), 1)
 	now = now.Add(3 * time.Second)
 	for range 2 {
 		for _, l := range ledgers {
@@ -280,13 +289,13 @@
 	}
 	l.Judge(now)
 	assert.DeepEqual(t, quarantined(l), []string{"[x y]"})
-	_, ok := l.Find(now, model, []string{"y", "z"})
+	_, ok := l.Find(now, parts("y", "z"))
 	assert.Assert(t, !ok, "a request with one of the parts must be sent")
 	endUnder(l, now, "e4", "x", "z")
 	now = now.Add(settled)
 	l.Judge(now)
 	assert.DeepEqual(t, quarantined(l), []string{"[x]"})
-	l.RecordSound(now, model, []string{"y"}, 1)
+	l.RecordSound(now, parts("y"), 1)
 	assert.DeepEqual(t, quarantined(l), []string{"[x]"})
 }
 
@@ -326,8 +335,8 @@
 			}
 			decided := l.Judge(now)
 			assert.Equal(t, len(decided), 1)
-			assert.DeepEqual(t, decided[0].Parts, []string{"x"})
-			assert.Equal(t, l.Try(now.Add(tt.after), decided[0], tt.parts, tt.version), tt.want)
+			assert.DeepEqual(t, decided[0].Parts(), []string{"x"})
+			assert.Equal(t, l.Try(now.Add(tt.after), decided[0], parts(tt.parts...), tt.version), tt.want)
 		})
 	}
 }
@@ -340,9 +349,9 @@
 	for version := uint64(2); version < 50; version++ {
 		for range 20 {
 			now = now.Add(time.Second)
-			q, ok := l.Find(now, model, []string{"x"})
+			q, ok := l.Find(now, parts("x"))
 			assert.Assert(t, ok)
-			if l.Try(now, q, []string{"x"}, version) {
+			if l.Try(now, q, parts("x"), version) {
 				trials++
 			}
 			l.Judge(now)
@@ -352,7 +361,7 @@
 	// Another instance that learns of the quarantine knows of them.
 	other := newLedger(t)
 	pass(other, l, now, 0)
-	q, ok := other.Find(now, model, []string{"x"})
+	q, ok := other.Find(now, parts("x"))
 	assert.Assert(t, ok)
-	assert.Assert(t, !other.Try(now.Add(time.Minute), q, []string{"x"}, 100))
+	assert.Assert(t, !other.Try(now.Add(time.Minute), q, parts("x"), 100))
 }
--- a/loomquarantine/quarantines.go
+++ b/loomquarantine/quarantines.go
@@ -13,23 +13,35 @@
 	knownAt, triedAt time.Time
 }
 
+// withdrawalDelay is the time after a withdrawal in which the word of peers doesn't bring the
+// quarantine back. They withdraw it as well once they have the same evidence.
+const withdrawalDelay = 10 * time.Second
+
+// withdrawal is a quarantine that later evidence did not bear out.
+type withdrawal struct {
+	at time.Time
+	// trials and triedAt count on if it is decided again.
+	trials  int
+	triedAt time.Time
+}
+
 // IsEmpty reports whether there are no quarantines.
 func (l *Ledger) IsEmpty() bool {
 	return l.active.Load() == 0
 }
 
-// Find returns the quarantine that applies to a prompt, if there is one, and counts
-// its use.
-func (l *Ledger) Find(now time.Time, model string, parts []string) (Quarantine, bool) {
+// Find returns the quarantine that applies to a request with suspects, if there is one, and
+// counts its use.
+func (l *Ledger) Find(now time.Time, suspects []Suspect) (Quarantine, bool) {
 	if l.IsEmpty() {
 		return Quarantine{}, false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, id := range parts {
-		for _, key := range l.byPart[Part{Model: model, ID: id}] {
+	for _, s := range suspects {
+		for _, key := range l.bySuspect[s] {
 			r := l.quarantines[key]
-			if !r.matches(model, parts) {
+			if !r.matches(suspects) {
 				continue
 			}
 			r.Quarantine = r.WithUse(now)
@@ -42,10 +54,10 @@
 	return Quarantine{}, false
 }
 
-// put adds a quarantine, or joins it with the known one of the same parts. It reports whether
+// put adds a quarantine, or joins it with the known one of the same suspects. It reports whether
 // that was not known or has changed. The caller holds mu.
 func (l *Ledger) put(q Quarantine, now time.Time) bool {
-	key := q.key()
+	key := q.Key()
 	if known, ok := l.quarantines[key]; ok {
 		before := known.Quarantine
 		known.UsedAt = known.WithUse(q.UsedAt).UsedAt
@@ -60,10 +72,11 @@
 	if len(l.quarantines) >= maxQuarantines {
 		l.remove(l.leastUsed())
 	}
-	l.quarantines[key] = &quarantineRecord{Quarantine: q, announcedAt: now, knownAt: now}
-	for _, id := range q.Parts {
-		p := Part{Model: q.Model, ID: id}
-		l.byPart[p] = append(l.byPart[p], key)
+	w := l.withdrawn[key]
+	q.Trials = max(q.Trials, w.trials)
+	l.quarantines[key] = &quarantineRecord{Quarantine: q, announcedAt: now, knownAt: now, triedAt: w.triedAt}
+	for _, s := range q.Suspects {
+		l.bySuspect[s] = append(l.bySuspect[s], key)
 	}
 	l.active.Store(int64(len(l.quarantines)))
 	return true
@@ -76,11 +89,10 @@
 		return
 	}
 	delete(l.quarantines, key)
-	for _, id := range r.Parts {
-		p := Part{Model: r.Model, ID: id}
-		l.byPart[p] = slices.DeleteFunc(l.byPart[p], func(k string) bool { return k == key })
-		if len(l.byPart[p]) == 0 {
-			delete(l.byPart, p)
+	for _, s := range r.Suspects {
+		l.bySuspect[s] = slices.DeleteFunc(l.bySuspect[s], func(k string) bool { return k == key })
+		if len(l.bySuspect[s]) == 0 {
+			delete(l.bySuspect, s)
 		}
 	}
 	l.active.Store(int64(len(l.quarantines)))
@@ -98,7 +110,7 @@
 	return least
 }
 
-// Quarantines returns all quarantines, sorted by model and parts.
+// Quarantines returns all quarantines, sorted by model and suspects.
 func (l *Ledger) Quarantines() []Quarantine {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
@@ -107,7 +119,7 @@
 		all = append(all, r.Quarantine)
 	}
 	slices.SortFunc(all, func(a, b Quarantine) int {
-		if a.key() < b.key() {
+		if a.Key() < b.Key() {
 			return -1
 		}
 		return 1
@@ -121,22 +133,24 @@
 	l.append(now, r.Quarantine)
 }
 
-// addQuarantine merges a quarantine that a peer has decided. It is lifted if a part is known
-// to be sound.
+// addQuarantine merges a quarantine that a peer has decided. It is lifted if a suspect is
+// known to be sound.
 func (l *Ledger) addQuarantine(now time.Time, q Quarantine) {
-	if len(q.Parts) == 0 || now.Sub(q.UsedAt) > quarantineTTL {
+	if len(q.Suspects) == 0 || now.Sub(q.UsedAt) > quarantineTTL {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, id := range slices.Clone(q.Parts) {
-		p := Part{Model: q.Model, ID: id}
-		if version, ok := l.sound.clears(now, p, q.Version); ok {
-			l.append(now, Sound{Part: p, Version: version})
-			q = q.without(id)
+	for _, s := range slices.Clone(q.Suspects) {
+		if version, ok := l.sound.clears(now, s, q.Version); ok {
+			l.append(now, Sound{Suspect: s, Version: version})
+			q = q.without(s)
 		}
 	}
-	if len(q.Parts) > 0 && l.put(q, now) {
+	if w, ok := l.withdrawn[q.Key()]; ok && now.Sub(w.at) < withdrawalDelay {
+		return
+	}
+	if len(q.Suspects) > 0 && l.put(q, now) {
 		l.changedAt = now
 		l.append(now, q)
 	}
--- /dev/null
+++ b/loomquarantine/request_test.go
@@ -0,0 +1,173 @@
+package loomquarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"swiftloom/loomquarantine"
+)
+
+// requestEnd is the end of an upstream at a time under requests, each with the time since it
+// was sent.
+type requestEnd struct {
+	at   time.Duration
+	sent map[string]time.Duration
+}
+
+func newRequest(id string) loomquarantine.Suspect {
+	return loomquarantine.Suspect{Kind: loomquarantine.Request, ID: id}
+}
+
+// record records the end of an upstream.
+func (e requestEnd) record(l *loomquarantine.Ledger, start time.Time, upstream string) {
+	end := loomquarantine.End{Upstream: upstream, At: start.Add(e.at)}
+	for id, sent := range e.sent {
+		end.Exposures = append(end.Exposures, loomquarantine.Exposure{Suspect: newRequest(id), Sent: sent})
+	}
+	l.RecordEnd(end.At, end)
+}
+
+func TestJudgeRequests(t *testing.T) {
+	const ms = time.Millisecond
+	type sent = map[string]time.Duration
+	tests := []struct {
+		name string
+		ends []requestEnd
+		want []string
+	}{
+		{"two ends", []requestEnd{{0, sent{"x": 70 * ms}}, {100 * ms, sent{"x": 70 * ms}}}, nil},
+		{"three ends", []requestEnd{{0, sent{"x": 70 * ms}}, {50 * ms, sent{"x": 41 * ms}}, {90 * ms, sent{"x": 122 * ms}}}, []string{"x"}},
+		{"all at once", []requestEnd{{0, sent{"x": 70 * ms}}, {9 * ms, sent{"x": 70 * ms}}, {20 * ms, sent{"x": 70 * ms}}, {30 * ms, sent{"x": 70 * ms}}}, nil},
+		{
+			"at different stages",
+			[]requestEnd{{0, sent{"x": 10 * ms}}, {time.Second, sent{"x": 900 * ms}}, {2 * time.Second, sent{"x": 300 * ms}}}, nil,
+		},
+		{
+			"at different stages, four ends",
+			[]requestEnd{{0, sent{"x": 10 * ms}}, {time.Second, sent{"x": 900 * ms}}, {2 * time.Second, sent{"x": 300 * ms}}, {3 * time.Second, sent{"x": 300 * ms}}},
+			[]string{"x"},
+		},
+		{
+			"beside requests that come once",
+			[]requestEnd{{0, sent{"x": 70 * ms, "a": 10 * ms}}, {time.Second, sent{"x": 70 * ms, "b": 20 * ms}}, {2 * time.Second, sent{"x": 70 * ms, "c": 5 * ms}}},
+			[]string{"x"},
+		},
+		{
+			"beside one that was always there as well",
+			[]requestEnd{
+				{0, sent{"a": 10 * ms, "x": 70 * ms}}, {time.Second, sent{"a": 80 * ms, "x": 70 * ms}}, {2 * time.Second, sent{"a": 40 * ms, "x": 72 * ms}},
+			},
+			[]string{"x"},
+		},
+		{
+			"two requests at about the same times",
+			[]requestEnd{
+				{0, sent{"x": 70 * ms}}, {40 * ms, sent{"y": 70 * ms}}, {time.Second, sent{"x": 70 * ms}}, {1040 * ms, sent{"y": 70 * ms}},
+				{2 * time.Second, sent{"x": 70 * ms}}, {2040 * ms, sent{"y": 70 * ms}},
+			},
+			[]string{"x", "y"},
+		},
+		{"minutes apart", []requestEnd{{0, sent{"x": 70 * ms}}, {3 * time.Minute, sent{"x": 70 * ms}}, {6 * time.Minute, sent{"x": 70 * ms}}}, []string{"x"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			start := time.Now()
+			l := newLedger(t)
+			for i, e := range tt.ends {
+				e.record(l, start, fmt.Sprint("u", i))
+				l.Judge(start.Add(e.at + 60*ms))
+			}
+			l.Judge(start.Add(tt.ends[len(tt.ends)-1].at + settled))
+			var got []string
+			for _, q := range l.Quarantines() {
+				got = append(got, q.Request())
+			}
+			assert.DeepEqual(t, got, tt.want)
+		})
+	}
+}
+
+// TestRequestAndItsPartAreToldApart guards against sound requests that share a part with one
+// that ends engines as a whole.
+func TestRequestAndItsPartAreToldApart(t *testing.T) {
+	l := newLedger(t)
+	now := time.Now()
+	request := loomquarantine.Suspect{Kind: loomquarantine.Request, Model: model, ID: "r"}
+	for i := range 3 {
+		l.RecordEnd(now, loomquarantine.End{Upstream: fmt.Sprint("e", i), At: now, Exposures: []loomquarantine.Exposure{
+			{Suspect: parts("x")[0], Version: 1, HasBegun: true},
+			{Suspect: request, Version: 1, HasBegun: true, Parts: []string{"x"}},
+		}})
+		now = now.Add(time.Second)
+	}
+	l.Judge(now)
+	_, isRefused := l.Find(now, append(parts("x"), request))
+	assert.Assert(t, isRefused)
+	other := append(parts("x"), loomquarantine.Suspect{Kind: loomquarantine.Request, Model: model, ID: "other"})
+	_, isRefused = l.Find(now, other)
+	assert.Assert(t, !isRefused)
+	// It is the part if the other request ends an engine as well.
+	l.RecordEnd(now, loomquarantine.End{Upstream: "e3", At: now, Exposures: []loomquarantine.Exposure{
+		{Suspect: parts("x")[0], Version: 1, HasBegun: true},
+		{Suspect: other[1], Version: 1, HasBegun: true, Parts: []string{"x"}},
+	}})
+	now = now.Add(settled)
+	l.Judge(now)
+	_, isRefused = l.Find(now, other)
+	assert.Assert(t, isRefused)
+}
+
+// TestEndOfKnownIncarnationCountsOnce guards against an instance that was frozen when an
+// upstream ended and tells of it later.
+func TestEndOfKnownIncarnationCountsOnce(t *testing.T) {
+	l := newLedger(t)
+	now := time.Now()
+	for range 4 {
+		l.RecordEnd(now, loomquarantine.End{Upstream: "u", Incarnation: 7, At: now, Exposures: []loomquarantine.Exposure{{Suspect: newRequest("x")}}})
+		now = now.Add(5 * time.Second)
+	}
+	l.Judge(now)
+	assert.DeepEqual(t, quarantined(l), []string{})
+}
+
+// TestPartsOfDifferentRequestsAreQuarantinedApart guards against a set of parts that no request
+// has, so that none is refused.
+func TestPartsOfDifferentRequestsAreQuarantinedApart(t *testing.T) {
+	l := newLedger(t)
+	now := time.Now()
+	for i := range 3 {
+		for k, id := range []string{"x", "y"} {
+			at := now.Add(time.Duration(k) * 40 * time.Millisecond)
+			request := loomquarantine.Suspect{Kind: loomquarantine.Request, Model: model, ID: fmt.Sprint(id, i)}
+			l.RecordEnd(at, loomquarantine.End{Upstream: fmt.Sprint("e", i, k), At: at, Exposures: []loomquarantine.Exposure{
+				{Suspect: parts(id)[0], Version: 1, HasBegun: true},
+				{Suspect: request, Version: 1, HasBegun: true, Parts: []string{id}},
+			}})
+		}
+		now = now.Add(time.Second)
+	}
+	l.Judge(now)
+	assert.DeepEqual(t, quarantined(l), []string{"[x]", "[y]"})
+}
+
+// TestWithdrawnQuarantineStaysWithdrawn guards against a quarantine that peers bring back as
+// often as it is withdrawn.
+func TestWithdrawnQuarantineStaysWithdrawn(t *testing.T) {
+	l, peer := newLedger(t), newLedger(t)
+	now := time.Now()
+	for i, ids := range [][]string{{"x", "y"}, {"x", "y"}, {"x?", "y"}, {"x"}, {"x"}, {"x"}} {
+		endUnder(l, now, fmt.Sprint("e", i), ids...)
+		now = now.Add(time.Second)
+		l.Judge(now)
+		if i == 2 {
+			pass(peer, l, now, 0)
+			assert.DeepEqual(t, quarantined(peer), []string{"[y]"})
+		}
+	}
+	assert.DeepEqual(t, quarantined(l), []string{"[x]"})
+	pass(l, peer, now, 0)
+	assert.DeepEqual(t, quarantined(l), []string{"[x]"})
+}
--- a/loomquarantine/sound.go
+++ b/loomquarantine/sound.go
@@ -7,17 +7,18 @@
 )
 
 const (
-	// maxSoundParts bounds the parts that are known to be sound. An entry takes about 200
-	// bytes.
-	maxSoundParts = 16_384
-	// soundTTL is how long a complete answer clears the parts of its prompt.
+	// maxSoundParts bounds the parts that are known to be sound, and maxSoundRequests the
+	// requests. An entry takes about 200 bytes.
+	maxSoundParts    = 16_384
+	maxSoundRequests = 4096
+	// soundTTL is how long a complete answer clears the suspects of its request.
 	soundTTL = 10 * time.Minute
 )
 
-// soundParts holds the parts to which answers were complete, the most recent ones. It is safe
-// for concurrent use.
-type soundParts struct {
-	recent *lru.Cache[Part, soundRecord]
+// soundSet holds the suspects to which answers were complete, the most recent ones. Requests
+// have room of their own, since most of them never return. It is safe for concurrent use.
+type soundSet struct {
+	parts, requests *lru.Cache[Suspect, soundRecord]
 }
 
 // soundRecord is the newest version of the weights that has made a complete answer.
@@ -26,27 +27,40 @@
 	at      time.Time
 }
 
-func newSoundParts() (*soundParts, error) {
-	recent, err := lru.New[Part, soundRecord](maxSoundParts)
+func newSoundSet() (*soundSet, error) {
+	parts, err := lru.New[Suspect, soundRecord](maxSoundParts)
 	if err != nil {
 		return nil, err
 	}
-	return &soundParts{recent: recent}, nil
+	requests, err := lru.New[Suspect, soundRecord](maxSoundRequests)
+	if err != nil {
+		return nil, err
+	}
+	return &soundSet{parts: parts, requests: requests}, nil
+}
+
+// of returns the records of a kind of suspects.
+func (s *soundSet) of(kind Kind) *lru.Cache[Suspect, soundRecord] {
+	if kind == Request {
+		return s.requests
+	}
+	return s.parts
 }
 
 // add records a complete answer.
-func (s *soundParts) add(now time.Time, p Part, version uint64) {
-	if known, ok := s.recent.Get(p); ok {
+func (s *soundSet) add(now time.Time, suspect Suspect, version uint64) {
+	recent := s.of(suspect.Kind)
+	if known, ok := recent.Get(suspect); ok {
 		version = max(version, known.version)
 	} else {
-		p = p.clone()
+		suspect = suspect.clone()
 	}
-	s.recent.Add(p, soundRecord{version: version, at: now})
+	recent.Add(suspect, soundRecord{version: version, at: now})
 }
 
 // clears reports whether an answer with weights of a version or later was complete.
-func (s *soundParts) clears(now time.Time, p Part, version uint64) (uint64, bool) {
-	known, ok := s.recent.Peek(p)
+func (s *soundSet) clears(now time.Time, suspect Suspect, version uint64) (uint64, bool) {
+	known, ok := s.of(suspect.Kind).Peek(suspect)
 	if !ok || known.version < version || now.Sub(known.at) > soundTTL {
 		return 0, false
 	}
--- a/loomquarantine/trial.go
+++ b/loomquarantine/trial.go
@@ -13,20 +13,21 @@
 	// started again, and trialInterval the least time between two.
 	trialDelay    = 3 * time.Second
 	trialInterval = 10 * time.Second
-	// certainTrialDelay is trialDelay if no other part explains the ends. Engines that end for
-	// another reason often enough may still do so under the same part.
+	// certainTrialDelay is trialDelay if no other suspect explains the ends. Upstreams that end
+	// for another reason often enough may still do so under the same request.
 	certainTrialDelay = 20 * time.Second
 )
 
 // Try reports whether a request may be sent in spite of a quarantine that applies to it, to
-// show whether its parts are sound, and counts the trial. That is so once, sooner if other
-// parts may have been the reason for the ends, and if the weights, of which version is the
-// oldest in use, are newer than those under which engines have ended. No other part of the
-// prompt may be suspicious. Only one instance may ask for a quarantine.
-func (l *Ledger) Try(now time.Time, q Quarantine, parts []string, version uint64) bool {
+// show whether its suspects are sound, and counts the trial. That is so once, sooner if other
+// suspects may have been the reason for the ends, and if the weights, of which version is the
+// oldest in use, are newer than those under which upstreams have ended. There may be no
+// evidence against others of the request's suspects. Only one instance may ask for a
+// quarantine.
+func (l *Ledger) Try(now time.Time, q Quarantine, suspects []Suspect, version uint64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r, ok := l.quarantines[q.key()]
+	r, ok := l.quarantines[q.Key()]
 	if !ok || r.Trials >= maxTrials || now.Sub(r.knownAt) < trialDelay || now.Sub(r.triedAt) < trialInterval {
 		return false
 	}
@@ -35,9 +36,8 @@
 	if !hasNewerWeights && !isOpen {
 		return false
 	}
-	for _, id := range parts {
-		p := Part{Model: q.Model, ID: id}
-		if !slices.Contains(r.Parts, id) && (l.exposed[p] > 0 || len(l.byPart[p]) > 0) {
+	for _, s := range suspects {
+		if !slices.Contains(r.Suspects, s) && (l.exposed[s] > 0 || len(l.bySuspect[s]) > 0) {
 			return false
 		}
 	}
