Quarantine prompts that end engines in the completions API

Instances keep the same ledger as those of the opaque door and tell each other the changes with their gossip; the encoding of changes moves to loomquarantine. The stand-in engine and the trial's site get an option for prompts that end engines.

--- a/loomgate/quarantine.go
+++ b/loomgate/quarantine.go
@@ -137,7 +137,7 @@
 		if d.req.HasPrompt {
 			model, parts = d.req.Prompt.Model, d.sharedPartIDs()
 		}
-		d.quarantineSuspectList = newSuspects(model, parts, d.req.digest())
+		d.quarantineSuspectList = loomquarantine.NewSuspects(model, parts, d.req.digest())
 	}
 	return d.quarantineSuspectList
 }
--- a/loomgate/quarantine_row.go
+++ b/loomgate/quarantine_row.go
@@ -47,7 +47,7 @@
 // quarantine returns the content of the row.
 func (r quarantineRow) quarantine(now time.Time) loomquarantine.Quarantine {
 	return loomquarantine.Quarantine{Version: r.Version, Ends: r.Ends, Trials: r.Trials, IsCertain: r.IsCertain, UsedAt: now}.
-		WithSuspects(newSuspects(r.Model, r.Parts, r.Request)...)
+		WithSuspects(loomquarantine.NewSuspects(r.Model, r.Parts, r.Request)...)
 }
 
 // isOutdated reports whether the row lacks what an instance knows of the same quarantine.
--- a/loominstance/catalogue.go
+++ b/loominstance/catalogue.go
@@ -121,6 +121,7 @@
 		Leaving:           n.leavingMarks(),
 		Rumours:           n.rumours(),
 		Newborn:           n.isBootstrapping(),
+		Evidence:          n.evidence(time.Now()),
 	})
 	now := time.Now()
 	if ctx.Err() != nil {
@@ -140,6 +141,7 @@
 	}
 	n.applyLeavingMarks(now, reply.GetLeaving())
 	n.applyRumours(now, reply.GetRumours())
+	n.applyEvidence(now, reply.GetEvidence())
 	n.applyChanges(now, reply)
 }
 
@@ -256,6 +258,7 @@
 func (n *Instance) answerGossip(now time.Time, r *loompb.GossipRequest) (*loompb.GossipReply, error) {
 	n.applyLeavingMarks(now, r.GetLeaving())
 	n.applyRumours(now, r.GetRumours())
+	n.applyEvidence(now, r.GetEvidence())
 	if r.GetStopping() {
 		n.tracker.Apply(now, loommember.MarkedLeaving{ID: r.GetInstanceId(), Incarnation: r.GetIncarnation()})
 	} else {
@@ -268,6 +271,7 @@
 		Stopping:          n.stopping.Load(),
 		Leaving:           n.leavingMarks(),
 		Rumours:           n.rumours(),
+		Evidence:          n.evidence(now),
 	}
 	if r.GetNewborn() {
 		reply.Members = n.knownMembers()
--- a/loominstance/dispatch.go
+++ b/loominstance/dispatch.go
@@ -57,6 +57,9 @@
 	hasFirstToken bool
 	// emptyEvents counts the events since the last new token.
 	emptyEvents int
+	// isTrial is set if the prompt is sent to show whether it is sound although it is
+	// quarantined.
+	isTrial bool
 	// isResumed is set if the current attempt was opened again to resume its run.
 	isResumed    bool
 	reservations []linkReservation
@@ -139,6 +142,9 @@
 func (d *dispatch) sendAttempt(ctx context.Context) error {
 	n := d.instance
 	now := time.Now()
+	if err := d.checkQuarantine(now); err != nil {
+		return err
+	}
 	choice, engine, err := n.chooseEngine(now, d.prompt, d.plan, d.tried)
 	if err != nil {
 		return d.withNotRun(err)
@@ -352,6 +358,9 @@
 		d.lifecycle.Apply(now, loomstream.Delivered{Attempt: d.attemptID})
 	}
 	d.instance.fleet.RecordFailure(now, d.engine.member.ID)
+	if d.answer.Delivered() && d.recordEngineEnd(ctx, now) {
+		return d.lifecycle.Apply(now, loomstream.Broken{Attempt: d.attemptID, Final: true}), nil
+	}
 	resumable := d.lifecycle.Relayed() > 0 || errors.Is(err, io.EOF)
 	return d.lifecycle.Apply(now, loomstream.Broken{Attempt: d.attemptID, Resumable: resumable}), nil
 }
@@ -373,6 +382,7 @@
 		})
 	case *loompb.GenerateEvent_Finished:
 		d.recordUsage(ctx, v.Finished)
+		d.recordSound(now)
 		return d.lifecycle.Apply(now, loomstream.Finished{Attempt: id, Tokens: int(v.Finished.GetAnswerTokens())})
 	default:
 		return loomstream.Wait{}
--- a/loominstance/dispatch_end_test.go
+++ b/loominstance/dispatch_end_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"testing"
 	"time"
 
@@ -14,6 +16,7 @@
 
 	"swiftloom/loomerror"
 	"swiftloom/loompb"
+	"swiftloom/loomquarantine"
 	"swiftloom/loomroute"
 	"swiftloom/loomstream"
 	"swiftloom/loomupstream"
@@ -86,7 +89,13 @@
 // retries, and returns the number of relayed tokens and the error, if any.
 func runScript(t *testing.T, answers ...*scriptedAnswer) (int, error) {
 	engine := &scriptedEngine{answers: answers}
+	ledger, err := loomquarantine.NewLedger()
+	assert.NilError(t, err)
 	n := &Instance{
+		quarantine: ledger,
+		options: Options{Dialer: func(context.Context, string) (net.Conn, error) {
+			return nil, errors.New("no connection in this test")
+		}},
 		log:     slog.New(slog.DiscardHandler),
 		metrics: newMetrics(),
 		fleet:   loomroute.NewFleet(),
--- a/loominstance/instance.go
+++ b/loominstance/instance.go
@@ -18,6 +18,7 @@
 	"swiftloom/loomkernel"
 	"swiftloom/loommember"
 	"swiftloom/loomplatform"
+	"swiftloom/loomquarantine"
 	"swiftloom/loomroute"
 	"swiftloom/loomsettings"
 	"swiftloom/loomstream"
@@ -65,6 +66,7 @@
 	queues        *queues
 	quotas        *quotas
 	reconciler    *reconciler
+	quarantine    *loomquarantine.Ledger
 
 	// view and homes are replaced as a whole when members change; they are
 	// never nil.
@@ -113,8 +115,13 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	ledger, err := loomquarantine.NewLedger()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
 	n := &Instance{
 		settings:      s,
+		quarantine:    ledger,
 		options:       o,
 		log:           o.Log.With("instance", s.Instance.ID),
 		incarnation:   uint64(time.Now().UnixMilli()),
@@ -214,6 +221,7 @@
 	kernel.Add("catalogue", n.everyScaled(t.CatalogueInterval, n.refreshCatalogue))
 	kernel.Add("members", n.everyScaled(t.MembersInterval, n.refreshMembers))
 	kernel.Add("gossip", n.runPeriodically(n.gossipInterval, n.gossip))
+	kernel.Add("quarantine", n.runPeriodically(func() time.Duration { return quarantineJudgeInterval }, n.judgeQuarantines))
 	kernel.Add("reports", n.everyScaled(t.ReportInterval, n.collectReports))
 	kernel.Add("stores", n.runPeriodically(n.stores.pollInterval, n.stores.refreshTask(n)))
 	kernel.Add("trim", n.every(cleanupInterval, n.evictStored))
--- a/loomstandin/engine.go
+++ b/loomstandin/engine.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -64,6 +65,10 @@
 	// Weights serves the weights of other versions; if nil, they load without
 	// delay.
 	Weights WeightStore
+	// EndsUnder reports whether the engine's process ends under a request, RestartDelay
+	// before it starts again; nil means that it ends under none.
+	EndsUnder    func(r *loompb.GenerateRequest) bool
+	RestartDelay time.Duration
 	// Dialer opens connections to KV cache stores; nil selects TCP.
 	Dialer loomplatform.Dialer
 }
@@ -106,6 +111,8 @@
 	orders    []AcceptedOrder
 	cancel    context.CancelFunc
 	done      chan struct{}
+	// isEnding is set while the process ends under a request and until it starts again.
+	isEnding atomic.Bool
 	// computedTokens counts the prompt tokens that were computed rather than
 	// taken from the cache or an import, across restarts.
 	computedTokens uint64
@@ -183,6 +190,17 @@
 	e.stores.close()
 }
 
+// endForAWhile ends the engine's process unless another request does so, and starts it again.
+func (e *Engine) endForAWhile() {
+	if !e.isEnding.CompareAndSwap(false, true) {
+		return
+	}
+	defer e.isEnding.Store(false)
+	e.Kill()
+	time.Sleep(e.options.RestartDelay)
+	_ = e.Restart()
+}
+
 // Member returns the engine's announcement, or nil while the engine is down.
 func (e *Engine) Member() *loompb.Member {
 	if !e.isUp() {
@@ -269,6 +287,11 @@
 	}
 	n.addStream()
 	defer func() { n.removeStream(time.Now()) }()
+	if e.options.EndsUnder != nil && e.options.EndsUnder(r) {
+		go e.endForAWhile()
+		<-stream.Context().Done()
+		return stream.Context().Err()
+	}
 	if !r.GetResume() {
 		e.importBlocks(stream.Context(), n)
 		e.enqueue(n)
--- a/loomtrial/site.go
+++ b/loomtrial/site.go
@@ -12,6 +12,7 @@
 
 	"swiftloom/loomcatalogue"
 	"swiftloom/loomload"
+	"swiftloom/loompb"
 )
 
 // Site describes the deployment of one user with all times scaled down. It is
@@ -59,6 +60,9 @@
 	AccountTokensPerSecond int
 	// EqualShares gives all accounts the same weight in the fair queue.
 	EqualShares bool
+	// EndsEngine reports whether a request ends the process of each engine that gets it; nil
+	// means that none does.
+	EndsEngine func(r *loompb.GenerateRequest) bool
 }
 
 const (
--- a/loomtrial/trial.go
+++ b/loomtrial/trial.go
@@ -28,8 +28,10 @@
 	readyTimeout      = 20 * time.Second
 	readyPollInterval = 50 * time.Millisecond
 	engineReportLag   = 100 * time.Millisecond
-	serviceWorkTime   = 15 * time.Millisecond
-	drainTimeout      = 10 * time.Second
+	// engineRestartDelay is how long an engine is down that has ended under a request.
+	engineRestartDelay = time.Second
+	serviceWorkTime    = 15 * time.Millisecond
+	drainTimeout       = 10 * time.Second
 )
 
 // Trial is a running site: its instances and the stand-ins for the platform
@@ -256,6 +258,8 @@
 		ReportLag:       engineReportLag,
 		IgnoreFencing:   group == t.site.OtherGroup,
 		Weights:         weightsClient,
+		EndsUnder:       t.site.EndsEngine,
+		RestartDelay:    engineRestartDelay,
 		Dialer:          t.network.newNode(domain).dialer(),
 	})
 	if err != nil {
