Compare requests that end upstreams by when they do so, and tell peers the latest changes

Of two requests in progress at the same ends, the one whose answer had begun was quarantined before the one that ends upstreams 70 ms after it was sent, whatever the stage of each; a case of TestJudgeRequests failed before.

--- a/loomgate/quarantine.go
+++ b/loomgate/quarantine.go
@@ -128,8 +128,8 @@
 	return ids
 }
 
-// quarantineSuspects returns what may be the reason if upstreams end under the request: the parts of
-// its prompt that other requests may hold, and the request as a whole.
+// quarantineSuspects returns what may be the reason if upstreams end under the request: the
+// parts of its prompt that other requests may hold, and the request as a whole.
 func (d *dispatch) quarantineSuspects() []loomquarantine.Suspect {
 	if d.quarantineSuspectList == nil {
 		model := ""
@@ -211,7 +211,7 @@
 	}
 	hasBegun := d.status != 0 && (d.attemptFirstAt.IsZero() || now.Sub(d.attemptFirstAt) < begunWindow)
 	end := d.newEnd(now, unsound, hasBegun)
-	isNewPart := hasBegun && unsound[0].Kind == loomquarantine.Part
+	isNewPart := hasBegun && slices.ContainsFunc(unsound, func(s loomquarantine.Suspect) bool { return s.Kind == loomquarantine.Part })
 	if !isNewPart && !d.isTrial && !q.ledger.IsExposed(unsound, 1) {
 		go q.recordEnd(context.WithoutCancel(ctx), d.upstream, end)
 		return false
--- a/loominstance/quarantine.go
+++ b/loominstance/quarantine.go
@@ -116,7 +116,7 @@
 
 // evidence returns the latest changes for a peer, and all quarantines.
 func (n *Instance) evidence(now time.Time) []*loompb.EvidenceChange {
-	changes, _ := n.quarantine.Changes(0, maxEvidenceChanges)
+	changes := n.quarantine.Latest(maxEvidenceChanges)
 	messages := make([]*loompb.EvidenceChange, 0, len(changes))
 	for _, c := range changes {
 		messages = append(messages, loomquarantine.Encode(now, c))
--- a/loomquarantine/candidate.go
+++ b/loomquarantine/candidate.go
@@ -51,12 +51,15 @@
 	if k.suspect.Kind == Request {
 		return k.ends >= minUnevenRequestEnds || (k.ends >= minRequestEnds && k.isEven())
 	}
-	return k.hasBegun() || (k.begun == 0 && len(k.clusters) >= minUnbegunEnds)
+	return k.begun >= minEnds || (k.begun == 0 && len(k.clusters) >= minUnbegunEnds)
 }
 
-// hasBegun reports whether answers had begun at enough ends.
-func (k *candidate) hasBegun() bool {
-	return k.begun >= minEnds
+// begunPart returns begun for a part. A request may end upstreams before it has begun.
+func (k *candidate) begunPart() int {
+	if k.suspect.Kind == Request {
+		return 0
+	}
+	return k.begun
 }
 
 // isEven reports whether the ends came at about the same time after a request was sent.
@@ -71,9 +74,9 @@
 func compareCandidates(a, b *candidate) int {
 	return cmp.Or(
 		cmp.Compare(a.ends, b.ends),
-		compareBools(a.hasBegun(), b.hasBegun()),
+		compareBools(a.begunPart() >= minEnds, b.begunPart() >= minEnds),
 		compareBools(a.suspect.Kind == Request, b.suspect.Kind == Request),
-		cmp.Compare(a.begun, b.begun),
+		cmp.Compare(a.begunPart(), b.begunPart()),
 		cmp.Compare(b.maxSent-b.minSent, a.maxSent-a.minSent),
 		compareSuspects(a.suspect, b.suspect),
 	)
--- a/loomquarantine/changes.go
+++ b/loomquarantine/changes.go
@@ -38,6 +38,21 @@
 	return changes, from + uint64(len(rest))
 }
 
+// Latest returns all quarantines and the latest changes, at most limit of these, for a peer of
+// which it isn't known what it has been told.
+func (l *Ledger) Latest(limit int) []Change {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	var changes []Change
+	for _, r := range l.quarantines {
+		changes = append(changes, r.Quarantine)
+	}
+	for _, entry := range l.log[max(len(l.log)-limit, 0):] {
+		changes = append(changes, entry.change)
+	}
+	return changes
+}
+
 // Apply merges the changes of a peer and reports whether they tell of an end, or of a part of
 // one, that was not known.
 func (l *Ledger) Apply(now time.Time, changes []Change) bool {
--- a/loomquarantine/request_test.go
+++ b/loomquarantine/request_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,7 +12,7 @@
 )
 
 // requestEnd is the end of an upstream at a time under requests, each with the time since it
-// was sent.
+// was sent. An answer had begun to those that end with an exclamation mark.
 type requestEnd struct {
 	at   time.Duration
 	sent map[string]time.Duration
@@ -25,7 +26,8 @@
 func (e requestEnd) record(l *loomquarantine.Ledger, start time.Time, upstream string) {
 	end := loomquarantine.End{Upstream: upstream, At: start.Add(e.at)}
 	for id, sent := range e.sent {
-		end.Exposures = append(end.Exposures, loomquarantine.Exposure{Suspect: newRequest(id), Sent: sent})
+		id, hasBegun := strings.CutSuffix(id, "!")
+		end.Exposures = append(end.Exposures, loomquarantine.Exposure{Suspect: newRequest(id), Sent: sent, HasBegun: hasBegun})
 	}
 	l.RecordEnd(end.At, end)
 }
@@ -70,6 +72,13 @@
 			},
 			[]string{"x", "y"},
 		},
+		{
+			"beside a stream that had begun",
+			[]requestEnd{
+				{0, sent{"a!": 310 * ms, "x": 70 * ms}}, {time.Second, sent{"a!": 240 * ms, "x": 70 * ms}}, {2 * time.Second, sent{"a!": 350 * ms, "x": 72 * ms}},
+			},
+			[]string{"x"},
+		},
 		{"minutes apart", []requestEnd{{0, sent{"x": 70 * ms}}, {3 * time.Minute, sent{"x": 70 * ms}}, {6 * time.Minute, sent{"x": 70 * ms}}}, []string{"x"}},
 	}
 	for _, tt := range tests {
@@ -153,6 +162,20 @@
 	assert.DeepEqual(t, quarantined(l), []string{"[x]", "[y]"})
 }
 
+// TestLatestChangesAreTold guards against a peer that is told only of old changes.
+func TestLatestChangesAreTold(t *testing.T) {
+	l := newLedger(t)
+	now := time.Now()
+	for i := range 20 {
+		endUnder(l, now, fmt.Sprint("e", i), fmt.Sprint("x", i))
+	}
+	latest := l.Latest(3)
+	assert.Equal(t, len(latest), 3)
+	end, ok := latest[2].(loomquarantine.End)
+	assert.Assert(t, ok)
+	assert.Equal(t, end.Upstream, "e19")
+}
+
 // TestWithdrawnQuarantineStaysWithdrawn guards against a quarantine that peers bring back as
 // often as it is withdrawn.
 func TestWithdrawnQuarantineStaysWithdrawn(t *testing.T) {
