--- a/loomgate/digest_test.go
+++ b/loomgate/digest_test.go
@@ -1,6 +1,7 @@
 package loomgate
 
 import (
+	"strconv"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -33,3 +34,14 @@
 		})
 	}
 }
+
+func BenchmarkDigest(b *testing.B) {
+	for _, size := range []int{0, 1 << 10, 12 << 10, 1 << 20} {
+		b.Run(strconv.Itoa(size), func(b *testing.B) {
+			r := request{IncomingRequest: IncomingRequest{Method: "POST", Host: "h", RequestTarget: "/a?b=c", Body: make([]byte, size)}}
+			for b.Loop() {
+				_ = r.digest()
+			}
+		})
+	}
+}
