--- a/loomgate/quarantine.go
+++ b/loomgate/quarantine.go
@@ -78,28 +78,51 @@
 	}, nil
 }
 
-// hasEnded reports whether an upstream has ended that has just closed a connection. Attempts
-// that end together share one check.
-func (q *quarantine) hasEnded(ctx context.Context, now time.Time, u loommember.Upstream) bool {
+// hasEnded reports whether an upstream has ended that closed a connection at a time. Attempts
+// that end together share a check. One that began before that time shows an end only if it
+// has found one: the connection of another attempt may have been reset before.
+func (q *quarantine) hasEnded(ctx context.Context, closedAt time.Time, u loommember.Upstream) bool {
+	for {
+		check := q.currentCheck(ctx, closedAt, u)
+		select {
+		case <-check.done:
+		case <-ctx.Done():
+			return false
+		}
+		if check.hasEnded || !check.at.Before(closedAt) {
+			return check.hasEnded
+		}
+	}
+}
+
+// currentCheck returns a check of an upstream that is in progress, has found that the upstream
+// has ended or began after a connection was closed. It begins one if there is none.
+func (q *quarantine) currentCheck(ctx context.Context, closedAt time.Time, u loommember.Upstream) *endCheck {
+	now := time.Now()
 	key := endCheckKey{upstream: u.ID, incarnation: u.Incarnation}
 	q.mu.Lock()
-	check, ok := q.checks[key]
-	if !ok || now.Sub(check.at) > endCheckTTL {
-		check = &endCheck{at: now, done: make(chan struct{})}
-		q.checks[key] = check
-		go q.check(context.WithoutCancel(ctx), check, u)
-	}
+	defer q.mu.Unlock()
 	for k, c := range q.checks {
 		if now.Sub(c.at) > endCheckTTL {
 			delete(q.checks, k)
 		}
 	}
-	q.mu.Unlock()
+	if check, ok := q.checks[key]; ok && check.isOf(closedAt) {
+		return check
+	}
+	check := &endCheck{at: now, done: make(chan struct{})}
+	q.checks[key] = check
+	go q.check(context.WithoutCancel(ctx), check, u)
+	return check
+}
+
+// isOf reports whether the check can tell of an end that closed a connection at a time.
+func (c *endCheck) isOf(closedAt time.Time) bool {
 	select {
-	case <-check.done:
-		return check.hasEnded
-	case <-ctx.Done():
-		return false
+	case <-c.done:
+		return c.hasEnded || !c.at.Before(closedAt)
+	default:
+		return true
 	}
 }
 
--- a/loomgate/quarantine_test.go
+++ b/loomgate/quarantine_test.go
@@ -18,6 +18,7 @@
 
 	"swiftloom/loomcatalogue"
 	"swiftloom/loomerror"
+	"swiftloom/loommember"
 	"swiftloom/loomupstream"
 )
 
@@ -576,3 +577,46 @@
 		})
 	}
 }
+
+// restingRunner is a runner whose upstream ends at a time.
+type restingRunner struct {
+	fakeRunner
+
+	endsAt time.Time
+	checks int
+}
+
+// HasEnded implements loomupstream.Runner.
+func (r *restingRunner) HasEnded(ctx context.Context, _ string) (bool, error) {
+	r.checks++
+	hasEnded := !time.Now().Before(r.endsAt)
+	return hasEnded, sleep(ctx, 50*time.Millisecond)
+}
+
+// TestEndAfterResetIsSeen guards against an end of an upstream that is missed since a
+// connection to it was reset shortly before.
+func TestEndAfterResetIsSeen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		runner := &restingRunner{endsAt: start.Add(100 * time.Millisecond)}
+		g := newTestGate(t, "a", newFakeSource(), &fakeRunner{})
+		g.runner = runner
+		u := loommember.Upstream{ID: "u"}
+		assert.Assert(t, !g.quarantine.hasEnded(t.Context(), time.Now(), u))
+		time.Sleep(100 * time.Millisecond)
+		// Several attempts break with the end, in the course of some milliseconds.
+		var wg sync.WaitGroup
+		var seen atomic.Int64
+		for n := range 10 {
+			wg.Go(func() {
+				time.Sleep(time.Duration(n) * time.Millisecond)
+				if g.quarantine.hasEnded(t.Context(), time.Now(), u) {
+					seen.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		assert.Equal(t, seen.Load(), int64(10))
+		assert.Assert(t, runner.checks <= 3, "%d checks", runner.checks)
+	})
+}
