End decisions about suspects exposed at different ends of one cluster

A quarantine's suspects were found in a cluster as a whole, but explained only by an end that has all of them, so a set whose suspects lie at different ends explained nothing and was decided again. If no end has all of them, those that have any are explained now, so that each decision leaves fewer ends. TestJudgeEnds ran out of memory before.

--- a/loomquarantine/cluster.go
+++ b/loomquarantine/cluster.go
@@ -64,9 +64,9 @@
 	}
 }
 
-// has reports whether all suspects of q are exposed at some end.
+// has reports whether all suspects of q are exposed.
 func (c cluster) has(q Quarantine) bool {
-	return slices.ContainsFunc(c.ends, func(e clusterEnd) bool { return e.has(q) })
+	return !slices.ContainsFunc(q.Suspects, func(s Suspect) bool { return c.suspects[s] == nil })
 }
 
 // count returns the number of separate ends in which the suspects of q are exposed.
@@ -91,14 +91,17 @@
 	return true
 }
 
-// without returns the ends that q doesn't explain, since its suspects were not in progress
-// there.
+// without returns the ends that q doesn't explain. If the cluster has all suspects of q, but no
+// end does, q explains those that have any, so that it always explains one.
 func (c cluster) without(q Quarantine) cluster {
-	rest := slices.DeleteFunc(slices.Clone(c.ends), func(e clusterEnd) bool { return e.has(q) })
-	if len(rest) == len(c.ends) {
+	if !c.has(q) {
 		return c
 	}
-	return newCluster(rest)
+	isExplained := func(e clusterEnd) bool { return e.has(q) }
+	if !slices.ContainsFunc(c.ends, isExplained) {
+		isExplained = func(e clusterEnd) bool { return e.hasAny(q) }
+	}
+	return newCluster(slices.DeleteFunc(slices.Clone(c.ends), isExplained))
 }
 
 // holds reports whether some request held all of a set of parts. Without any word of requests
@@ -123,6 +126,11 @@
 	})
 }
 
+// hasAny reports whether any suspect of q is exposed.
+func (e clusterEnd) hasAny(q Quarantine) bool {
+	return slices.ContainsFunc(e.exposures, func(x Exposure) bool { return slices.Contains(q.Suspects, x.Suspect) })
+}
+
 // clusters returns the clusters of all ends that have settled, without the requests that are
 // exposed in one end only and explain nothing. The caller holds mu.
 func (l *Ledger) clusters(now time.Time) []cluster {
--- a/loomquarantine/request_test.go
+++ b/loomquarantine/request_test.go
@@ -194,3 +194,15 @@
 	pass(l, peer, now, 0)
 	assert.DeepEqual(t, quarantined(l), []string{"[x]"})
 }
+
+// TestJudgeEnds guards against a decision without end about suspects of a quarantine that are
+// exposed at different ends of one cluster.
+func TestJudgeEnds(t *testing.T) {
+	l := newLedger(t)
+	now := time.Now()
+	l.Apply(now, []loomquarantine.Change{loomquarantine.Quarantine{UsedAt: now}.WithSuspects(parts("x", "y", "z")...)})
+	endUnder(l, now, "e1", "x")
+	endUnder(l, now.Add(40*time.Millisecond), "e2", "y")
+	l.Judge(now.Add(settled))
+	assert.DeepEqual(t, quarantined(l), []string{"[x y]", "[x y z]"})
+}
