Tell which parts came together also for requests that are known to be sound

Each exposure of a part now names the parts of its request, up to eight. TestPartsOfSoundRequestsAreQuarantinedApart failed before ([x y]).

--- a/loomgate/quarantine.go
+++ b/loomgate/quarantine.go
@@ -30,6 +30,8 @@
 	soundAge    = time.Second
 	// maxEvidenceChanges bounds the changes of evidence in one message.
 	maxEvidenceChanges = 256
+	// maxHeldParts bounds the parts of a request that are told with each of them.
+	maxHeldParts = 8
 )
 
 // quarantine keeps requests away from upstreams that end these, or whose prompts hold a part
@@ -254,10 +256,13 @@
 	end := loomquarantine.End{Upstream: d.upstream.ID, Incarnation: d.upstream.Incarnation, At: now}
 	var parts []string
 	for _, s := range unsound {
-		x := loomquarantine.Exposure{Suspect: s, Version: d.version, HasBegun: hasBegun, Sent: now.Sub(d.sentAt)}
 		if s.Kind == loomquarantine.Part {
 			parts = append(parts, s.ID)
-		} else {
+		}
+	}
+	for _, s := range unsound {
+		x := loomquarantine.Exposure{Suspect: s, Version: d.version, HasBegun: hasBegun, Sent: now.Sub(d.sentAt)}
+		if s.Kind == loomquarantine.Request || len(parts) <= maxHeldParts {
 			x.Parts = parts
 		}
 		end.Exposures = append(end.Exposures, x)
--- a/loomquarantine/cluster.go
+++ b/loomquarantine/cluster.go
@@ -164,7 +164,7 @@
 		if x.Suspect.Kind == Part || l.exposed[x.Suspect] > 1 {
 			result.exposures = append(result.exposures, x)
 		}
-		if x.Suspect.Kind == Request {
+		if x.Suspect.Kind == Request || len(x.Parts) > 0 {
 			result.held = append(result.held, x.Parts)
 		}
 	}
--- a/loomquarantine/request_test.go
+++ b/loomquarantine/request_test.go
@@ -162,6 +162,24 @@
 	assert.DeepEqual(t, quarantined(l), []string{"[x]", "[y]"})
 }
 
+// TestPartsOfSoundRequestsAreQuarantinedApart is like that for requests whose digest is known
+// to be sound.
+func TestPartsOfSoundRequestsAreQuarantinedApart(t *testing.T) {
+	l := newLedger(t)
+	now := time.Now()
+	for i := range 4 {
+		for k, id := range []string{"x", "y"} {
+			at := now.Add(time.Duration(k) * 40 * time.Millisecond)
+			l.RecordEnd(at, loomquarantine.End{Upstream: fmt.Sprint("e", i, k), At: at, Exposures: []loomquarantine.Exposure{
+				{Suspect: parts(id)[0], Version: 1, Parts: []string{id}},
+			}})
+		}
+		now = now.Add(time.Second)
+	}
+	l.Judge(now)
+	assert.DeepEqual(t, quarantined(l), []string{"[x]", "[y]"})
+}
+
 // TestLatestChangesAreTold guards against a peer that is told only of old changes.
 func TestLatestChangesAreTold(t *testing.T) {
 	l := newLedger(t)
--- a/loomquarantine/suspect.go
+++ b/loomquarantine/suspect.go
@@ -50,7 +50,7 @@
 	// Sent is the time from when the request was sent until the end; of several requests,
 	// the longest.
 	Sent time.Duration
-	// Parts are the IDs of the parts that are exposed with a request.
+	// Parts are the IDs of all parts that are exposed by the same request.
 	Parts []string
 }
 
