--- a/loomgate/quarantine_test.go
+++ b/loomgate/quarantine_test.go
@@ -578,8 +578,8 @@
 	}
 }
 
-// restingRunner is a runner whose upstream ends at a time.
-type restingRunner struct {
+// endingRunner is a runner whose upstream ends at a time.
+type endingRunner struct {
 	fakeRunner
 
 	endsAt time.Time
@@ -587,7 +587,7 @@
 }
 
 // HasEnded implements loomupstream.Runner.
-func (r *restingRunner) HasEnded(ctx context.Context, _ string) (bool, error) {
+func (r *endingRunner) HasEnded(ctx context.Context, _ string) (bool, error) {
 	r.checks++
 	hasEnded := !time.Now().Before(r.endsAt)
 	return hasEnded, sleep(ctx, 50*time.Millisecond)
@@ -598,7 +598,7 @@
 func TestEndAfterResetIsSeen(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		start := time.Now()
-		runner := &restingRunner{endsAt: start.Add(100 * time.Millisecond)}
+		runner := &endingRunner{endsAt: start.Add(100 * time.Millisecond)}
 		g := newTestGate(t, "a", newFakeSource(), &fakeRunner{})
 		g.runner = runner
 		u := loommember.Upstream{ID: "u"}
