--- /dev/null
+++ b/loomhttp/conn.go
@@ -0,0 +1,282 @@
+package loomhttp
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// firstRequestTimeout is how long a drain waits for the first byte on a new connection.
+	// Callers send it as soon as the connection is established.
+	firstRequestTimeout = time.Second
+	// unreadTimeout bounds the wait for the rest of the first bytes of a request that were
+	// found after the idle timeout.
+	unreadTimeout = time.Second
+)
+
+// past is a deadline that wakes a reader at once.
+var past = time.Unix(1, 0)
+
+// conns are the open connections of a Server.
+type conns struct {
+	mu   sync.Mutex
+	open map[*conn]struct{}
+	// isDraining is set once connections without a request are closed.
+	isDraining bool
+	// idleClosed counts the connections that were closed for that.
+	idleClosed int
+}
+
+func newConns() *conns {
+	return &conns{open: make(map[*conn]struct{})}
+}
+
+// add returns the connection of a Server on c, which was accepted at now.
+func (o *conns) add(now time.Time, c net.Conn) *conn {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	added := &conn{Conn: c, conns: o, firstByteUntil: now.Add(firstRequestTimeout), isDraining: o.isDraining}
+	o.open[added] = struct{}{}
+	if added.isDraining {
+		_ = c.SetReadDeadline(added.deadline())
+	}
+	return added
+}
+
+func (o *conns) remove(c *conn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.open, c)
+}
+
+func (o *conns) recordIdleClosed() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.idleClosed++
+}
+
+// drain makes each connection close once no part of a request is left on it.
+func (o *conns) drain() {
+	o.mu.Lock()
+	o.isDraining = true
+	open := make([]*conn, 0, len(o.open))
+	for c := range o.open {
+		open = append(open, c)
+	}
+	o.mu.Unlock()
+	for _, c := range open {
+		c.drain()
+	}
+}
+
+// counts returns the numbers of open connections and of those closed as idle.
+func (o *conns) counts() (open, idleClosed int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.open), o.idleClosed
+}
+
+// conn is an accepted connection. In a drain, the goroutine that reads from it closes it, and
+// only while it has read no part of a request and the kernel holds none. So no other
+// goroutine can close a connection whose request has just been read.
+type conn struct {
+	net.Conn
+	conns *conns
+	// firstByteUntil is until when a drain waits for the first byte of the first request.
+	firstByteUntil time.Time
+
+	mu sync.Mutex
+	// serverDeadline is the read deadline that http.Server or a handler has set.
+	serverDeadline time.Time
+	// isUsed is set from the first byte of a request until its response is complete.
+	isUsed bool
+	// hasNextByte is set if the last read has brought the first byte of the request after the
+	// current one.
+	hasNextByte bool
+	// hasServed is set once a request has been read.
+	hasServed bool
+	// isDraining is set once the connection is to be closed when it is idle.
+	isDraining bool
+	isClosed   bool
+}
+
+// NetConn returns the connection that c wraps.
+func (c *conn) NetConn() net.Conn {
+	return c.Conn
+}
+
+// deadline returns the read deadline in force. c.mu must be held, unless c is not shared yet.
+func (c *conn) deadline() time.Time {
+	switch {
+	case !c.isDraining || c.isUsed:
+		return c.serverDeadline
+	case c.hasServed:
+		return past
+	case c.serverDeadline.IsZero() || c.firstByteUntil.Before(c.serverDeadline):
+		return c.firstByteUntil
+	default:
+		return c.serverDeadline
+	}
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serverDeadline = t
+	return c.Conn.SetReadDeadline(c.deadline())
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(t)
+}
+
+// drain lets the reader close the connection once it is idle, and wakes it for that.
+func (c *conn) drain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isDraining = true
+	_ = c.Conn.SetReadDeadline(c.deadline())
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if n > 0 {
+			c.recordRead(len(b))
+			return n, err
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if err := c.checkDeadline(time.Now(), err); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// recordRead records that a read with room for size bytes has brought some.
+func (c *conn) recordRead(size int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// While a handler runs, http.Server reads a single byte in the background to notice
+	// that the caller has left.
+	c.hasNextByte = c.isUsed && size == 1
+	if c.isUsed {
+		return
+	}
+	c.isUsed = true
+	if c.isDraining {
+		_ = c.Conn.SetReadDeadline(c.serverDeadline)
+	}
+}
+
+// checkDeadline decides on a read that ended with err since its deadline had passed. It returns
+// nil if the read is to be repeated.
+func (c *conn) checkDeadline(now time.Time, err error) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	hasServerTimedOut := !c.serverDeadline.IsZero() && !now.Before(c.serverDeadline)
+	if c.isUsed {
+		if hasServerTimedOut {
+			return err
+		}
+		return c.Conn.SetReadDeadline(c.serverDeadline)
+	}
+	// A process that was paused finds a request and the deadline at the same time.
+	if hasUnread(c.Conn) {
+		until := c.serverDeadline
+		if hasServerTimedOut {
+			until = now.Add(unreadTimeout)
+		}
+		return c.Conn.SetReadDeadline(until)
+	}
+	if hasServerTimedOut || !c.isDraining {
+		return err
+	}
+	if !c.hasServed && now.Before(c.firstByteUntil) {
+		return c.Conn.SetReadDeadline(c.deadline())
+	}
+	if !c.isClosed {
+		c.isClosed = true
+		c.conns.recordIdleClosed()
+		_ = c.Conn.Close()
+	}
+	return net.ErrClosed
+}
+
+// setState records what http.Server says of the connection.
+func (c *conn) setState(state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state == http.StateActive {
+		c.isUsed, c.hasServed = true, true
+	}
+	if state == http.StateIdle {
+		c.isUsed, c.hasNextByte = c.hasNextByte, false
+	}
+	if c.isDraining {
+		_ = c.Conn.SetReadDeadline(c.deadline())
+	}
+}
+
+// isOpen reports whether the connection has not been closed by this process.
+func (c *conn) isOpen() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.isClosed
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	c.isClosed = true
+	c.mu.Unlock()
+	c.conns.remove(c)
+	return c.Conn.Close()
+}
+
+// hasUnread reports whether the kernel holds bytes that have not been read from c. Of a
+// connection without a file descriptor it reports false.
+func hasUnread(c net.Conn) bool {
+	raw := rawConn(c)
+	if raw == nil {
+		return false
+	}
+	n := 0
+	err := raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, _ = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
+
+// rawConn returns the file descriptor of c or of a connection that it wraps, or nil.
+func rawConn(c any) syscall.RawConn {
+	for {
+		switch inner := c.(type) {
+		case syscall.Conn:
+			raw, err := inner.SyscallConn()
+			if err != nil {
+				return nil
+			}
+			return raw
+		case interface{ NetConn() net.Conn }:
+			c = inner.NetConn()
+		default:
+			return nil
+		}
+	}
+}
--- a/loomhttp/transport.go
+++ b/loomhttp/transport.go
@@ -1,4 +1,5 @@
-// Package loomhttp bounds what HTTP clients read from servers that may be in trouble.
+// Package loomhttp bounds what HTTP clients read from servers that may be in trouble, and lets
+// HTTP servers stop without losing a request.
 package loomhttp
 
 import (
--- a/loominstance/http.go
+++ b/loominstance/http.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -13,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"github.com/juju/errors"
 	goahttp "goa.design/goa/v3/http"
 	goa "goa.design/goa/v3/pkg"
 
@@ -25,6 +25,7 @@
 	serviceshttp "swiftloom/gen/http/services/server"
 	"swiftloom/gen/services"
 	"swiftloom/loomerror"
+	"swiftloom/loomhttp"
 )
 
 const (
@@ -37,26 +38,25 @@
 
 // serveHTTP serves callers and operators. When ctx ends, it drains the server.
 func (n *Instance) serveHTTP(ctx context.Context) error {
-	server := &http.Server{
+	server, err := loomhttp.NewServer(n.httpListener)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer server.Close()
+	server.Start(&http.Server{
 		Handler:           n.handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleConnTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
-	}
-	done := make(chan error, 1)
-	go func() { done <- server.Serve(n.httpListener) }()
+	})
 	select {
-	case err := <-done:
-		return err
+	case err := <-server.Ended():
+		return errors.Annotate(err, "serve callers")
 	case <-n.killed:
-		_ = server.Close()
 	case <-ctx.Done():
 		n.drain(server)
 	}
-	if err := <-done; !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
 	return nil
 }
 
@@ -65,16 +65,16 @@
 // continues to serve for the drain delay, so that the load balancer can stop
 // sending. It then waits for the requests in flight, up to the drain timeout,
 // and for background notifications.
-func (n *Instance) drain(server *http.Server) {
+func (n *Instance) drain(server *loomhttp.Server) {
 	t := n.settings.Timing
 	n.stopping.Store(true)
 	n.log.Info("drain starts", "in_flight", n.activeRequests.Load())
 	time.Sleep(t.DrainDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), t.DrainTimeout)
 	defer cancel()
-	err := server.Shutdown(ctx)
+	drained, err := server.Shutdown(ctx)
 	n.background.Wait()
-	n.log.Info("drain ends", "in_flight", n.activeRequests.Load(), "error", err)
+	n.log.Info("drain ends", "in_flight", n.activeRequests.Load(), "idle_closed", drained.IdleClosed, "cut", drained.Cut, "error", err)
 }
 
 // handler mounts the generated servers and the metrics page.
@@ -106,6 +106,16 @@
 	// writtenStatus is the status code that was sent.
 	writtenStatus int
 	errorKind     string
+	// isStopping reports whether the connection is to be closed after this response.
+	isStopping func() bool
+}
+
+// announceClose tells the caller to open another connection for its next request if the
+// instance stops.
+func (x *exchange) announceClose() {
+	if x.isStopping() {
+		x.Header().Set("Connection", "close")
+	}
 }
 
 // WriteHeader implements http.ResponseWriter.
@@ -114,6 +124,7 @@
 		status = x.status
 	}
 	x.writtenStatus = status
+	x.announceClose()
 	x.ResponseWriter.WriteHeader(status)
 }
 
@@ -137,7 +148,8 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		n.activeRequests.Add(1)
 		defer n.activeRequests.Add(-1)
-		x := &exchange{ResponseWriter: w, requestID: n.newRequestID()}
+		x := &exchange{ResponseWriter: w, requestID: n.newRequestID(), isStopping: n.stopping.Load}
+		x.announceClose()
 		ctx := context.WithValue(r.Context(), exchangeKey{}, x)
 		started := time.Now()
 		if err := n.bufferBody(x, r); err != nil {
