Keep a quarantined request in the evidence of a single end

Callers whose prompts share a part with a quarantined request were refused with 503 prompt_quarantined for that part, once an instance knew only one end under the request: after its own restart, or when the earlier ends had expired (ten minutes). The wrong decision went on to peers.

Cause: clusters leave out requests that are exposed in one end only. The end then seems to lie under the part without the request, which separates the two.

TestPartIsNotSeparatedByOneEnd failed in both cases on the code before and passes now.

A request that is quarantined stays in the evidence however few ends are known.

--- a/loomquarantine/cluster.go
+++ b/loomquarantine/cluster.go
@@ -132,7 +132,8 @@
 }
 
 // clusters returns the clusters of all ends that have settled, without the requests that are
-// exposed in one end only and explain nothing. The caller holds mu.
+// exposed in one end only and explain nothing, since they are not quarantined either. The
+// caller holds mu.
 func (l *Ledger) clusters(now time.Time) []cluster {
 	ends := slices.Clone(l.ends)
 	slices.SortFunc(ends, func(a, b *endRecord) int {
@@ -161,7 +162,7 @@
 func (l *Ledger) newClusterEnd(e *endRecord) clusterEnd {
 	result := clusterEnd{at: e.At}
 	for _, x := range e.exposures {
-		if x.Suspect.Kind == Part || l.exposed[x.Suspect] > 1 {
+		if x.Suspect.Kind == Part || l.exposed[x.Suspect] > 1 || len(l.bySuspect[x.Suspect]) > 0 {
 			result.exposures = append(result.exposures, x)
 		}
 		if x.Suspect.Kind == Request || len(x.Parts) > 0 {
--- a/loomquarantine/request_test.go
+++ b/loomquarantine/request_test.go
@@ -129,6 +129,63 @@
 	assert.Assert(t, isRefused)
 }
 
+// TestPartIsNotSeparatedByOneEnd guards against sound requests that are refused for a part of a
+// quarantined request, since only one of its ends is known.
+func TestPartIsNotSeparatedByOneEnd(t *testing.T) {
+	request := loomquarantine.Suspect{Kind: loomquarantine.Request, Model: model, ID: "r"}
+	other := append(parts("x"), loomquarantine.Suspect{Kind: loomquarantine.Request, Model: model, ID: "other"})
+	end := func(at time.Time, upstream string) loomquarantine.End {
+		return loomquarantine.End{Upstream: upstream, At: at, Exposures: []loomquarantine.Exposure{
+			{Suspect: parts("x")[0], Version: 1, HasBegun: true},
+			{Suspect: request, Version: 1, HasBegun: true, Parts: []string{"x"}},
+		}}
+	}
+	decided := func(now time.Time) (*loomquarantine.Ledger, time.Time) {
+		l := newLedger(t)
+		for i := range 3 {
+			l.RecordEnd(now, end(now, fmt.Sprint("e", i)))
+			now = now.Add(time.Second)
+		}
+		l.Judge(now)
+		return l, now
+	}
+	tests := []struct {
+		name  string
+		setup func(now time.Time) (*loomquarantine.Ledger, time.Time)
+	}{
+		{"an instance that has just started", func(now time.Time) (*loomquarantine.Ledger, time.Time) {
+			l, now := decided(now)
+			late := newLedger(t)
+			for _, q := range l.Quarantines() {
+				late.Apply(now, []loomquarantine.Change{q})
+			}
+			late.Apply(now, []loomquarantine.Change{end(now, "e2")})
+			return late, now
+		}},
+		{"the earlier ends have expired", func(now time.Time) (*loomquarantine.Ledger, time.Time) {
+			l, now := decided(now)
+			for range 11 {
+				now = now.Add(time.Minute)
+				l.Judge(now)
+				l.Find(now, append(parts("x"), request))
+			}
+			l.RecordEnd(now, end(now, "e3"))
+			return l, now
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l, now := tt.setup(time.Now())
+			now = now.Add(settled)
+			l.Judge(now)
+			_, isRefused := l.Find(now, append(parts("x"), request))
+			assert.Check(t, isRefused, "the request must be refused")
+			_, isRefused = l.Find(now, other)
+			assert.Check(t, !isRefused, "another request with the same part must not be refused")
+		})
+	}
+}
+
 // TestEndOfKnownIncarnationCountsOnce guards against an instance that was frozen when an
 // upstream ended and tells of it later.
 func TestEndOfKnownIncarnationCountsOnce(t *testing.T) {
