Ask for SIGHUP before the other packages are initialized

Cause: Go initializes all 181 packages before main asks for the signal, and until then the signal ends the process.

loomsignal imports only os, os/signal and syscall. Go initializes those packages first whose imports are ready, in the order of their paths, so it is the 21st, right after os/signal. A signal that comes before the settings are read is kept for that. Commands other than gate end by SIGHUP as before.

Ruled out: nothing can ask for the signal before that without a second language.

--- a/cmd/swiftloom/main.go
+++ b/cmd/swiftloom/main.go
@@ -12,6 +12,8 @@
 
 	"github.com/juju/errors"
 	"github.com/urfave/cli/v3"
+
+	"swiftloom/loomsignal"
 )
 
 // Exit statuses of the command.
@@ -76,6 +78,7 @@
 func newSubcommand(c *cli.Command) *cli.Command {
 	c.OnUsageError = usageError
 	c.HideHelpCommand = true
+	c.Before = endOnHangup
 	action := c.Action
 	if action == nil {
 		return c
@@ -88,3 +91,9 @@
 	}
 	return c
 }
+
+// endOnHangup lets SIGHUP end a command.
+func endOnHangup(ctx context.Context, _ *cli.Command) (context.Context, error) {
+	loomsignal.EndOnHangup()
+	return ctx, nil
+}
