Tell other coordinators which upstreams the instances reach

In a fleet with coordinators, callers lost more attempts to silent engines than needed: each coordinator tried such an engine again by itself.

Cause: a coordinator told the others only of its own contact with upstreams, though it chooses for ten instances whose reports it has, so that four coordinators tried each silent engine 1.4 times a second, one in 2.8 s each.

A coordinator now passes on what its instances report since the last round, as it does with loads. Reports of coordinators aren't passed on again.

TestContactsIncludeRelayedReports does not compile on the code before. The tests of loomgate pass.

--- a/loomgate/exchange.go
+++ b/loomgate/exchange.go
@@ -108,7 +108,7 @@
 	p.mu.Unlock()
 	g := p.gate
 	now := time.Now()
-	reached, failing := g.fleet.Contacts(now, p.contactsAt)
+	reached, failing := g.fleet.Contacts(now, p.contactsAt, p.relaysContactsOf())
 	p.contactsAt = now
 	r := &loompb.ExchangeRequest{
 		From:             g.settings.ID,
@@ -130,6 +130,16 @@
 	return r
 }
 
+// relaysContactsOf returns whether this instance tells what a peer reports of its contact with
+// upstreams: a coordinator does so for the instances that report to it.
+func (p *peers) relaysContactsOf() func(peer string) bool {
+	all := p.gate.coordinators.all()
+	if all == nil || !p.gate.coordinators.isCoordinator() {
+		return func(string) bool { return false }
+	}
+	return func(peer string) bool { return !slices.Contains(all, peer) }
+}
+
 // reportedLoads returns the loads that this instance reports: its own, and for a
 // coordinator also those of the instances that report to it.
 func (p *peers) reportedLoads() []loomroute.PeerLoad {
--- a/loomroute/contact.go
+++ b/loomroute/contact.go
@@ -1,6 +1,7 @@
 package loomroute
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -23,6 +24,8 @@
 type peerContacts struct {
 	// reachedAt is when a peer last reported that the upstream sent something.
 	reachedAt time.Time
+	// reports holds the latest report of each peer, of those in the last peerFailureTTL.
+	reports map[string]contactReport
 	// failedAt is when each peer last reported that it doesn't reach the upstream.
 	failedAt map[string]time.Time
 	// suspectUntil is when the upstream is tried again, and rounds how often it has become
@@ -31,8 +34,34 @@
 	rounds       int
 }
 
+// contactReport is what a peer last reported of its contact with an upstream.
+type contactReport struct {
+	at        time.Time
+	isReached bool
+}
+
+// record keeps the report of a peer.
+func (c *peerContacts) record(now time.Time, peer string, isReached bool) {
+	if c.reports == nil {
+		c.reports = make(map[string]contactReport)
+	}
+	c.reports[peer] = contactReport{at: now, isReached: isReached}
+	maps.DeleteFunc(c.reports, func(_ string, r contactReport) bool { return now.Sub(r.at) > peerFailureTTL })
+}
+
+// hasReport reports whether any of the peers that isRelayed selects has reported since a time
+// that it reaches the upstream, or that it doesn't.
+func (c *peerContacts) hasReport(since time.Time, isReached bool, isRelayed func(peer string) bool) bool {
+	for peer, r := range c.reports {
+		if r.at.After(since) && r.isReached == isReached && isRelayed(peer) {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *peerContacts) reached(now time.Time) {
-	*c = peerContacts{reachedAt: now}
+	*c = peerContacts{reachedAt: now, reports: c.reports}
 }
 
 func (c *peerContacts) failed(now time.Time, peer string) {
@@ -66,16 +95,17 @@
 
 // Contacts returns the upstreams that have sent anything to this instance since a time, and
 // those that it fails to reach: it could not connect, or a request has been without an answer
-// for silenceTimeout and nothing else has come. Both are sorted.
-func (f *Fleet) Contacts(now, since time.Time) (reached, failing []string) {
+// for silenceTimeout and nothing else has come. They include what the peers that isRelayed
+// selects have reported since that time. Both are sorted.
+func (f *Fleet) Contacts(now, since time.Time, isRelayed func(peer string) bool) (reached, failing []string) {
 	for i := range f.shards {
 		s := &f.shards[i]
 		s.mu.Lock()
 		for id, l := range s.upstreams {
 			switch {
-			case l.receivedAt.After(since):
+			case l.receivedAt.After(since) || l.contacts.hasReport(since, true, isRelayed):
 				reached = append(reached, id)
-			case now.Before(l.unreachableUntil) || l.hasUnanswered(now):
+			case now.Before(l.unreachableUntil) || l.hasUnanswered(now) || l.contacts.hasReport(since, false, isRelayed):
 				failing = append(failing, id)
 			}
 		}
@@ -100,10 +130,16 @@
 // ApplyPeerContacts applies what a peer reports of its contact with upstreams.
 func (f *Fleet) ApplyPeerContacts(now time.Time, peer string, reached, failing []string) {
 	for _, id := range reached {
-		f.update(id, func(l *upstreamLoad) { l.contacts.reached(now) })
+		f.update(id, func(l *upstreamLoad) {
+			l.contacts.record(now, peer, true)
+			l.contacts.reached(now)
+		})
 	}
 	for _, id := range failing {
-		f.update(id, func(l *upstreamLoad) { l.contacts.failed(now, peer) })
+		f.update(id, func(l *upstreamLoad) {
+			l.contacts.record(now, peer, false)
+			l.contacts.failed(now, peer)
+		})
 	}
 }
 
--- a/loomroute/contact_test.go
+++ b/loomroute/contact_test.go
@@ -74,7 +74,44 @@
 	f.RecordSent(at.Add(500*time.Millisecond), "is slow", 1)
 	f.RecordReceived(at.Add(900*time.Millisecond), "answers")
 	f.Unreachable(at.Add(900*time.Millisecond), "refuses connections")
-	reached, failing := f.Contacts(at.Add(time.Second), at.Add(800*time.Millisecond))
+	reached, failing := f.Contacts(at.Add(time.Second), at.Add(800*time.Millisecond), func(string) bool { return false })
 	assert.DeepEqual(t, reached, []string{"answers"})
 	assert.DeepEqual(t, failing, []string{"is silent", "refuses connections"})
 }
+
+// TestContactsIncludeRelayedReports guards against coordinators that each try a silent upstream
+// by themselves, since none tells the others what its instances have found.
+func TestContactsIncludeRelayedReports(t *testing.T) {
+	at := time.Unix(1000, 0)
+	after := at.Add
+	tests := []struct {
+		name             string
+		setup            func(f *loomroute.Fleet)
+		reached, failing []string
+	}{
+		{"a report of failure", func(f *loomroute.Fleet) { f.ApplyPeerContacts(after(time.Second), "i1", nil, []string{"a"}) }, nil, []string{"a"}},
+		{"a report of contact", func(f *loomroute.Fleet) { f.ApplyPeerContacts(after(time.Second), "i1", []string{"a"}, nil) }, []string{"a"}, nil},
+		{"of a peer that tells others itself", func(f *loomroute.Fleet) { f.ApplyPeerContacts(after(time.Second), "c", []string{"b"}, []string{"a"}) }, nil, nil},
+		{"an earlier report", func(f *loomroute.Fleet) { f.ApplyPeerContacts(after(400*time.Millisecond), "i1", nil, []string{"a"}) }, nil, nil},
+		{"a report that has been replaced", func(f *loomroute.Fleet) {
+			f.ApplyPeerContacts(after(900*time.Millisecond), "i1", nil, []string{"a"})
+			f.ApplyPeerContacts(after(time.Second), "i1", []string{"a"}, nil)
+		}, []string{"a"}, nil},
+		{"reports that differ", func(f *loomroute.Fleet) {
+			f.ApplyPeerContacts(after(900*time.Millisecond), "i1", []string{"a"}, nil)
+			f.ApplyPeerContacts(after(time.Second), "i2", nil, []string{"a"})
+		}, []string{"a"}, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := loomroute.NewFleet()
+			for _, id := range []string{"a", "b"} {
+				f.Report(at, id, loomroute.Report{})
+			}
+			tt.setup(f)
+			reached, failing := f.Contacts(after(1100*time.Millisecond), after(800*time.Millisecond), func(peer string) bool { return peer != "c" })
+			assert.DeepEqual(t, reached, tt.reached)
+			assert.DeepEqual(t, failing, tt.failing)
+		})
+	}
+}
