Count ends after the first token and calls to services of the completions API

Cause: the evidence of ends left out answers of which a token had been relayed, whose continuations then went to the next engine; and nothing recorded the ends of services.

TestRequestsThatEndUpstreamsAreContained takes the place of TestPromptThatEndsEnginesIsContained, whose case it holds with the same bounds.

--- a/loominstance/dispatch.go
+++ b/loominstance/dispatch.go
@@ -45,6 +45,8 @@
 	plan      plan
 	startedAt time.Time
 	sentAt    time.Time
+	// attemptFirstAt is when the current attempt brought its first token, or zero.
+	attemptFirstAt time.Time
 
 	attempts      int
 	attemptID     string
@@ -57,9 +59,7 @@
 	hasFirstToken bool
 	// emptyEvents counts the events since the last new token.
 	emptyEvents int
-	// isTrial is set if the prompt is sent to show whether it is sound although it is
-	// quarantined.
-	isTrial bool
+	guard       *quarantineGuard
 	// isResumed is set if the current attempt was opened again to resume its run.
 	isResumed    bool
 	reservations []linkReservation
@@ -82,7 +82,7 @@
 // startDispatch passes a prompt through the deadline check, the account's quota
 // and the fair queue, and sends it to an engine.
 func (n *Instance) startDispatch(ctx context.Context, p *prompt) (*dispatch, error) {
-	d := &dispatch{instance: n, prompt: p, startedAt: time.Now()}
+	d := &dispatch{instance: n, prompt: p, guard: newPromptGuard(n, p), startedAt: time.Now()}
 	d.lifecycle = loomstream.NewLifecycle(!p.notRepeatable, n.retryBudget, loomstream.NewBackoff(n.newRandom()))
 	var err error
 	if d.plan, err = n.bindVersion(ctx, p, 0); err != nil {
@@ -142,8 +142,8 @@
 func (d *dispatch) sendAttempt(ctx context.Context) error {
 	n := d.instance
 	now := time.Now()
-	if err := d.checkQuarantine(now); err != nil {
-		return err
+	if err := d.guard.check(now, d.plan.version, d.attempts == 0); err != nil {
+		return d.withNotRun(err)
 	}
 	choice, engine, err := n.chooseEngine(now, d.prompt, d.plan, d.tried)
 	if err != nil {
@@ -358,13 +358,18 @@
 		d.lifecycle.Apply(now, loomstream.Delivered{Attempt: d.attemptID})
 	}
 	d.instance.fleet.RecordFailure(now, d.engine.member.ID)
-	if d.answer.Delivered() && d.recordEngineEnd(ctx, now) {
+	if d.answer.Delivered() && d.guard.recordBroken(ctx, now, d.attemptEnd()) {
 		return d.lifecycle.Apply(now, loomstream.Broken{Attempt: d.attemptID, Final: true}), nil
 	}
 	resumable := d.lifecycle.Relayed() > 0 || errors.Is(err, io.EOF)
 	return d.lifecycle.Apply(now, loomstream.Broken{Attempt: d.attemptID, Resumable: resumable}), nil
 }
 
+// attemptEnd describes the break of the current attempt.
+func (d *dispatch) attemptEnd() attemptEnd {
+	return attemptEnd{member: d.engine.member.Member, version: d.plan.version, sentAt: d.sentAt, firstAt: d.attemptFirstAt}
+}
+
 // applyEvent converts one message of the engine to a lifecycle event and
 // returns the action to take.
 func (d *dispatch) applyEvent(ctx context.Context, now time.Time, e *loompb.GenerateEvent) loomstream.Action {
@@ -382,7 +387,7 @@
 		})
 	case *loompb.GenerateEvent_Finished:
 		d.recordUsage(ctx, v.Finished)
-		d.recordSound(now)
+		d.guard.recordSound(now, d.plan.version)
 		return d.lifecycle.Apply(now, loomstream.Finished{Attempt: id, Tokens: int(v.Finished.GetAnswerTokens())})
 	default:
 		return loomstream.Wait{}
@@ -414,6 +419,7 @@
 		return
 	}
 	d.hasFirstToken = true
+	d.attemptFirstAt = time.Now()
 	d.endImport()
 	n := d.instance
 	n.fleet.Started(d.loadTicket)
@@ -459,6 +465,7 @@
 		d.cancel = nil
 	}
 	d.hasFirstToken = false
+	d.attemptFirstAt = time.Time{}
 }
 
 // retry sends the prompt again after a pause. A pinned retry keeps the version,
--- a/loominstance/dispatch_end_test.go
+++ b/loominstance/dispatch_end_test.go
@@ -102,7 +102,8 @@
 		engines: &engines{conns: map[string]loomupstream.Engine{"": engine}},
 	}
 	defer n.metrics.close()
-	d := &dispatch{instance: n, prompt: &prompt{maxTokens: maxScriptTokens}, attemptID: "a", hasFirstToken: true}
+	p := &prompt{maxTokens: maxScriptTokens}
+	d := &dispatch{instance: n, prompt: p, guard: newPromptGuard(n, p), attemptID: "a", hasFirstToken: true}
 	d.lifecycle = loomstream.NewLifecycle(false, loomstream.NewRetryBudgetOf(0, 0), loomstream.NewBackoff(rand.New(rand.NewPCG(1, 1))))
 	d.lifecycle.Apply(time.Now(), loomstream.Dispatched{Attempt: "a"})
 	d.openStream(t.Context(), engine, false)
--- a/loominstance/quarantine.go
+++ b/loominstance/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -17,48 +18,71 @@
 )
 
 const (
-	// endCheckTimeout bounds the check whether an engine has ended.
+	// endCheckTimeout bounds the check whether an upstream has ended.
 	endCheckTimeout = 500 * time.Millisecond
 	// maxEvidenceChanges bounds the changes of evidence in one message.
 	maxEvidenceChanges = 256
-	// quarantineRetryAfter is the retry delay given to a caller whose prompt is quarantined.
+	// soundAge is the time after which an answer in progress is no reason for the end of its
+	// upstream.
+	soundAge = time.Second
+	// quarantineRetryAfter is the retry delay given to a caller whose request is quarantined.
 	quarantineRetryAfter = 30 * time.Second
 	// quarantineJudgeInterval is the time between two judgements of the evidence.
 	quarantineJudgeInterval = 50 * time.Millisecond
 )
 
-// suspects returns what may be the reason if engines end under the prompt: the prompt as a
-// whole, with its account, model and adapter.
-func (p *prompt) suspects() []loomquarantine.Suspect {
-	h := xxhash.New()
-	_, _ = h.WriteString(p.adapter.Name)
-	buf := binary.BigEndian.AppendUint64(nil, uint64(p.maxTokens))
-	for _, token := range p.tokens {
-		buf = binary.BigEndian.AppendUint32(buf, token)
-	}
-	_, _ = h.Write(buf)
-	return loomquarantine.NewSuspects(p.model.Name, nil, p.account.Name+"/"+strconv.FormatUint(h.Sum64(), 16))
+// quarantineGuard keeps a request away from upstreams if these end under it. It is not safe for
+// concurrent use.
+type quarantineGuard struct {
+	instance *Instance
+	// suspects returns what may be the reason if upstreams end under the request.
+	suspects func() []loomquarantine.Suspect
+	// isTrial is set if the request is sent to show whether it is sound although it is
+	// quarantined.
+	isTrial bool
+}
+
+// newPromptGuard returns the guard of a prompt, which is a suspect as a whole, with its account,
+// model and adapter.
+func newPromptGuard(n *Instance, p *prompt) *quarantineGuard {
+	return &quarantineGuard{instance: n, suspects: sync.OnceValue(func() []loomquarantine.Suspect {
+		h := xxhash.New()
+		_, _ = h.WriteString(p.adapter.Name)
+		buf := binary.BigEndian.AppendUint64(nil, uint64(p.maxTokens))
+		for _, token := range p.tokens {
+			buf = binary.BigEndian.AppendUint32(buf, token)
+		}
+		_, _ = h.Write(buf)
+		return loomquarantine.NewSuspects(p.model.Name, nil, p.account.Name+"/"+strconv.FormatUint(h.Sum64(), 16))
+	})}
+}
+
+// newCallGuard returns the guard of a call to a service, which has a digest among those of an
+// account.
+func newCallGuard(n *Instance, account string, digest uint64) *quarantineGuard {
+	suspects := loomquarantine.NewSuspects("", nil, account+"/"+strconv.FormatUint(digest, 16))
+	return &quarantineGuard{instance: n, suspects: func() []loomquarantine.Suspect { return suspects }}
 }
 
-// checkQuarantine returns the error with which the prompt is refused if it is quarantined,
-// or nil.
-func (d *dispatch) checkQuarantine(now time.Time) error {
-	n := d.instance
-	if n.quarantine.IsEmpty() || d.isTrial {
+// check returns the error with which the request is refused if it is quarantined, or nil.
+// Version is that of the weights, or zero; isFirst is set before the first attempt.
+func (q *quarantineGuard) check(now time.Time, version uint64, isFirst bool) *loomerror.Error {
+	n := q.instance
+	if n.quarantine.IsEmpty() || q.isTrial {
 		return nil
 	}
-	suspects := d.prompt.suspects()
+	suspects := q.suspects()
 	found, ok := n.quarantine.Find(now, suspects)
 	if !ok {
 		return nil
 	}
-	isFirst := d.attempts == 0 && n.triesQuarantine(found)
-	if d.isTrial = isFirst && n.quarantine.Try(now, found, suspects, d.plan.version); d.isTrial {
-		n.log.Info("quarantine tried", "digest", found.Request(), "version", d.plan.version)
+	q.isTrial = isFirst && n.triesQuarantine(found) && n.quarantine.Try(now, found, suspects, version)
+	if q.isTrial {
+		n.log.Info("quarantine tried", "digest", found.Request(), "version", version)
 		return nil
 	}
-	return d.withNotRun(loomerror.New(loomerror.RequestQuarantined, "%d engines have ended under the same prompt", found.Ends).
-		WithRetryAfter(quarantineRetryAfter))
+	return loomerror.New(loomerror.RequestQuarantined, "%d upstreams have ended under the same request", found.Ends).
+		WithRetryAfter(quarantineRetryAfter)
 }
 
 // triesQuarantine reports whether this instance is the one that may try a quarantine.
@@ -68,32 +92,43 @@
 }
 
 // recordSound records that the answer is complete.
-func (d *dispatch) recordSound(now time.Time) {
-	d.instance.quarantine.RecordSound(now, d.prompt.suspects(), d.plan.version)
+func (q *quarantineGuard) recordSound(now time.Time, version uint64) {
+	q.instance.quarantine.RecordSound(now, q.suspects(), version)
+}
+
+// attemptEnd is the break of an attempt that had been delivered.
+type attemptEnd struct {
+	member  loommember.Member
+	version uint64
+	// sentAt is when the attempt was sent, and firstAt when its answer began, or zero.
+	sentAt, firstAt time.Time
 }
 
-// recordEngineEnd records what the prompt shows if its engine has ended under it, and reports
-// whether it may be the reason, so that another attempt could end another engine.
-func (d *dispatch) recordEngineEnd(ctx context.Context, now time.Time) bool {
-	n := d.instance
-	unsound := n.quarantine.Unsound(now, d.prompt.suspects(), d.plan.version)
-	if len(unsound) == 0 || d.lifecycle.Relayed() > 0 {
+// recordBroken records what the request shows if its upstream has ended under it, and reports
+// whether it may be the reason, so that another attempt could end another upstream. An answer
+// that has been in progress for some time is none.
+func (q *quarantineGuard) recordBroken(ctx context.Context, now time.Time, a attemptEnd) bool {
+	n := q.instance
+	if !a.firstAt.IsZero() && now.Sub(a.firstAt) > soundAge {
+		return false
+	}
+	unsound := n.quarantine.Unsound(now, q.suspects(), a.version)
+	if len(unsound) == 0 {
 		return false
 	}
-	member := d.engine.member.Member
-	end := loomquarantine.End{Upstream: member.ID, Incarnation: member.Incarnation, At: now}
+	end := loomquarantine.End{Upstream: a.member.ID, Incarnation: a.member.Incarnation, At: now}
 	for _, s := range unsound {
-		end.Exposures = append(end.Exposures, loomquarantine.Exposure{Suspect: s, Version: d.plan.version, Sent: now.Sub(d.sentAt)})
+		end.Exposures = append(end.Exposures, loomquarantine.Exposure{Suspect: s, Version: a.version, HasBegun: !a.firstAt.IsZero(), Sent: now.Sub(a.sentAt)})
 	}
-	if !d.isTrial && !n.quarantine.IsExposed(unsound, 1) {
-		n.background.Go(func() { n.recordEnd(context.WithoutCancel(ctx), member, end) })
+	if !q.isTrial && !n.quarantine.IsExposed(unsound, 1) {
+		n.background.Go(func() { n.recordEnd(context.WithoutCancel(ctx), a.member, end) })
 		return false
 	}
 	const suspiciousEnds = 2
-	return n.recordEnd(ctx, member, end) && (d.isTrial || n.quarantine.IsExposed(unsound, suspiciousEnds))
+	return n.recordEnd(ctx, a.member, end) && (q.isTrial || n.quarantine.IsExposed(unsound, suspiciousEnds))
 }
 
-// recordEnd records the end of an engine that has just closed a connection, if it has ended,
+// recordEnd records the end of an upstream that has just closed a connection, if it has ended,
 // and reports whether it has.
 func (n *Instance) recordEnd(ctx context.Context, member loommember.Member, end loomquarantine.End) bool {
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
@@ -102,7 +137,7 @@
 	if err != nil || !hasEnded {
 		return false
 	}
-	n.log.Info("engine ended", "engine", member.ID, "incarnation", member.Incarnation)
+	n.log.Info("upstream ended", "upstream", member.ID, "incarnation", member.Incarnation)
 	n.quarantine.RecordEnd(end.At, end)
 	return true
 }
@@ -110,7 +145,7 @@
 // judgeQuarantines decides by the evidence of all instances.
 func (n *Instance) judgeQuarantines(context.Context) {
 	for _, q := range n.quarantine.Judge(time.Now()) {
-		n.log.Warn("prompt quarantined", "model", q.Model(), "digest", q.Request(), "version", q.Version, "ends", q.Ends)
+		n.log.Warn("request quarantined", "model", q.Model(), "digest", q.Request(), "version", q.Version, "ends", q.Ends)
 	}
 }
 
--- a/loominstance/quarantine_test.go
+++ b/loominstance/quarantine_test.go
@@ -16,44 +16,123 @@
 	"swiftloom/loomtrial"
 )
 
-// TestPromptThatEndsEnginesIsContained guards against a prompt of the completions API that ends
-// one engine after the other.
-func TestPromptThatEndsEnginesIsContained(t *testing.T) {
-	const (
-		// deadTokens is the number of answer tokens that the prompt asks for, by which
-		// engines know it.
-		deadTokens = 77
-		// contactTime is how long after the third end all instances know the prompt.
-		contactTime = 3 * time.Second
-		length      = 12 * time.Second
-	)
-	var mu sync.Mutex
-	var arrivals []time.Time
-	site, err := loomtrial.SiteByName("port")
-	assert.NilError(t, err)
-	site.Instances, site.Runners = 4, 6
-	site.EndsEngine = func(r *loompb.GenerateRequest) bool {
-		if r.GetMaxTokens() != deadTokens {
-			return false
+const (
+	// deadTokens is the number of answer tokens that a prompt asks for under which engines
+	// end, and deadJob the job under which services end.
+	deadTokens = 77
+	deadJob    = "take the lines off"
+	// contactTime is how long after the third end all instances know such a request.
+	contactTime = 3 * time.Second
+	playTime    = 12 * time.Second
+)
+
+// endingRequests are sound requests and those under which upstreams end.
+type endingRequests struct {
+	path, dead string
+	sound      func(n int) string
+}
+
+// arrivals are the times at which requests that end upstreams have reached one. It is safe for
+// concurrent use.
+type arrivals struct {
+	mu    sync.Mutex
+	times []time.Time
+}
+
+func (a *arrivals) add() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.times = append(a.times, time.Now())
+}
+
+// late returns the number of arrivals, and that of those later than contactTime after the third.
+func (a *arrivals) late() (late, all int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	slices.SortFunc(a.times, time.Time.Compare)
+	for _, at := range a.times {
+		if len(a.times) >= 3 && at.After(a.times[2].Add(contactTime)) {
+			late++
 		}
-		mu.Lock()
-		defer mu.Unlock()
-		arrivals = append(arrivals, time.Now())
-		return true
 	}
+	return late, len(a.times)
+}
+
+// TestRequestsThatEndUpstreamsAreContained guards against a request of the completions API that
+// ends one upstream after the other.
+func TestRequestsThatEndUpstreamsAreContained(t *testing.T) {
+	prompts := endingRequests{
+		path: "/v1/completions",
+		dead: fmt.Sprintf(`{"model":"pilot-notes","prompt":"the lines are off","max_tokens":%d}`, deadTokens),
+		sound: func(n int) string {
+			return fmt.Sprintf(`{"model":"pilot-notes","prompt":"berth %d is free","max_tokens":3}`, n)
+		},
+	}
+	jobs := endingRequests{
+		path:  "/v1/services/call-outs/jobs",
+		dead:  fmt.Sprintf(`{"job":%q}`, deadJob),
+		sound: func(n int) string { return fmt.Sprintf(`{"job":"berth %d"}`, n) },
+	}
+	tests := []struct {
+		name            string
+		requests        endingRequests
+		headers         []string
+		tokensBeforeEnd int
+	}{
+		{name: "prompt, before the first token", requests: prompts},
+		{name: "prompt, after the first token", requests: prompts, tokensBeforeEnd: 1},
+		{name: "prompt, in the middle of the answer", requests: prompts, tokensBeforeEnd: 10},
+		{name: "job that may be repeated", requests: jobs, headers: []string{"X-Not-Repeatable", "false"}},
+		{name: "job that may not be repeated", requests: jobs},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var arrived arrivals
+			site, err := loomtrial.SiteByName("port")
+			assert.NilError(t, err)
+			site.Instances, site.Runners = 4, 6
+			site.TokensBeforeEnd = tt.tokensBeforeEnd
+			site.EndsEngine = func(r *loompb.GenerateRequest) bool {
+				isDead := r.GetMaxTokens() == deadTokens
+				if isDead {
+					arrived.add()
+				}
+				return isDead
+			}
+			site.EndsService = func(job string) bool {
+				isDead := job == deadJob
+				if isDead {
+					arrived.add()
+				}
+				return isDead
+			}
+			served, all := playEndingRequests(t, site, tt.requests, tt.headers)
+			late, arrivals := arrived.late()
+			t.Logf("%d arrivals, %d of them late, %d of %d sound requests served", arrivals, late, served, all)
+			assert.Assert(t, arrivals > 0)
+			assert.Check(t, late <= 3, "%d arrivals later than %s after the third, allowed 3", late, contactTime)
+			assert.Check(t, 10*served >= 9*all, "%d of %d sound requests served", served, all)
+		})
+	}
+}
+
+// playEndingRequests sends sound requests for playTime, beside others after a second, and returns
+// how many of those in the second half were served.
+func playEndingRequests(t *testing.T, site loomtrial.Site, requests endingRequests, headers []string) (served, all int) {
+	t.Helper()
 	trial, err := loomtrial.Start(t.Context(), site, "cost", 1, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	assert.NilError(t, err)
 	t.Cleanup(trial.Stop)
+	var mu sync.Mutex
 	start := time.Now()
-	served, all := 0, 0
 	var wg sync.WaitGroup
 	send := func(n int, body string, isSound bool) {
 		wg.Go(func() {
 			sentAt := time.Now()
-			w, _ := post(t, "http://"+trial.Addresses()[n%site.Instances]+"/v1/completions", "key-of-port-00", body)
+			w, _ := post(t, "http://"+trial.Addresses()[n%site.Instances]+requests.path, "key-of-port-00", body, headers...)
 			mu.Lock()
 			defer mu.Unlock()
-			if isSound && sentAt.Sub(start) > length/2 {
+			if isSound && sentAt.Sub(start) > playTime/2 {
 				all++
 				if w.StatusCode == http.StatusOK {
 					served++
@@ -61,23 +140,13 @@
 			}
 		})
 	}
-	for n := 0; time.Since(start) < length; n++ {
-		send(n, fmt.Sprintf(`{"model":"pilot-notes","prompt":"berth %d is free","max_tokens":3}`, n), true)
+	for n := 0; time.Since(start) < playTime; n++ {
+		send(n, requests.sound(n), true)
 		if n%3 == 0 && n > 20 {
-			send(n/3, fmt.Sprintf(`{"model":"pilot-notes","prompt":"the lines are off","max_tokens":%d}`, deadTokens), false)
+			send(n/3, requests.dead, false)
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
 	wg.Wait()
-	slices.SortFunc(arrivals, time.Time.Compare)
-	late := 0
-	for _, at := range arrivals {
-		if len(arrivals) >= 3 && at.After(arrivals[2].Add(contactTime)) {
-			late++
-		}
-	}
-	t.Logf("%d arrivals, %d of them late, %d of %d sound prompts served", len(arrivals), late, served, all)
-	assert.Assert(t, len(arrivals) > 0)
-	assert.Check(t, late <= 3, "%d arrivals later than %s after the third, allowed 3", late, contactTime)
-	assert.Check(t, 10*served >= 9*all, "%d of %d sound prompts served", served, all)
+	return served, all
 }
--- a/loominstance/services.go
+++ b/loominstance/services.go
@@ -130,7 +130,8 @@
 		}
 		return &answer, nil
 	}
-	answer, err := n.callWithRetries(ctx, group, repeatable && !claim.isHeld(), call)
+	guard := newCallGuard(n, account.Name, digest)
+	answer, err := n.callWithRetries(ctx, group, repeatable && !claim.isHeld(), call, guard)
 	if err != nil {
 		n.claims.finish(ctx, claim, nil, err)
 		return nil, err
@@ -145,10 +146,13 @@
 }
 
 // callWithRetries runs a call and repeats it as far as its lifecycle allows.
-func (n *Instance) callWithRetries(ctx context.Context, group loomcatalogue.UpstreamGroup, repeatable bool, call loomupstream.Call) (*serviceResponse, error) {
+func (n *Instance) callWithRetries(ctx context.Context, group loomcatalogue.UpstreamGroup, repeatable bool, call loomupstream.Call, guard *quarantineGuard) (*serviceResponse, error) {
 	lifecycle := loomstream.NewLifecycle(repeatable, n.retryBudget, loomstream.NewBackoff(n.newRandom()))
 	var tried []string
 	for {
+		if err := guard.check(time.Now(), 0, len(tried) == 0); err != nil {
+			return nil, err.WithNotRun(lifecycle.NotRun())
+		}
 		m, err := n.chooseServiceMember(group.Name, call.RequestID, tried)
 		if err != nil {
 			return nil, loomerror.From(err).WithNotRun(lifecycle.NotRun())
@@ -156,7 +160,7 @@
 		tried = append(tried, m.ID)
 		attempt := fmt.Sprintf("%s.%d", call.RequestID, len(tried))
 		lifecycle.Apply(time.Now(), loomstream.Dispatched{Attempt: attempt})
-		answer, action := n.attemptCall(ctx, lifecycle, attempt, m, call)
+		answer, action := n.attemptCall(ctx, lifecycle, attempt, m, call, guard)
 		if answer != nil {
 			return answer, nil
 		}
@@ -174,8 +178,9 @@
 
 // attemptCall makes one attempt. It returns the response, or nil and the action
 // to take next.
-func (n *Instance) attemptCall(ctx context.Context, lifecycle *loomstream.Lifecycle, attempt string, m loommember.Member, call loomupstream.Call) (*serviceResponse, loomstream.Action) {
-	ticket := n.fleet.RecordSent(time.Now(), m.ID, 1)
+func (n *Instance) attemptCall(ctx context.Context, lifecycle *loomstream.Lifecycle, attempt string, m loommember.Member, call loomupstream.Call, guard *quarantineGuard) (*serviceResponse, loomstream.Action) {
+	sentAt := time.Now()
+	ticket := n.fleet.RecordSent(sentAt, m.ID, 1)
 	defer n.fleet.Done(ticket)
 	outcome, err := n.services.Do(ctx, m.Address, call)
 	now := time.Now()
@@ -189,6 +194,11 @@
 	if err != nil && ctx.Err() == nil && !errors.Is(err, loomhttp.ErrTooLarge) {
 		n.tracker.Apply(now, loommember.Unanswered{ID: m.ID})
 	}
+	if err == nil {
+		guard.recordSound(now, 0)
+	} else if outcome.Delivered && ctx.Err() == nil && guard.recordBroken(ctx, now, attemptEnd{member: m, sentAt: sentAt}) {
+		return nil, lifecycle.Apply(now, loomstream.Broken{Attempt: attempt, Final: true})
+	}
 	if err != nil || outcome.Status >= minFailureStatus {
 		return nil, lifecycle.Apply(now, loomstream.Broken{Attempt: attempt})
 	}
--- a/loomstandin/engine.go
+++ b/loomstandin/engine.go
@@ -69,6 +69,9 @@
 	// before it starts again; nil means that it ends under none.
 	EndsUnder    func(r *loompb.GenerateRequest) bool
 	RestartDelay time.Duration
+	// TokensBeforeEnd is the number of tokens of the answer to such a request that the engine
+	// sends before its process ends.
+	TokensBeforeEnd int
 	// Dialer opens connections to KV cache stores; nil selects TCP.
 	Dialer loomplatform.Dialer
 }
@@ -288,9 +291,10 @@
 	n.addStream()
 	defer func() { n.removeStream(time.Now()) }()
 	if e.options.EndsUnder != nil && e.options.EndsUnder(r) {
-		go e.endForAWhile()
-		<-stream.Context().Done()
-		return stream.Context().Err()
+		stream = &endingStream{ServerStreamingServer: stream, left: e.options.TokensBeforeEnd, end: e.endForAWhile}
+		if e.options.TokensBeforeEnd == 0 {
+			return stream.Send(nil)
+		}
 	}
 	if !r.GetResume() {
 		e.importBlocks(stream.Context(), n)
@@ -384,6 +388,26 @@
 	}
 }
 
+// endingStream is a stream on which the engine's process ends in place of an event.
+type endingStream struct {
+	grpc.ServerStreamingServer[loompb.GenerateEvent]
+
+	// left is the number of events that are sent before.
+	left int
+	end  func()
+}
+
+// Send implements grpc.ServerStreamingServer.
+func (s *endingStream) Send(e *loompb.GenerateEvent) error {
+	if s.left > 0 {
+		s.left--
+		return s.ServerStreamingServer.Send(e)
+	}
+	go s.end()
+	<-s.Context().Done()
+	return s.Context().Err()
+}
+
 // Cancel implements loompb.EngineServer. It ends the run of an attempt; an
 // unknown attempt is not an error.
 func (e *Engine) Cancel(_ context.Context, r *loompb.CancelRequest) (*loompb.CancelReply, error) {
--- a/loomstandin/service.go
+++ b/loomstandin/service.go
@@ -23,6 +23,10 @@
 	Address       string
 	// WorkTime is the time from running a job to the response.
 	WorkTime time.Duration
+	// EndsUnder reports whether the service's process ends under a job, RestartDelay before it
+	// starts again; nil means that it ends under none.
+	EndsUnder    func(job string) bool
+	RestartDelay time.Duration
 }
 
 // ServiceReceipt is the JSON body of a service's response.
@@ -123,6 +127,19 @@
 	}
 }
 
+// endForAWhile ends the service's process and starts it again. The response of the request under
+// which it ends is lost.
+func (s *Service) endForAWhile() {
+	s.mu.Lock()
+	isUp := s.server != nil
+	s.mu.Unlock()
+	if !isUp {
+		return
+	}
+	s.Kill()
+	time.AfterFunc(s.options.RestartDelay, func() { _ = s.Restart() })
+}
+
 // Leave makes the service refuse new requests, with the header X-Not-Run as a
 // promise that the job did not run, and announce itself as leaving.
 func (s *Service) Leave() {
@@ -182,6 +199,10 @@
 	receipt.Service = s.options.ID
 	s.runs.add(receipt.Job, receipt.RequestID)
 	time.Sleep(s.options.WorkTime)
+	if s.options.EndsUnder != nil && s.options.EndsUnder(receipt.Job) {
+		s.endForAWhile()
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(receipt)
 }
--- a/loomtrial/site.go
+++ b/loomtrial/site.go
@@ -63,6 +63,12 @@
 	// EndsEngine reports whether a request ends the process of each engine that gets it; nil
 	// means that none does.
 	EndsEngine func(r *loompb.GenerateRequest) bool
+	// TokensBeforeEnd is the number of tokens of the answer to such a request that an engine
+	// sends before it ends.
+	TokensBeforeEnd int
+	// EndsService reports whether a job ends the process of each service that runs it; nil
+	// means that none does.
+	EndsService func(job string) bool
 }
 
 const (
--- a/loomtrial/trial.go
+++ b/loomtrial/trial.go
@@ -28,10 +28,10 @@
 	readyTimeout      = 20 * time.Second
 	readyPollInterval = 50 * time.Millisecond
 	engineReportLag   = 100 * time.Millisecond
-	// engineRestartDelay is how long an engine is down that has ended under a request.
-	engineRestartDelay = time.Second
-	serviceWorkTime    = 15 * time.Millisecond
-	drainTimeout       = 10 * time.Second
+	// upstreamRestartDelay is how long an upstream is down that has ended under a request.
+	upstreamRestartDelay = time.Second
+	serviceWorkTime      = 15 * time.Millisecond
+	drainTimeout         = 10 * time.Second
 )
 
 // Trial is a running site: its instances and the stand-ins for the platform
@@ -259,7 +259,8 @@
 		IgnoreFencing:   group == t.site.OtherGroup,
 		Weights:         weightsClient,
 		EndsUnder:       t.site.EndsEngine,
-		RestartDelay:    engineRestartDelay,
+		RestartDelay:    upstreamRestartDelay,
+		TokensBeforeEnd: t.site.TokensBeforeEnd,
 		Dialer:          t.network.newNode(domain).dialer(),
 	})
 	if err != nil {
@@ -277,6 +278,8 @@
 		Group:         t.site.ServiceGroup,
 		FailureDomain: domain,
 		WorkTime:      serviceWorkTime,
+		EndsUnder:     t.site.EndsService,
+		RestartDelay:  upstreamRestartDelay,
 	}, t.runCounter)
 	if err != nil {
 		return err
