Read what the kernel holds before a timeout ends the head of a request

Callers whose request had been read in part, or came around the idle timeout, could lose it when the process was paused: the connection was closed, and reset, with the rest in the kernel.

Cause: checkDeadline looked into the kernel only before the first byte of a request, and a read deadline that it extended was set on the connection alone, so that the next read of a drain took up the old one. The class is that of: a timer that passed during a pause decides before the bytes that came in it are read.

Now the look is made until the head of a request is whole (StateActive), and an extended deadline replaces that of the server. While a handler runs, deadlines hold as before: net/http ends its reads in the background by one that has passed. A caller that sends a byte at a time is still cut at the timeout (TestHeaderTimeoutEndsSlowRequest).

--- a/loomhttp/conn.go
+++ b/loomhttp/conn.go
@@ -16,8 +16,8 @@
 	// firstRequestTimeout is how long a drain waits for the first byte on a new connection.
 	// Callers send it as soon as the connection is established.
 	firstRequestTimeout = time.Second
-	// unreadTimeout bounds the wait for the rest of the first bytes of a request that were
-	// found after the idle timeout.
+	// unreadTimeout bounds the wait for the rest of the head of a request of which bytes were
+	// found after the deadline.
 	unreadTimeout = time.Second
 )
 
@@ -97,6 +97,8 @@
 	serverDeadline time.Time
 	// isUsed is set from the first byte of a request until its response is complete.
 	isUsed bool
+	// isActive is set from the end of a request's head until its response is complete.
+	isActive bool
 	// hasNextByte is set if the last read has brought the first byte of the request after the
 	// current one.
 	hasNextByte bool
@@ -189,21 +191,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	hasServerTimedOut := !c.serverDeadline.IsZero() && !now.Before(c.serverDeadline)
-	if c.isUsed {
+	// A process that was paused finds bytes of a head and the deadline at the same time. While a
+	// handler runs, a deadline that has passed ends the reads in the background.
+	if !c.isActive && hasUnread(c.Conn) {
 		if hasServerTimedOut {
-			return err
+			c.serverDeadline = now.Add(unreadTimeout)
 		}
 		return c.Conn.SetReadDeadline(c.serverDeadline)
 	}
-	// A process that was paused finds a request and the deadline at the same time.
-	if hasUnread(c.Conn) {
-		until := c.serverDeadline
-		if hasServerTimedOut {
-			until = now.Add(unreadTimeout)
-		}
-		return c.Conn.SetReadDeadline(until)
+	if hasServerTimedOut {
+		return err
+	}
+	if c.isUsed {
+		return c.Conn.SetReadDeadline(c.serverDeadline)
 	}
-	if hasServerTimedOut || !c.isDraining {
+	if !c.isDraining {
 		return err
 	}
 	if !c.hasServed && now.Before(c.firstByteUntil) {
@@ -221,7 +223,8 @@
 func (c *conn) setState(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if state == http.StateActive {
+	c.isActive = state == http.StateActive
+	if c.isActive {
 		c.isUsed, c.hasServed = true, true
 	}
 	if state == http.StateIdle {
--- a/loomhttp/server_test.go
+++ b/loomhttp/server_test.go
@@ -293,6 +293,67 @@
 	assert.Assert(t, err != nil, "without a request, the timeout holds")
 }
 
+// TestHeaderTimeoutServesUnreadRequest guards against a connection that is closed with the rest of
+// a request that a paused process has not read when the time for its head passes.
+func TestHeaderTimeoutServesUnreadRequest(t *testing.T) {
+	t.Parallel()
+	const headerTimeout = 300 * time.Millisecond
+	for _, first := range []int{1, len(get) / 2, len(get) - 1} {
+		s := startServer(t, &http.Server{Handler: http.HandlerFunc(echo), IdleTimeout: headerTimeout, ReadHeaderTimeout: headerTimeout})
+		c := s.dial(t)
+		c.send(get)
+		_, err := c.receive("GET")
+		assert.NilError(t, err)
+		c.send(get[:first])
+		time.Sleep(50 * time.Millisecond)
+		hideArrivals(t, <-s.accepted)
+		began := time.Now()
+		c.send(get[first:])
+		_, err = c.receive("GET")
+		assert.NilError(t, err, "%d bytes were read before", first)
+		assert.Assert(t, time.Since(began) > headerTimeout/2, "the request was read before the timeout")
+	}
+}
+
+// TestHeaderTimeoutEndsSlowRequest guards against a head that may be sent for as long as its
+// caller wants.
+func TestHeaderTimeoutEndsSlowRequest(t *testing.T) {
+	t.Parallel()
+	s := startServer(t, &http.Server{Handler: http.HandlerFunc(echo), ReadHeaderTimeout: 300 * time.Millisecond})
+	c := s.dial(t)
+	began := time.Now()
+	for range 40 {
+		if _, err := io.WriteString(c.conn, "G"); err != nil {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	assert.Assert(t, time.Since(began) < 1500*time.Millisecond, "the connection was open for %s", time.Since(began))
+}
+
+// TestShutdownServesRequestAfterIdleTimeout guards against a request that is cut since the idle
+// timeout and the shutdown came in the pause in which its first byte did.
+func TestShutdownServesRequestAfterIdleTimeout(t *testing.T) {
+	t.Parallel()
+	const idleTimeout = 100 * time.Millisecond
+	s := startServer(t, &http.Server{Handler: http.HandlerFunc(echo), IdleTimeout: idleTimeout, ReadHeaderTimeout: 5 * time.Second})
+	c := s.dial(t)
+	c.send(get)
+	_, err := c.receive("GET")
+	assert.NilError(t, err)
+	s.read.close()
+	time.Sleep(2 * idleTimeout)
+	stopped := s.shutdown(t.Context())
+	c.send(get[:1])
+	time.Sleep(20 * time.Millisecond)
+	s.read.open()
+	time.Sleep(50 * time.Millisecond)
+	c.send(get[1:])
+	_, err = c.receive("GET")
+	assert.NilError(t, err)
+	assert.NilError(t, (<-stopped).err)
+}
+
 // TestShutdownServesNextRequest guards against a connection that is closed as idle although the
 // next request began before the last one had its response.
 func TestShutdownServesNextRequest(t *testing.T) {
