Let the reader wait before a test hides arrivals from it

TestIdleTimeoutServesUnreadRequest failed in 1 run of many ("the request was read before the timeout"): the caller has its response before the server waits for the next request, and a read that begins after the request came needs no wake-up.

--- a/loomhttp/server_test.go
+++ b/loomhttp/server_test.go
@@ -283,6 +283,7 @@
 	c.send(get)
 	_, err := c.receive("GET")
 	assert.NilError(t, err)
+	time.Sleep(20 * time.Millisecond)
 	hideArrivals(t, <-s.accepted)
 	began := time.Now()
 	c.send(get)
