Don't close a connection with a part of a request in the read buffer

A caller that sends the first bytes of its next request together with a request, and the rest after the response, could lose it at a stop: the connection was closed as idle.

Cause: the bytes lay in the buffer of http.Server, where hasNextByte, which noticed reads of a single byte only, didn't see them.

Now a read after a response tells: if it has less room than the first read on the connection, the buffer holds the difference. This covers the byte that http.Server reads in the background as well, so hasNextByte goes. Responses whose head is written once the stop has begun announce the close, so this concerns those that began earlier.

--- a/loomhttp/conn.go
+++ b/loomhttp/conn.go
@@ -99,9 +99,8 @@
 	isUsed bool
 	// isActive is set from the end of a request's head until its response is complete.
 	isActive bool
-	// hasNextByte is set if the last read has brought the first byte of the request after the
-	// current one.
-	hasNextByte bool
+	// bufferSize is the size of http.Server's read buffer, or zero before the first read.
+	bufferSize int
 	// hasServed is set once a request has been read.
 	hasServed bool
 	// isDraining is set once the connection is to be closed when it is idle.
@@ -154,10 +153,11 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
+	c.beginRead(len(b))
 	for {
 		n, err := c.Conn.Read(b)
 		if n > 0 {
-			c.recordRead(len(b))
+			c.recordRead()
 			return n, err
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -169,13 +169,29 @@
 	}
 }
 
-// recordRead records that a read with room for size bytes has brought some.
-func (c *conn) recordRead(size int) {
+// beginRead records that a read with room for size bytes begins. If a read after a response has
+// less room than the first one on the connection, the buffer of http.Server holds the first bytes
+// of the next request.
+func (c *conn) beginRead(size int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	// While a handler runs, http.Server reads a single byte in the background to notice
-	// that the caller has left.
-	c.hasNextByte = c.isUsed && size == 1
+	if c.bufferSize == 0 {
+		c.bufferSize = size
+	}
+	if size < c.bufferSize {
+		c.use()
+	}
+}
+
+// recordRead records that a read has brought bytes.
+func (c *conn) recordRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.use()
+}
+
+// use records that a part of a request has been read. c.mu must be held.
+func (c *conn) use() {
 	if c.isUsed {
 		return
 	}
@@ -228,7 +244,7 @@
 		c.isUsed, c.hasServed = true, true
 	}
 	if state == http.StateIdle {
-		c.isUsed, c.hasNextByte = c.hasNextByte, false
+		c.isUsed = false
 	}
 	if c.isDraining {
 		_ = c.Conn.SetReadDeadline(c.deadline())
--- a/loomhttp/server_test.go
+++ b/loomhttp/server_test.go
@@ -384,6 +384,45 @@
 	}
 }
 
+// TestShutdownServesPipelinedRequest guards against a connection that is closed with a request of
+// which a part, or all, was read together with the request before.
+func TestShutdownServesPipelinedRequest(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name string
+		// together is how much of the request is read with the one before.
+		together int
+		// stopAfter is when the shutdown begins, where each request takes 200 ms.
+		stopAfter time.Duration
+	}{
+		{"a byte, during the first request", 1, 100 * time.Millisecond},
+		{"half, during the first request", len(get) / 2, 100 * time.Millisecond},
+		{"half, after the first request", len(get) / 2, 300 * time.Millisecond},
+		{"all, during the first request", len(get), 100 * time.Millisecond},
+		{"all, during the second request", len(get), 300 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			s := startServer(t, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				time.Sleep(200 * time.Millisecond)
+				echo(w, r)
+			}), ReadHeaderTimeout: 5 * time.Second})
+			c := s.dial(t)
+			c.send(get + get[:tt.together])
+			time.Sleep(tt.stopAfter)
+			stopped := s.shutdown(t.Context())
+			_, err := c.receive("GET")
+			assert.NilError(t, err)
+			time.Sleep(100 * time.Millisecond)
+			c.send(get[tt.together:])
+			_, err = c.receive("GET")
+			assert.NilError(t, err)
+			assert.NilError(t, (<-stopped).err)
+		})
+	}
+}
+
 // TestShutdownAcceptsWaitingConnections guards against connections that are reset since a paused
 // process has not accepted them when the time for that passes.
 func TestShutdownAcceptsWaitingConnections(t *testing.T) {
