--- a/loomhttp/conn.go
+++ b/loomhttp/conn.go
@@ -267,6 +267,15 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite ends the writing side. http.Server calls it before it closes a connection whose
+// caller may still send.
+func (c *conn) CloseWrite() error {
+	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return inner.CloseWrite()
+	}
+	return nil
+}
+
 // hasUnread reports whether the kernel holds bytes that have not been read from c. Of a
 // connection without a file descriptor it reports false.
 func hasUnread(c net.Conn) bool {
--- a/loomhttp/server_test.go
+++ b/loomhttp/server_test.go
@@ -517,3 +517,30 @@
 	assert.NilError(t, err)
 	assert.NilError(t, (<-stopped).err)
 }
+
+// TestRefusedBodyEndsConnectionWithoutReset guards against a reset that takes the response from a
+// caller that still sends a body which was refused.
+func TestRefusedBodyEndsConnectionWithoutReset(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server, err := loomhttp.NewServer(l)
+	assert.NilError(t, err)
+	defer server.Close()
+	server.Start(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 10))
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		assert.Check(t, err != nil)
+	})})
+	c, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 300000\r\n\r\n"+strings.Repeat("b", 5000))
+	assert.NilError(t, err)
+	r := bufio.NewReader(c)
+	w, err := http.ReadResponse(r, nil)
+	assert.NilError(t, err)
+	assert.NilError(t, w.Body.Close())
+	_, err = r.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
