Go on accepting in a drain after a connection could not be accepted

Callers in the kernel's queue were reset at a stop if one connection could not be accepted, for example since the process had no file descriptor left: the drain took any error but a deadline for its end. Such errors now go to http.Server, which tries again after those that pass and ends on the others. The context of Shutdown bounds this.

--- a/loomhttp/listener.go
+++ b/loomhttp/listener.go
@@ -66,9 +66,9 @@
 			return l.conns.add(time.Now(), c), nil
 		case l.isReplaced.Load():
 			return nil, net.ErrClosed
-		case l.drainUntil.Load() == 0:
+		case l.drainUntil.Load() == 0 || !errors.Is(err, os.ErrDeadlineExceeded):
 			return nil, err
-		case !errors.Is(err, os.ErrDeadlineExceeded) || !l.hasWaiting():
+		case !l.hasWaiting():
 			return nil, net.ErrClosed
 		}
 		// A process that was paused finds connections and the deadline at the same time.
--- a/loomhttp/server_test.go
+++ b/loomhttp/server_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -452,6 +454,47 @@
 	}
 }
 
+// crowdedListener fails to accept while its process has no file descriptor left.
+type crowdedListener struct {
+	*net.TCPListener
+	failures atomic.Int32
+}
+
+func (l *crowdedListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", unix.EMFILE)}
+	}
+	return l.TCPListener.Accept()
+}
+
+// TestShutdownAcceptsAfterFailure guards against connections that are reset since one could not be
+// accepted at once.
+func TestShutdownAcceptsAfterFailure(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	tcp, ok := l.(*net.TCPListener)
+	assert.Assert(t, ok)
+	crowded := &crowdedListener{TCPListener: tcp}
+	server, err := loomhttp.NewServer(crowded)
+	assert.NilError(t, err)
+	s := &testServer{Server: server, address: l.Addr().String()}
+	defer s.Close()
+	callers := make([]*caller, 20)
+	for n := range callers {
+		callers[n] = s.dial(t)
+		callers[n].send(get)
+	}
+	crowded.failures.Store(4)
+	s.Start(&http.Server{Handler: http.HandlerFunc(echo)})
+	stopped := s.shutdown(t.Context())
+	for n, c := range callers {
+		_, err := c.receive("GET")
+		assert.NilError(t, err, "caller %d", n)
+	}
+	assert.NilError(t, (<-stopped).err)
+}
+
 // TestShutdownClosesConnectionsWithoutRequest guards against a shutdown that waits for callers
 // who send nothing.
 func TestShutdownClosesConnectionsWithoutRequest(t *testing.T) {
