--- a/loomhttp/conn.go
+++ b/loomhttp/conn.go
@@ -16,8 +16,8 @@
 	// firstRequestTimeout is how long a drain waits for the first byte on a new connection.
 	// Callers send it as soon as the connection is established.
 	firstRequestTimeout = time.Second
-	// unreadTimeout bounds the wait for the rest of the first bytes of a request that were
-	// found after the idle timeout.
+	// unreadTimeout bounds the wait for the rest of the head of a request of which bytes were
+	// found after the deadline.
 	unreadTimeout = time.Second
 )
 
@@ -97,9 +97,10 @@
 	serverDeadline time.Time
 	// isUsed is set from the first byte of a request until its response is complete.
 	isUsed bool
-	// hasNextByte is set if the last read has brought the first byte of the request after the
-	// current one.
-	hasNextByte bool
+	// isActive is set from the end of a request's head until its response is complete.
+	isActive bool
+	// bufferSize is the size of http.Server's read buffer, or zero before the first read.
+	bufferSize int
 	// hasServed is set once a request has been read.
 	hasServed bool
 	// isDraining is set once the connection is to be closed when it is idle.
@@ -152,10 +153,11 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
+	c.beginRead(len(b))
 	for {
 		n, err := c.Conn.Read(b)
 		if n > 0 {
-			c.recordRead(len(b))
+			c.recordRead()
 			return n, err
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -167,13 +169,29 @@
 	}
 }
 
-// recordRead records that a read with room for size bytes has brought some.
-func (c *conn) recordRead(size int) {
+// beginRead records that a read with room for size bytes begins. If a read after a response has
+// less room than the first one on the connection, the buffer of http.Server holds the first bytes
+// of the next request.
+func (c *conn) beginRead(size int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	// While a handler runs, http.Server reads a single byte in the background to notice
-	// that the caller has left.
-	c.hasNextByte = c.isUsed && size == 1
+	if c.bufferSize == 0 {
+		c.bufferSize = size
+	}
+	if size < c.bufferSize {
+		c.use()
+	}
+}
+
+// recordRead records that a read has brought bytes.
+func (c *conn) recordRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.use()
+}
+
+// use records that a part of a request has been read. c.mu must be held.
+func (c *conn) use() {
 	if c.isUsed {
 		return
 	}
@@ -189,21 +207,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	hasServerTimedOut := !c.serverDeadline.IsZero() && !now.Before(c.serverDeadline)
-	if c.isUsed {
+	// A process that was paused finds bytes of a head and the deadline at the same time. While a
+	// handler runs, a deadline that has passed ends the reads in the background.
+	if !c.isActive && hasUnread(c.Conn) {
 		if hasServerTimedOut {
-			return err
+			c.serverDeadline = now.Add(unreadTimeout)
 		}
 		return c.Conn.SetReadDeadline(c.serverDeadline)
 	}
-	// A process that was paused finds a request and the deadline at the same time.
-	if hasUnread(c.Conn) {
-		until := c.serverDeadline
-		if hasServerTimedOut {
-			until = now.Add(unreadTimeout)
-		}
-		return c.Conn.SetReadDeadline(until)
+	if hasServerTimedOut {
+		return err
 	}
-	if hasServerTimedOut || !c.isDraining {
+	if c.isUsed {
+		return c.Conn.SetReadDeadline(c.serverDeadline)
+	}
+	if !c.isDraining {
 		return err
 	}
 	if !c.hasServed && now.Before(c.firstByteUntil) {
@@ -221,11 +239,12 @@
 func (c *conn) setState(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if state == http.StateActive {
+	c.isActive = state == http.StateActive
+	if c.isActive {
 		c.isUsed, c.hasServed = true, true
 	}
 	if state == http.StateIdle {
-		c.isUsed, c.hasNextByte = c.hasNextByte, false
+		c.isUsed = false
 	}
 	if c.isDraining {
 		_ = c.Conn.SetReadDeadline(c.deadline())
@@ -248,6 +267,15 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite ends the writing side. http.Server calls it before it closes a connection whose
+// caller may still send.
+func (c *conn) CloseWrite() error {
+	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return inner.CloseWrite()
+	}
+	return nil
+}
+
 // hasUnread reports whether the kernel holds bytes that have not been read from c. Of a
 // connection without a file descriptor it reports false.
 func hasUnread(c net.Conn) bool {
--- a/loomhttp/server_test.go
+++ b/loomhttp/server_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -283,6 +285,7 @@
 	c.send(get)
 	_, err := c.receive("GET")
 	assert.NilError(t, err)
+	time.Sleep(20 * time.Millisecond)
 	hideArrivals(t, <-s.accepted)
 	began := time.Now()
 	c.send(get)
@@ -293,6 +296,67 @@
 	assert.Assert(t, err != nil, "without a request, the timeout holds")
 }
 
+// TestHeaderTimeoutServesUnreadRequest guards against a connection that is closed with the rest of
+// a request that a paused process has not read when the time for its head passes.
+func TestHeaderTimeoutServesUnreadRequest(t *testing.T) {
+	t.Parallel()
+	const headerTimeout = 300 * time.Millisecond
+	for _, first := range []int{1, len(get) / 2, len(get) - 1} {
+		s := startServer(t, &http.Server{Handler: http.HandlerFunc(echo), IdleTimeout: headerTimeout, ReadHeaderTimeout: headerTimeout})
+		c := s.dial(t)
+		c.send(get)
+		_, err := c.receive("GET")
+		assert.NilError(t, err)
+		c.send(get[:first])
+		time.Sleep(50 * time.Millisecond)
+		hideArrivals(t, <-s.accepted)
+		began := time.Now()
+		c.send(get[first:])
+		_, err = c.receive("GET")
+		assert.NilError(t, err, "%d bytes were read before", first)
+		assert.Assert(t, time.Since(began) > headerTimeout/2, "the request was read before the timeout")
+	}
+}
+
+// TestHeaderTimeoutEndsSlowRequest guards against a head that may be sent for as long as its
+// caller wants.
+func TestHeaderTimeoutEndsSlowRequest(t *testing.T) {
+	t.Parallel()
+	s := startServer(t, &http.Server{Handler: http.HandlerFunc(echo), ReadHeaderTimeout: 300 * time.Millisecond})
+	c := s.dial(t)
+	began := time.Now()
+	for range 40 {
+		if _, err := io.WriteString(c.conn, "G"); err != nil {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	assert.Assert(t, time.Since(began) < 1500*time.Millisecond, "the connection was open for %s", time.Since(began))
+}
+
+// TestShutdownServesRequestAfterIdleTimeout guards against a request that is cut since the idle
+// timeout and the shutdown came in the pause in which its first byte did.
+func TestShutdownServesRequestAfterIdleTimeout(t *testing.T) {
+	t.Parallel()
+	const idleTimeout = 100 * time.Millisecond
+	s := startServer(t, &http.Server{Handler: http.HandlerFunc(echo), IdleTimeout: idleTimeout, ReadHeaderTimeout: 5 * time.Second})
+	c := s.dial(t)
+	c.send(get)
+	_, err := c.receive("GET")
+	assert.NilError(t, err)
+	s.read.close()
+	time.Sleep(2 * idleTimeout)
+	stopped := s.shutdown(t.Context())
+	c.send(get[:1])
+	time.Sleep(20 * time.Millisecond)
+	s.read.open()
+	time.Sleep(50 * time.Millisecond)
+	c.send(get[1:])
+	_, err = c.receive("GET")
+	assert.NilError(t, err)
+	assert.NilError(t, (<-stopped).err)
+}
+
 // TestShutdownServesNextRequest guards against a connection that is closed as idle although the
 // next request began before the last one had its response.
 func TestShutdownServesNextRequest(t *testing.T) {
@@ -322,6 +386,45 @@
 	}
 }
 
+// TestShutdownServesPipelinedRequest guards against a connection that is closed with a request of
+// which a part, or all, was read together with the request before.
+func TestShutdownServesPipelinedRequest(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name string
+		// together is how much of the request is read with the one before.
+		together int
+		// stopAfter is when the shutdown begins, where each request takes 200 ms.
+		stopAfter time.Duration
+	}{
+		{"a byte, during the first request", 1, 100 * time.Millisecond},
+		{"half, during the first request", len(get) / 2, 100 * time.Millisecond},
+		{"half, after the first request", len(get) / 2, 300 * time.Millisecond},
+		{"all, during the first request", len(get), 100 * time.Millisecond},
+		{"all, during the second request", len(get), 300 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			s := startServer(t, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				time.Sleep(200 * time.Millisecond)
+				echo(w, r)
+			}), ReadHeaderTimeout: 5 * time.Second})
+			c := s.dial(t)
+			c.send(get + get[:tt.together])
+			time.Sleep(tt.stopAfter)
+			stopped := s.shutdown(t.Context())
+			_, err := c.receive("GET")
+			assert.NilError(t, err)
+			time.Sleep(100 * time.Millisecond)
+			c.send(get[tt.together:])
+			_, err = c.receive("GET")
+			assert.NilError(t, err)
+			assert.NilError(t, (<-stopped).err)
+		})
+	}
+}
+
 // TestShutdownAcceptsWaitingConnections guards against connections that are reset since a paused
 // process has not accepted them when the time for that passes.
 func TestShutdownAcceptsWaitingConnections(t *testing.T) {
@@ -351,6 +454,47 @@
 	}
 }
 
+// crowdedListener fails to accept while its process has no file descriptor left.
+type crowdedListener struct {
+	*net.TCPListener
+	failures atomic.Int32
+}
+
+func (l *crowdedListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", unix.EMFILE)}
+	}
+	return l.TCPListener.Accept()
+}
+
+// TestShutdownAcceptsAfterFailure guards against connections that are reset since one could not be
+// accepted at once.
+func TestShutdownAcceptsAfterFailure(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	tcp, ok := l.(*net.TCPListener)
+	assert.Assert(t, ok)
+	crowded := &crowdedListener{TCPListener: tcp}
+	server, err := loomhttp.NewServer(crowded)
+	assert.NilError(t, err)
+	s := &testServer{Server: server, address: l.Addr().String()}
+	defer s.Close()
+	callers := make([]*caller, 20)
+	for n := range callers {
+		callers[n] = s.dial(t)
+		callers[n].send(get)
+	}
+	crowded.failures.Store(4)
+	s.Start(&http.Server{Handler: http.HandlerFunc(echo)})
+	stopped := s.shutdown(t.Context())
+	for n, c := range callers {
+		_, err := c.receive("GET")
+		assert.NilError(t, err, "caller %d", n)
+	}
+	assert.NilError(t, (<-stopped).err)
+}
+
 // TestShutdownClosesConnectionsWithoutRequest guards against a shutdown that waits for callers
 // who send nothing.
 func TestShutdownClosesConnectionsWithoutRequest(t *testing.T) {
@@ -416,3 +560,30 @@
 	assert.NilError(t, err)
 	assert.NilError(t, (<-stopped).err)
 }
+
+// TestRefusedBodyEndsConnectionWithoutReset guards against a reset that takes the response from a
+// caller that still sends a body which was refused.
+func TestRefusedBodyEndsConnectionWithoutReset(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server, err := loomhttp.NewServer(l)
+	assert.NilError(t, err)
+	defer server.Close()
+	server.Start(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 10))
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		assert.Check(t, err != nil)
+	})})
+	c, err := net.Dial("tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	_, err = io.WriteString(c, "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 300000\r\n\r\n"+strings.Repeat("b", 5000))
+	assert.NilError(t, err)
+	r := bufio.NewReader(c)
+	w, err := http.ReadResponse(r, nil)
+	assert.NilError(t, err)
+	assert.NilError(t, w.Body.Close())
+	_, err = r.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
