Take over a lease whose row holds no lease

What callers saw: after another writer had overwritten the row of the rollout lease, upstreams stayed on old weights until these expired, or two instances could give orders at a time.

Cause: a row that can't be decoded was an error of each read, without a state in the lease, so that no process was ever due to take it. A duration near the largest one overflowed in the wait of a challenger, which then took the lease at once while its holder still used it; the largest token made the next one zero.

Now such a row counts as held by an unknown process. It is taken over when it has not changed for the duration of a lease, with a token above the version of the row, which is never below the number of writes and so never below a token that was handed out.

Evidence: TestUnreadableRowIsTakenOver failed on the code before for all eight rows: five were never due, one (the longest duration) was due 0 s after the first holder had taken the lease, and the two with the largest token and a duration below zero were taken for sound. It passes now. The lease of the completions API uses the same type.

--- a/loomgate/lease.go
+++ b/loomgate/lease.go
@@ -158,7 +158,6 @@
 	r.leaseReadAt = now
 	if err := r.lease.RecordRead(now, reply.GetRows()[0]); err != nil {
 		r.gate.log.Warn("lease_unread", "lease", leaseKey, "cause", err.Error())
-		return false
 	}
 	return r.canTakeLease(now)
 }
--- a/loominstance/leases.go
+++ b/loominstance/leases.go
@@ -40,7 +40,10 @@
 		err = l.RecordRead(time.Now(), reply.GetRows()[0])
 		due = l.Due(time.Now())
 		mu.Unlock()
-		if err != nil || !due {
+		if err != nil {
+			n.log.Warn("the row holds no lease", "error", err)
+		}
+		if !due {
 			return
 		}
 	}
--- a/loomlease/lease.go
+++ b/loomlease/lease.go
@@ -25,6 +25,10 @@
 	// renewalDivisor sets the time of the renewal: the holder renews once
 	// duration/renewalDivisor, less the drift margin, has passed.
 	renewalDivisor = 3
+	// maxDurationFactor bounds the duration in a row of another holder, in durations of
+	// this process, and maxToken a fencing token.
+	maxDurationFactor = 10
+	maxToken          = 1 << 62
 )
 
 // Row is the stored form of a lease.
@@ -49,6 +53,9 @@
 	// row and version are those last read or written.
 	row     Row
 	version uint64
+	// isUnreadable is set if the row holds no lease. It then counts as held by another
+	// process, and row is the zero value.
+	isUnreadable bool
 	// versionSeenAt is when this version was first seen; zero before the first
 	// read.
 	versionSeenAt time.Time
@@ -104,23 +111,44 @@
 	return &loompb.ReadRowsRequest{Keys: []string{l.key}}
 }
 
-// RecordRead records a row that was read. A row of version zero is absent.
+// RecordRead records a row that was read. A row of version zero is absent. A row that holds
+// no lease counts as held by an unknown process, and can be taken over when it has not
+// changed for as long as a lease lasts. The error says so, once for each version of the row.
 func (l *Lease) RecordRead(now time.Time, row *loompb.Row) error {
-	var r Row
-	if row.GetVersion() > 0 {
-		if err := json.Unmarshal(row.GetValue(), &r); err != nil {
-			return errors.Annotatef(err, "decode lease %q", l.key)
-		}
-	}
-	if l.versionSeenAt.IsZero() || row.GetVersion() != l.version {
+	r, err := l.decode(row)
+	isNew := l.versionSeenAt.IsZero() || row.GetVersion() != l.version
+	if isNew {
 		l.versionSeenAt = now
 	}
+	if err != nil {
+		// Each token was taken by a write, so none is above the version of the row.
+		l.lastToken = max(l.lastToken, l.row.Token, l.sent.Token, row.GetVersion())
+	}
 	l.row = r
+	l.isUnreadable = err != nil
 	l.version = row.GetVersion()
 	if r.Holder != l.holder {
 		l.validUntil = time.Time{}
 	}
-	return nil
+	if !isNew {
+		return nil
+	}
+	return err
+}
+
+// decode returns the lease in a row, or the zero value with an error.
+func (l *Lease) decode(row *loompb.Row) (Row, error) {
+	var r Row
+	if row.GetVersion() == 0 {
+		return r, nil
+	}
+	if err := json.Unmarshal(row.GetValue(), &r); err != nil {
+		return Row{}, errors.Annotatef(err, "decode lease %q", l.key)
+	}
+	if r.Duration < 0 || r.Duration > maxDurationFactor*l.duration || r.Token > maxToken {
+		return Row{}, errors.NotValidf("lease %q with duration %s and token %d (maximum %s and %d)", l.key, r.Duration, r.Token, maxDurationFactor*l.duration, uint64(maxToken))
+	}
+	return r, nil
 }
 
 // Due reports whether the lease should be written: to renew it, or to take it when
@@ -132,7 +160,7 @@
 	if l.row.Holder == l.holder {
 		return now.After(l.validUntil.Add(-l.duration + l.duration/renewalDivisor))
 	}
-	if l.row.Holder == "" {
+	if l.row.Holder == "" && !l.isUnreadable {
 		return true
 	}
 	d := max(l.row.Duration, l.duration)
@@ -169,6 +197,7 @@
 		return nil
 	}
 	l.row = l.sent
+	l.isUnreadable = false
 	l.version++
 	if v := reply.GetVersion(); v > 0 {
 		l.version = v
--- a/loomlease/lease_test.go
+++ b/loomlease/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -117,3 +118,57 @@
 	l.Reset(1000)
 	assert.Assert(t, take() > 1000)
 }
+
+// TestUnreadableRowIsTakenOver guards against a row that keeps a lease from being taken for
+// ever, or lets it be taken while its holder still uses it.
+func TestUnreadableRowIsTakenOver(t *testing.T) {
+	tests := []struct {
+		name  string
+		value string
+	}{
+		{"empty", ""},
+		{"not JSON", "{"},
+		{"other type", "[]"},
+		{"nested", strings.Repeat("[", 20_000)},
+		{"token too large for its type", `{"holder":"x","token":12345678901234567890123}`},
+		{"largest token", `{"holder":"x","token":18446744073709551615}`},
+		{"longest duration", `{"holder":"x","token":1,"duration":9223372036854775807}`},
+		{"duration below zero", `{"holder":"x","token":1,"duration":-9223372036854775808}`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var table loomstandin.Table
+			first, second := loomlease.New("lease/x", "first", duration), loomlease.New("lease/x", "second", duration)
+			take := func(l *loomlease.Lease, now time.Time) uint64 {
+				t.Helper()
+				request, err := l.Write(now)
+				assert.NilError(t, err)
+				assert.NilError(t, l.RecordWrite(now, table.Transact(request)))
+				token, held := l.Held(now)
+				assert.Assert(t, held)
+				return token
+			}
+			read := func(l *loomlease.Lease, now time.Time) error {
+				return l.RecordRead(now, table.ReadRows(l.Read()).GetRows()[0])
+			}
+			assert.NilError(t, read(&first, start))
+			before := take(&first, start)
+			table.Transact(&loompb.TransactRequest{Writes: []*loompb.Write{{Key: "lease/x", Value: []byte(tt.value)}}})
+			assert.Check(t, read(&second, start) != nil)
+			for now := start; now.Before(start.Add(duration)); now = now.Add(duration / 10) {
+				assert.Check(t, read(&second, now))
+				assert.Assert(t, !second.Due(now), "due %s after the first holder took the lease", now.Sub(start))
+			}
+			_, isOther := second.Held(start)
+			assert.Assert(t, !isOther)
+			now := start.Add(duration + duration/10)
+			assert.Check(t, read(&second, now))
+			assert.Assert(t, second.Due(now), "not due after the duration of the lease")
+			after := take(&second, now)
+			assert.Assert(t, after > before, "token %d after token %d", after, before)
+			assert.Assert(t, read(&first, now) == nil)
+			_, isHeld := first.Held(now)
+			assert.Assert(t, !isHeld)
+		})
+	}
+}
