Bound what unreadable rows cost and keep them from peers

What callers saw: with many unreadable rows among those of the upstreams, instances that read the list from a coordinator or a peer got no list, because the reply was larger than a message may be, and each instance decoded the rows again with each whole read and wrote a line for each.

Cause: a row was stored for peers before it was decoded, and replaced the last readable row of its upstream; an instance that started beside an unreadable row of a known upstream and read from a peer lacked the upstream. Rows of instances, target versions and quarantines were logged with each read, and the keys that had been logged were kept for ever.

Now only rows that say something are kept for peers, the last readable one of each key.

--- a/loomgate/gate.go
+++ b/loomgate/gate.go
@@ -68,18 +68,20 @@
 	incarnation uint64
 	metrics     *Metrics
 
-	view      *clusterView
-	fleet     *loomroute.Fleet
-	policy    loomroute.Policy
-	residency *loomcache.Residency
-	partReuse loomcache.ReuseDetector
-	retries   *retryBudgets
-	peers     *peers
-	rollout   *rollout
-	stores    *storeWatcher
-	queues    *queues
-	limits    *upstreamLimits
-	holdOffs  *holdOffs
+	view *clusterView
+	// unreadable holds the platform's rows that can't be used.
+	unreadable *unreadableRows
+	fleet      *loomroute.Fleet
+	policy     loomroute.Policy
+	residency  *loomcache.Residency
+	partReuse  loomcache.ReuseDetector
+	retries    *retryBudgets
+	peers      *peers
+	rollout    *rollout
+	stores     *storeWatcher
+	queues     *queues
+	limits     *upstreamLimits
+	holdOffs   *holdOffs
 
 	quarantine *quarantine
 	// coordinators decides which instances choose upstreams for others.
@@ -116,6 +118,7 @@
 		random:      rand.New(rand.NewPCG(o.Seed, uint64(len(s.ID)))),
 	}
 	g.prefill.byGroup = make(map[string]*loomroute.PrefillModel)
+	g.unreadable = newUnreadableRows(g.log)
 	g.view = newClusterView(g)
 	g.peers = newPeers(g)
 	g.coordinators = &coordinators{gate: g}
--- a/loomgate/peer_fuzz_test.go
+++ b/loomgate/peer_fuzz_test.go
@@ -85,7 +85,7 @@
 		rows := page(2, Row{Key: key, Value: value, Version: 1})
 		g.view.applyNamedRows(now, rows, true)
 		g.quarantine.applyRows(now, rows, true)
-		g.peers.applyPage(rows)
+		g.peers.applyPage(now, rows)
 		g.quarantine.judge(now.Add(time.Second))
 		for _, w := range g.quarantine.rowWrites(now.Add(time.Minute)) {
 			assert.Check(t, g.quarantine.write(t.Context(), w))
--- a/loomgate/peers.go
+++ b/loomgate/peers.go
@@ -151,7 +151,7 @@
 			p.gate.quarantine.applyRows(time.Now(), page, full)
 			full = false
 			failures = 0
-			p.applyPage(page)
+			p.applyPage(time.Now(), page)
 			p.announceAgain(ctx)
 			if p.awaitNextRead(ctx) != nil {
 				return
@@ -231,7 +231,7 @@
 
 // applyPage applies rows of instances and adjusts the retry budgets to the number
 // of instances.
-func (p *peers) applyPage(page Page) {
+func (p *peers) applyPage(now time.Time, page Page) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	isNewEpoch := p.isNewEpoch(page)
@@ -245,7 +245,7 @@
 			p.own = p.own.with(row)
 			continue
 		}
-		p.applyRow(id, row, isNewEpoch)
+		p.applyRow(now, id, row, isNewEpoch)
 	}
 	p.gate.retries.setInstances(len(p.byID) + 1)
 	p.hasRowsOnce.Do(func() { close(p.hasRows) })
@@ -262,7 +262,7 @@
 
 // applyRow adds, replaces or removes one peer. In a new epoch of the platform's table, an
 // earlier incarnation than the known one comes from an older copy. The caller holds mu.
-func (p *peers) applyRow(id string, row Row, isNewEpoch bool) {
+func (p *peers) applyRow(now time.Time, id string, row Row, isNewEpoch bool) {
 	old, known := p.byID[id]
 	if row.Deleted {
 		if known {
@@ -274,7 +274,7 @@
 	}
 	var r instanceRow
 	if err := json.Unmarshal(row.Value, &r); err != nil {
-		p.gate.log.Warn("row_unreadable", "topic", "instances", "key", row.Key, "cause", err.Error())
+		p.gate.unreadable.record(now, TopicInstances, row, err)
 		return
 	}
 	if known && (old.row == r || (isNewEpoch && r.Incarnation < old.row.Incarnation)) {
--- a/loomgate/quarantine_row.go
+++ b/loomgate/quarantine_row.go
@@ -83,7 +83,7 @@
 	}
 	r := quarantineRow{position: row.Version}
 	if err := json.Unmarshal(row.Value, &r); err != nil {
-		q.gate.log.Warn("row_unreadable", "topic", TopicInstances.String(), "key", row.Key, "version", row.Version, "cause", err.Error())
+		q.gate.unreadable.record(now, TopicInstances, row, err)
 		return
 	}
 	_, isKnown := q.rows[row.Key]
--- a/loomgate/view.go
+++ b/loomgate/view.go
@@ -88,11 +88,9 @@
 	// lastResortsEnd is when an upstream that is published although it leaves may no longer
 	// get requests; zero if there is none.
 	lastResortsEnd time.Time
-	// rows caches the platform's rows for peers that cannot reach the platform.
+	// rows caches the platform's rows for peers that cannot reach the platform: the latest
+	// readable ones that this instance uses.
 	rows map[Topic]map[string]Row
-	// loggedRows holds the version of each row that could not be decoded, so
-	// that each key is logged only once.
-	loggedRows map[string]uint64
 }
 
 func newClusterView(g *Gate) *clusterView {
@@ -104,7 +102,6 @@
 		named:            make(map[string]namedVersions),
 		namedRows:        make(map[string]namedRow),
 		rows:             map[Topic]map[string]Row{TopicCatalogue: {}, TopicUpstreams: {}},
-		loggedRows:       make(map[string]uint64),
 	}
 	v.routingSnapshot.Store(&loomcatalogue.Routing{})
 	v.groupsSnapshot.Store(&map[string][]loommember.Upstream{})
@@ -364,12 +361,16 @@
 		if old, ok := v.rows[t][row.Key]; ok && row.Version < old.Version {
 			continue
 		}
-		if row.Deleted {
+		change, ok := v.decode(now, t, row)
+		switch {
+		case !ok:
+			continue
+		case row.Deleted:
 			delete(v.rows[t], row.Key)
-		} else {
+		case change != nil:
 			v.rows[t][row.Key] = row
 		}
-		changed = v.applyRow(now, removal, t, row) || changed
+		changed = v.applyChange(now, removal, row, change) || changed
 	}
 	if full && t == TopicUpstreams {
 		changed = v.removeAbsent(now, removal, present, page.Version) || changed
@@ -416,17 +417,23 @@
 	return changed
 }
 
-// applyRow applies one row and reports whether the set of usable upstreams changed. A
-// removal is one at the times in r. The caller holds mu.
-func (v *clusterView) applyRow(now time.Time, r loommember.Removal, t Topic, row Row) bool {
+// decode decodes a row. It returns false if the row can't be used; what an earlier version
+// of it said stays in force.
+func (v *clusterView) decode(now time.Time, t Topic, row Row) (Change, bool) {
+	if v.gate.unreadable.isKnown(t, row) {
+		return nil, false
+	}
 	change, err := v.gate.source.Decode(t, row)
 	if err != nil {
-		if v.loggedRows[row.Key] == 0 {
-			v.gate.log.Warn("row_unreadable", "topic", t.String(), "key", row.Key, "version", row.Version, "cause", err.Error())
-			v.loggedRows[row.Key] = row.Version
-		}
-		return false
+		v.gate.unreadable.record(now, t, row, err)
+		return nil, false
 	}
+	return change, true
+}
+
+// applyChange applies the change in a row and reports whether the set of usable upstreams
+// changed. A removal is one at the times in r. The caller holds mu.
+func (v *clusterView) applyChange(now time.Time, r loommember.Removal, row Row, change Change) bool {
 	switch c := change.(type) {
 	case RoutingChanged:
 		v.applyRouting(c.Routing, row.Version)
--- a/loomgate/weights_row.go
+++ b/loomgate/weights_row.go
@@ -66,7 +66,7 @@
 	}
 	r := namedRow{position: row.Version}
 	if err := json.Unmarshal(row.Value, &r); err != nil {
-		v.gate.log.Warn("row_unreadable", "topic", TopicInstances.String(), "key", row.Key, "version", row.Version, "cause", err.Error())
+		v.gate.unreadable.record(now, TopicInstances, row, err)
 	}
 	v.namedRows[model] = r
 	clock, ok := v.gate.source.Clock(now)
