Keep a peer beside an odd row, and write a replaced row again

What callers saw: after another writer had replaced the row of an instance, no other instance could reach it any more: it got no loads, no lists and no evidence, and a coordinator was lost for its whole domain.

Cause: a row with any address was taken for that of the peer, for instance with port 99999 or none; the connection of the known peer was closed before the new address was checked, and stayed closed if that failed. The instance itself wrote its row again only after the table had returned from an older copy.

Now a row without an IP address and a port, or with an incarnation that no JSON number holds, is unreadable: the peer stays as it was. A known connection is closed once there is another. An instance that has read its own row and finds another one there, which is not of a later incarnation, writes it again, at most once a read.

--- a/loomgate/announce.go
+++ b/loomgate/announce.go
@@ -14,23 +14,37 @@
 // ownRow is what the platform holds about this instance. It is immutable. The zero value
 // stands for no row.
 type ownRow struct {
-	version     uint64
+	version uint64
+	// incarnation is that in the row, or zero if the instance did not write the row.
 	incarnation uint64
-	// mayBeLost is set after the platform's table has returned from an older copy, until
-	// the row is known to be there.
+	// isWritten is set once the row of this incarnation has been read.
+	isWritten bool
+	// mayBeLost is set after the platform's table has returned from an older copy, or
+	// another writer has replaced the row, until the row is known to be there.
 	mayBeLost bool
 }
 
-// with returns a copy with the state in a row.
-func (o ownRow) with(row Row) ownRow {
+// with returns a copy with the state in a row. The instance has announced itself, or is about
+// to, by the row announced.
+func (o ownRow) with(row Row, announced instanceRow) ownRow {
 	o.version, o.incarnation = row.Version, 0
-	var r instanceRow
-	if !row.Deleted && json.Unmarshal(row.Value, &r) == nil {
+	r, err := decodeInstanceRow(row)
+	if !row.Deleted && err == nil && (r == announced || r.Incarnation != announced.Incarnation) {
 		o.incarnation = r.Incarnation
 	}
+	if o.isWritten && !row.Deleted && o.incarnation < announced.Incarnation {
+		o.mayBeLost = true
+	}
+	o.isWritten = o.isWritten || o.incarnation == announced.Incarnation
 	return o
 }
 
+// ownRow returns the row that this instance writes about itself.
+func (p *peers) ownRow() instanceRow {
+	s := p.gate.settings
+	return instanceRow{Address: s.PeerAddress, FailureDomain: s.FailureDomain, Incarnation: p.gate.incarnation, ProcessorCores: s.ProcessorCores}
+}
+
 // announce writes the row of this instance once, so that others can find it.
 func (p *peers) announce(ctx context.Context) {
 	r, err := p.announcement()
@@ -51,12 +65,11 @@
 
 // announcement returns the transaction that writes the row of this instance.
 func (p *peers) announcement() (*loompb.TransactRequest, error) {
-	s := p.gate.settings
-	value, err := json.Marshal(instanceRow{Address: s.PeerAddress, FailureDomain: s.FailureDomain, Incarnation: p.gate.incarnation, ProcessorCores: s.ProcessorCores})
+	value, err := json.Marshal(p.ownRow())
 	if err != nil {
 		return nil, errors.Annotate(err, "encode instance row")
 	}
-	return &loompb.TransactRequest{Writes: []*loompb.Write{{Key: instancePrefix + s.ID, Value: value}}}, nil
+	return &loompb.TransactRequest{Writes: []*loompb.Write{{Key: instancePrefix + p.gate.settings.ID, Value: value}}}, nil
 }
 
 // isNewEpoch reports whether a page is the first one that was read after the platform's
@@ -65,7 +78,8 @@
 	return p.version > 0 && loomplatform.PositionEpoch(page.Version) != loomplatform.PositionEpoch(p.version)
 }
 
-// announceAgain writes the row of this instance again if the platform's table has lost it.
+// announceAgain writes the row of this instance again if the platform's table has lost it or
+// another writer has replaced it.
 // It never replaces the row of a later incarnation.
 func (p *peers) announceAgain(ctx context.Context) {
 	if !p.own.mayBeLost {
@@ -86,7 +100,7 @@
 		p.gate.log.Warn("announce_failed", "cause", announceFailure(err))
 		return
 	}
-	p.own = ownRow{version: reply.GetVersion(), incarnation: p.gate.incarnation}
+	p.own = ownRow{version: reply.GetVersion(), incarnation: p.gate.incarnation, isWritten: true}
 	p.gate.log.Info("row_written_again", "topic", TopicInstances.String(), "epoch", p.gate.source.Epoch())
 }
 
--- a/loomgate/peer_rows_test.go
+++ b/loomgate/peer_rows_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
+	"google.golang.org/grpc/connectivity"
 	"gotest.tools/v3/assert"
 
 	"swiftloom/loompb"
@@ -113,3 +116,71 @@
 		}
 	}
 }
+
+// TestPeerIsKeptBesideOddRow guards against a peer that can't be called any more after a row
+// that no instance can have written.
+func TestPeerIsKeptBesideOddRow(t *testing.T) {
+	tests := []struct {
+		name  string
+		value string
+	}{
+		{"not JSON", "{"},
+		{"null", "null"},
+		{"nested", strings.Repeat("[", 20_000)},
+		{"port out of range", `{"address":"127.0.0.1:99999","incarnation":1}`},
+		{"port zero", `{"address":"127.0.0.1:0","incarnation":1}`},
+		{"control character", `{"address":"\u0000","incarnation":1}`},
+		{"escape", `{"address":"%zz","incarnation":1}`},
+		{"no address", `{"incarnation":1}`},
+		{"incarnation too large for its type", `{"address":"127.0.0.1:1","incarnation":123456789012345678901}`},
+		{"largest incarnation", `{"address":"127.0.0.1:1","incarnation":18446744073709551615}`},
+		{"capacity too large", `{"address":"127.0.0.1:1","incarnation":1,"processor_cores":1e400}`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := newTestGate(t, "a", newFakeSource(), &fakeRunner{})
+			t.Cleanup(g.peers.closeAll)
+			now := time.Now()
+			g.peers.applyPage(now, page(1, row("instances/b", `{"address":"127.0.0.1:2","failure_domain":"d","incarnation":7}`, 1)))
+			g.peers.applyPage(now, page(2, row("instances/b", tt.value, 2)))
+			b := g.peers.byID["b"]
+			assert.Equal(t, b.row, instanceRow{Address: "127.0.0.1:2", FailureDomain: "d", Incarnation: 7})
+			assert.Check(t, b.conn.GetState() != connectivity.Shutdown)
+		})
+	}
+}
+
+// TestReplacedInstanceRowIsWrittenAgain guards against an instance that no other can find
+// since another writer has replaced its row.
+func TestReplacedInstanceRowIsWrittenAgain(t *testing.T) {
+	s := newFakeSource()
+	g := newTestGate(t, "a", s, &fakeRunner{})
+	g.settings.PeerAddress = "127.0.0.1:3"
+	read := func() Page {
+		r := s.rows["instances/a"]
+		return page(s.version, Row{Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion()})
+	}
+	replace := func(value string) {
+		_, err := s.Transact(t.Context(), &loompb.TransactRequest{Writes: []*loompb.Write{{Key: "instances/a", Value: []byte(value)}}})
+		assert.NilError(t, err)
+	}
+	follow := func() string {
+		g.peers.applyPage(time.Now(), read())
+		g.peers.announceAgain(t.Context())
+		return string(read().Rows[0].Value)
+	}
+	g.peers.announce(t.Context())
+	own := string(read().Rows[0].Value)
+	version := s.version
+	for range 3 {
+		assert.Equal(t, follow(), own)
+	}
+	assert.Equal(t, s.version, version, "a sound row is written again")
+	for _, value := range []string{"{", "null", `{"address":"127.0.0.1:99999"}`, strings.Replace(own, ":3", ":4", 1), `{"address":"127.0.0.1:4","incarnation":1}`} {
+		replace(value)
+		assert.Check(t, follow() == own, "%s stays", value)
+	}
+	later := fmt.Sprintf(`{"address":"127.0.0.1:4","incarnation":%d}`, g.incarnation+1)
+	replace(later)
+	assert.Check(t, follow() == later, "the row of a later incarnation is replaced")
+}
--- a/loomgate/peers.go
+++ b/loomgate/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -39,6 +40,25 @@
 	ProcessorCores float64 `json:"processor_cores"`
 }
 
+// maxIncarnation is the largest integer that JSON numbers hold exactly.
+const maxIncarnation = 1 << 53
+
+// decodeInstanceRow decodes the row of an instance. A row that no instance can have written
+// is an error.
+func decodeInstanceRow(row Row) (instanceRow, error) {
+	var r instanceRow
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return instanceRow{}, errors.Annotate(err, "decode instance row")
+	}
+	if address, err := netip.ParseAddrPort(r.Address); err != nil || address.Port() == 0 {
+		return instanceRow{}, errors.NotValidf("instance row with address %q, want an IP address and a port", r.Address)
+	}
+	if r.Incarnation > maxIncarnation {
+		return instanceRow{}, errors.NotValidf("instance row with incarnation %d (maximum %d)", r.Incarnation, uint64(maxIncarnation))
+	}
+	return r, nil
+}
+
 // peers exchanges loads, placements and row versions with other instances.
 type peers struct {
 	gate   *Gate
@@ -145,7 +165,7 @@
 		case err == nil:
 			p.gate.view.recordAnswer(sentAt, time.Now())
 			if full {
-				p.own = ownRow{mayBeLost: p.isNewEpoch(page)}
+				p.own = ownRow{mayBeLost: p.isNewEpoch(page), isWritten: p.own.isWritten}
 			}
 			p.gate.view.applyNamedRows(time.Now(), page, full)
 			p.gate.quarantine.applyRows(time.Now(), page, full)
@@ -242,7 +262,7 @@
 			continue
 		}
 		if id == p.gate.settings.ID {
-			p.own = p.own.with(row)
+			p.own = p.own.with(row, p.ownRow())
 			continue
 		}
 		p.applyRow(now, id, row, isNewEpoch)
@@ -272,22 +292,22 @@
 		}
 		return
 	}
-	var r instanceRow
-	if err := json.Unmarshal(row.Value, &r); err != nil {
+	r, err := decodeInstanceRow(row)
+	if err != nil {
 		p.gate.unreadable.record(now, TopicInstances, row, err)
 		return
 	}
 	if known && (old.row == r || (isNewEpoch && r.Incarnation < old.row.Incarnation)) {
 		return
 	}
-	if known {
-		old.close()
-	}
 	conn, err := loomplatform.Dial(r.Address, nil, grpc.WithReadBufferSize(peerBufferBytes), grpc.WithWriteBufferSize(peerBufferBytes))
 	if err != nil {
 		p.gate.log.Warn("peer_unreachable", "peer", id, "cause", err.Error())
 		return
 	}
+	if known {
+		old.close()
+	}
 	p.byID[id] = &peer{id: id, row: r, conn: conn, client: loompb.NewGatePeerClient(conn)}
 	p.gate.log.Info("peer_found", "peer", id, "address", r.Address, "incarnation", r.Incarnation)
 }
