Check the times in the rows about target versions

What callers saw: with an odd row about a model's target versions, all prompts for the model were refused, since no upstream counted as up to date, until other weights were named.

Cause: a number of milliseconds was multiplied to nanoseconds without a check, so that a large one became a time long ago, as did one below zero. A version that operators never named counted as a target: the weights that they had named expired.

Now a time must be one that the platform's clock can have shown, and the row says when versions were named, not which: what the catalogue doesn't name is left out once the catalogue has been read, and counts when the catalogue names it.

--- a/loomgate/view.go
+++ b/loomgate/view.go
@@ -440,7 +440,9 @@
 	case TargetVersionSet:
 		if c.Version > v.targets[c.Model] {
 			v.targets[c.Model] = c.Version
+			v.named[c.Model] = v.named[c.Model].upTo(c.Version)
 			v.recordNamed(now, c.Model, namedVersion{version: c.Version, namedAt: now}, "catalogue")
+			v.applyNamedTimes(now, c.Model)
 			v.gate.rollout.wake()
 		}
 	case UpstreamListed:
--- a/loomgate/weights.go
+++ b/loomgate/weights.go
@@ -43,6 +43,15 @@
 	return h
 }
 
+// upTo returns the versions up to the given one.
+func (h namedVersions) upTo(version uint64) namedVersions {
+	n := 0
+	for n < len(h) && h[n].version <= version {
+		n++
+	}
+	return h[:n:n]
+}
+
 // after returns the first version after the given one, or false if there is none.
 func (h namedVersions) after(version uint64) (namedVersion, bool) {
 	for _, n := range h {
--- a/loomgate/weights_row.go
+++ b/loomgate/weights_row.go
@@ -69,11 +69,21 @@
 		v.gate.unreadable.record(now, TopicInstances, row, err)
 	}
 	v.namedRows[model] = r
+	v.applyNamedTimes(now, model)
+}
+
+// applyNamedTimes records the times in the row about a model. Which versions were named is in
+// the catalogue, once that has been read. The caller holds mu.
+func (v *clusterView) applyNamedTimes(now time.Time, model string) {
 	clock, ok := v.gate.source.Clock(now)
 	if !ok {
 		return
 	}
-	for _, e := range r.Versions {
+	target, isRead := v.targets[model]
+	for _, e := range v.namedRows[model].Versions {
+		if e.Version == 0 || (isRead && e.Version > target) || !clock.canBePast(e.NamedMs, v.gate.settings.OldWeightsTTL) {
+			continue
+		}
 		namedAt := clock.localTime(time.Duration(e.NamedMs) * time.Millisecond)
 		v.recordNamed(now, model, namedVersion{version: e.Version, namedAt: namedAt}, "platform")
 	}
--- a/loomgate/weights_row_test.go
+++ b/loomgate/weights_row_test.go
@@ -1,6 +1,7 @@
 package loomgate
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -103,3 +104,40 @@
 		assert.Assert(t, !local.After(at) && !local.Before(at.Add(-delay)))
 	})
 }
+
+// TestOddNamedTimeExpiresNoWeights guards against a row about target versions after which no
+// upstream counts as up to date.
+func TestOddNamedTimeExpiresNoWeights(t *testing.T) {
+	tests := []struct {
+		name  string
+		value string
+	}{
+		{"first time", `{"versions":[{"version":2,"named_ms":-9223372036854775808}]}`},
+		{"last time", `{"versions":[{"version":2,"named_ms":9223372036854775807}]}`},
+		{"time that overflows", `{"versions":[{"version":2,"named_ms":9223372036855}]}`},
+		{"time long before the clock's start", `{"versions":[{"version":2,"named_ms":-9223372036854}]}`},
+		{"version zero", `{"versions":[{"version":0,"named_ms":1}]}`},
+		{"largest version", `{"versions":[{"version":18446744073709551615,"named_ms":1}]}`},
+		{"version that was not named", `{"versions":[{"version":3,"named_ms":1}]}`},
+		{"other types", `{"versions":{"version":"3"}}`},
+	}
+	for _, tt := range tests {
+		for _, isReadFirst := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, read first %t", tt.name, isReadFirst), func(t *testing.T) {
+				g := newTestGate(t, "a", newFakeSource(), &fakeRunner{})
+				now := time.Now()
+				readRow := func() { g.view.applyNamedRows(now, page(3, row("weights/m", tt.value, 3)), true) }
+				if isReadFirst {
+					readRow()
+				}
+				g.view.apply(now, TopicCatalogue, page(2, row("v", "weights 2", 2)), true)
+				if !isReadFirst {
+					readRow()
+				}
+				assert.Check(t, !g.view.weightsExpired(now, 0, "m", 2), "the target version has expired")
+				assert.Check(t, !g.view.weightsExpired(now, time.Second, "m", 1), "the version before has expired")
+				assert.Check(t, g.view.weightsExpired(now, g.settings.OldWeightsTTL, "m", 1))
+			})
+		}
+	}
+}
