Replace an unreadable quarantine row, and bound the writes of rows

What callers saw: nothing at once; instances called the platform's store in vain each half second, and a quarantine was not known any more after all instances had started again.

Cause: the version of an unreadable row was not kept, so that the write that was to replace it stated none and failed each time. Rows that stand for no known quarantine were deleted all in one go, and counted against the bound on rows, so that many odd ones kept others from being written.

Now an unreadable row is kept as such with its version: it is replaced by the row of the quarantine with its key, is not counted, and is never deleted. Counts below zero or above the largest 32-bit number make a row unreadable. At most eight rows are deleted after one comparison.

Evidence: TestOddQuarantineRowIsReplaced failed on the code before: "{" and "[]" stayed and were written again and again, and 128 writes were due where one is. It passes now.

--- a/loomgate/quarantine_row.go
+++ b/loomgate/quarantine_row.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -20,6 +21,8 @@
 	quarantineKeyPrefix = "quarantine/"
 	// maxQuarantineRows bounds the rows.
 	maxQuarantineRows = 64
+	// maxRowWrites bounds the writes after one comparison.
+	maxRowWrites = 8
 	// quarantineRowInterval is the time between two comparisons of the rows with what this
 	// instance knows.
 	quarantineRowInterval = 500 * time.Millisecond
@@ -38,6 +41,8 @@
 	IsCertain bool     `json:"is_certain"`
 	// position is that of the row, or zero if there is none.
 	position uint64
+	// isUnreadable is set if the row holds no quarantine.
+	isUnreadable bool
 }
 
 func newQuarantineRow(q loomquarantine.Quarantine) quarantineRow {
@@ -52,7 +57,7 @@
 
 // isOutdated reports whether the row lacks what an instance knows of the same quarantine.
 func (r quarantineRow) isOutdated(q loomquarantine.Quarantine) bool {
-	return r.position == 0 || q.Trials > r.Trials || q.Version > r.Version
+	return r.position == 0 || r.isUnreadable || q.Trials > r.Trials || q.Version > r.Version
 }
 
 // quarantineRowKey returns the key of the row about a quarantine.
@@ -81,9 +86,10 @@
 		delete(q.rows, row.Key)
 		return
 	}
-	r := quarantineRow{position: row.Version}
-	if err := json.Unmarshal(row.Value, &r); err != nil {
+	r, err := decodeQuarantineRow(row)
+	if err != nil {
 		q.gate.unreadable.record(now, TopicInstances, row, err)
+		q.rows[row.Key] = quarantineRow{position: row.Version, isUnreadable: true}
 		return
 	}
 	_, isKnown := q.rows[row.Key]
@@ -93,6 +99,21 @@
 	}
 }
 
+// maxQuarantineCount bounds the counts in a row.
+const maxQuarantineCount = math.MaxInt32
+
+// decodeQuarantineRow decodes a row that exists.
+func decodeQuarantineRow(row Row) (quarantineRow, error) {
+	r := quarantineRow{position: row.Version}
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return quarantineRow{}, errors.Annotate(err, "decode quarantine row")
+	}
+	if r.Ends < 0 || r.Ends > maxQuarantineCount || r.Trials < 0 || r.Trials > maxQuarantineCount {
+		return quarantineRow{}, errors.NotValidf("quarantine row with %d ends and %d trials (maximum %d)", r.Ends, r.Trials, maxQuarantineCount)
+	}
+	return r, nil
+}
+
 // writerRank returns how many live instances are to write the row of an entry, or to try it,
 // before this one.
 func (q *quarantine) writerRank(entry loomquarantine.Quarantine) int {
@@ -131,12 +152,13 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	var writes []*loompb.TransactRequest
+	n := q.readableRows()
 	current := make(map[string]bool)
 	for _, known := range q.ledger.Quarantines() {
 		key := quarantineRowKey(known)
 		current[key] = true
 		row := q.rows[key]
-		if !row.isOutdated(known) || len(q.rows) >= maxQuarantineRows {
+		if !row.isOutdated(known) || n >= maxQuarantineRows {
 			delete(q.dueAt, key)
 			continue
 		}
@@ -151,13 +173,24 @@
 		writes = append(writes, newRowWrite(row.position, &loompb.Write{Key: key, Value: value}))
 	}
 	for key, row := range q.rows {
-		if !current[key] && q.isDue(now, key, row.quarantine(now)) {
+		if !current[key] && !row.isUnreadable && len(writes) < maxRowWrites && q.isDue(now, key, row.quarantine(now)) {
 			writes = append(writes, newRowWrite(row.position, &loompb.Write{Key: key, Delete: true}))
 		}
 	}
 	return writes
 }
 
+// readableRows returns the number of rows that hold a quarantine. The caller holds mu.
+func (q *quarantine) readableRows() int {
+	n := 0
+	for _, row := range q.rows {
+		if !row.isUnreadable {
+			n++
+		}
+	}
+	return n
+}
+
 // isDue reports whether this instance is to write a row now. The one that ranks first does so
 // at once, each other one if those before it have not. The caller holds mu.
 func (q *quarantine) isDue(now time.Time, key string, known loomquarantine.Quarantine) bool {
