--- a/loomgate/peers.go
+++ b/loomgate/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/netip"
 	"slices"
@@ -47,7 +46,7 @@
 // is an error.
 func decodeInstanceRow(row Row) (instanceRow, error) {
 	var r instanceRow
-	if err := json.Unmarshal(row.Value, &r); err != nil {
+	if err := row.Unmarshal(&r); err != nil {
 		return instanceRow{}, errors.Annotate(err, "decode instance row")
 	}
 	if address, err := netip.ParseAddrPort(r.Address); err != nil || address.Port() == 0 {
--- a/loomgate/quarantine_row.go
+++ b/loomgate/quarantine_row.go
@@ -105,7 +105,7 @@
 // decodeQuarantineRow decodes a row that exists.
 func decodeQuarantineRow(row Row) (quarantineRow, error) {
 	r := quarantineRow{position: row.Version}
-	if err := json.Unmarshal(row.Value, &r); err != nil {
+	if err := row.Unmarshal(&r); err != nil {
 		return quarantineRow{}, errors.Annotate(err, "decode quarantine row")
 	}
 	if r.Ends < 0 || r.Ends > maxQuarantineCount || r.Trials < 0 || r.Trials > maxQuarantineCount {
--- a/loomgate/source.go
+++ b/loomgate/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/juju/errors"
@@ -52,6 +53,16 @@
 	// of any row, and when the platform's table returns from an older copy.
 	Version uint64
 	Deleted bool
+	// DroppedBytes is the size of a value that was too large to be kept, or zero.
+	DroppedBytes int
+}
+
+// Unmarshal decodes the JSON value of the row into v.
+func (r Row) Unmarshal(v any) error {
+	if r.DroppedBytes > 0 {
+		return errors.NotValidf("row with a value of %d bytes", r.DroppedBytes)
+	}
+	return errors.Trace(json.Unmarshal(r.Value, v))
 }
 
 // Page is a result of the platform: changes in order, or all rows of a topic.
--- a/loomgate/weights_row.go
+++ b/loomgate/weights_row.go
@@ -65,7 +65,7 @@
 		return
 	}
 	r := namedRow{position: row.Version}
-	if err := json.Unmarshal(row.Value, &r); err != nil {
+	if err := row.Unmarshal(&r); err != nil {
 		v.gate.unreadable.record(now, TopicInstances, row, err)
 	}
 	v.namedRows[model] = r
