Cut a stream of the completions API that fails after its first token

What callers saw: a stream whose engine failed and was not resumed ended with an event that holds the error, and then properly: the last chunk came, so that the response looked complete to whoever doesn't read the events.

Cause: completionBody.WriteTo returned no error after the error event, so the server ended the response.

Now it returns the error; the server flushes what was written and breaks the connection. The error event, which holds the instance's own message and no text of the engine, stays the last event.

Evidence: TestFailedStreamIsCut plays engines that fail, break off, and are resumed, in front of the generated server, as a stream and as a whole body; eight of its cases, all streams that had begun, failed on the code before and pass now. No text of an engine's error reached a caller on either. Whole bodies were right before.

--- a/loominstance/response.go
+++ b/loominstance/response.go
@@ -188,7 +188,8 @@
 
 // WriteTo implements io.WriterTo. A stream has one server-sent event for each
 // token, followed by an event with the usage. An error is sent as the last
-// event, because the HTTP status has been sent by then.
+// event, because the HTTP status has been sent by then. It is also returned, so
+// that the server breaks the connection and the response doesn't look complete.
 func (b *completionBody) WriteTo(w io.Writer) (int64, error) {
 	if b.run == nil {
 		n, err := w.Write(b.data)
@@ -207,7 +208,7 @@
 			run.dispatch.instance.metrics.recordFailure(loomerror.From(err).Kind())
 			run.finish(err, nil)
 			events.writeEvent(streamError{Error: newErrorBody(b.writer.requestID, loomerror.From(err))})
-			return events.n, nil
+			return events.n, err
 		}
 	}
 	whole := b.writer.completeObject(text.String(), run)
