Cut a stream whose continuation reports an error

What callers saw: a resumable stream broke off, and another upstream continued it with status 200 and an error event: after the next event and without an ID, or with the next ID. The event's text reached the caller in the middle of the stream, which then ended as if it were complete.

Cause: only the first event of a continuation had to have an integer ID, and the type of an event was not looked at.

Now every event of a continuation of a stream with integer IDs must have one (loomstream.Sequence), and an event of the type error breaks it. The caller's stream is cut, as with any other failed continuation. An error event in the stream of the first upstream is part of that upstream's body and is passed on as before.

--- a/loomgate/relay.go
+++ b/loomgate/relay.go
@@ -185,6 +185,10 @@
 	}
 }
 
+// errorEvent is the type of events by which upstreams report that they failed. It may be
+// part of an upstream's own stream, but doesn't continue that of another.
+const errorEvent = "error"
+
 // relayStream relays the events of a stream as they arrive, each only once it
 // is complete.
 func (d *dispatch) relayStream(ctx context.Context, reply *loomupstream.Reply) loomstream.Action {
@@ -209,7 +213,11 @@
 			return d.handleAttemptError(ctx, &loomupstream.SendError{Delivered: true, Cause: err})
 		}
 		d.gate.fleet.RecordReceived(now, d.upstream.ID)
-		if err := d.sequence.Add(event.ID); err != nil {
+		err = d.sequence.Add(event.ID)
+		if isContinuation && event.Type == errorEvent {
+			err = errors.Errorf("continuation of a stream holds an event of type %q", event.Type)
+		}
+		if err != nil {
 			d.cause = err.Error()
 			d.gate.metrics.streamEnded(d.req.group.Name, streamEndOther)
 			d.gate.fleet.RecordFailure(now, d.upstream.ID)
--- a/loomstream/events.go
+++ b/loomstream/events.go
@@ -21,6 +21,8 @@
 	Raw []byte
 	// ID is the value of the id field, or empty if the event has none.
 	ID string
+	// Type is the value of the event field, or empty if the event has none.
+	Type string
 }
 
 // Text returns the unmodified text of the event with the comments before it.
@@ -82,6 +84,8 @@
 		case "id":
 			record.ID = string(bytes.TrimPrefix(value, []byte(" ")))
 			isEvent = true
+		case "event":
+			record.Type = string(bytes.TrimPrefix(value, []byte(" ")))
 		case "data":
 			isEvent = true
 		}
--- a/loomstream/sequence.go
+++ b/loomstream/sequence.go
@@ -8,8 +8,9 @@
 
 // Sequence checks the order of a stream's events by their IDs, across all attempts.
 // IDs that are integers must increase, and the first event of a further attempt
-// must be the next one if all IDs so far were consecutive. Other IDs can't be
-// ordered; they must differ from the one before. It is not safe for concurrent use.
+// must be the next one if all IDs so far were consecutive. All events of a further
+// attempt after an integer must have an integer. Other IDs can't be ordered; they must
+// differ from the one before. It is not safe for concurrent use.
 type Sequence struct {
 	// lastID is the ID of the last event, or empty if that event had none.
 	lastID string
@@ -17,8 +18,9 @@
 	hasEvents bool
 	// hasGap is set once the IDs are known not to be consecutive integers.
 	hasGap bool
-	// isResumed is set until the first event of a further attempt.
-	isResumed bool
+	// isResumed is set until the first event of a further attempt, and isContinued from
+	// that attempt on.
+	isResumed, isContinued bool
 }
 
 // NewSequence returns the sequence of a stream that the caller resumes after the event
@@ -44,6 +46,7 @@
 // Resume begins a further attempt, which must continue after the last event.
 func (s *Sequence) Resume() {
 	s.isResumed = s.hasEvents
+	s.isContinued = s.hasEvents
 }
 
 // Add adds the ID of the next event, which may be empty. The error says which event
@@ -59,7 +62,9 @@
 		isNext = isInteger
 	case id == s.lastID, areIntegers && next < last:
 		return errors.NotValidf("event %q after event %q", id, s.lastID)
-	case s.isResumed && (!areIntegers || !s.hasGap && !isNext):
+	case s.isContinued && !areIntegers:
+		return errors.NotValidf("event %q after event %q of a stream that was resumed", id, s.lastID)
+	case s.isResumed && !s.hasGap && !isNext:
 		return errors.NotValidf("event %q as the first one of a stream that was resumed after event %q", id, s.lastID)
 	}
 	s.hasGap = s.hasGap || !isNext
--- a/loomstream/sequence_test.go
+++ b/loomstream/sequence_test.go
@@ -26,6 +26,8 @@
 		{"from the last event on", "", []string{"1", "2"}, []string{"2", "3"}, 0, "2"},
 		{"event missing", "", []string{"1", "2"}, []string{"4"}, 0, "2"},
 		{"event without ID", "", []string{"1", "2"}, []string{""}, 0, "2"},
+		{"event without ID after the next one", "", []string{"1", "2"}, []string{"3", ""}, 1, "3"},
+		{"other ID after the next one", "", []string{"1", "2"}, []string{"3", "a"}, 1, "3"},
 		{"IDs with gaps", "", []string{"10", "20"}, []string{"30", "25"}, 1, "30"},
 		{"repeats within an attempt", "", []string{"1"}, []string{"2", "2"}, 1, "2"},
 		{"other IDs", "", []string{"a", "b"}, []string{"c"}, 0, "b"},
