--- a/loomgate/source.go
+++ b/loomgate/source.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/juju/errors"
@@ -52,6 +53,16 @@
 	// of any row, and when the platform's table returns from an older copy.
 	Version uint64
 	Deleted bool
+	// DroppedBytes is the size of a value that was too large to be kept, or zero.
+	DroppedBytes int
+}
+
+// Unmarshal decodes the JSON value of the row into v.
+func (r Row) Unmarshal(v any) error {
+	if r.DroppedBytes > 0 {
+		return errors.NotValidf("row with a value of %d bytes", r.DroppedBytes)
+	}
+	return errors.Trace(json.Unmarshal(r.Value, v))
 }
 
 // Page is a result of the platform: changes in order, or all rows of a topic.
@@ -107,6 +118,12 @@
 	return c.From.Add(d - c.Time)
 }
 
+// canBePast reports whether the platform's clock can have shown a number of milliseconds. A
+// time before the clock's start is one of at most an age before it.
+func (c ClockReading) canBePast(ms int64, age time.Duration) bool {
+	return ms >= -age.Milliseconds() && ms <= c.Time.Milliseconds()
+}
+
 // Change is the decoded content of a row. It is one of RoutingChanged,
 // TargetVersionSet, UpstreamListed and UpstreamRemoved.
 type Change interface {
