Send no request on the connection of a refusal

Callers were told that a request has not run though it had, or it ran twice. The same happened to calls of plain services.

Cause: a runner that writes a refusal once more on a kept connection is believed. The request ID tells the copy from the refusal of another request, but not from one of the same request, which is often sent again on the same connection, and not if it has none. http.Transport hands a connection on as soon as the head of a response without a body is read, before the caller has seen what it says; those with a body were closed only since the body was left unread.

loomhttp.Transport now checks each response before the next request may be written on its connection, and closes the connection after a refusal and after the response to another request. The first refusal on a connection is then the only one and belongs to the latest request. A request that got the connection in between is sent on another one; nothing of it was written. A service's response with the ID of another call is an error.

--- /dev/null
+++ b/loomhttp/conn.go
@@ -0,0 +1,152 @@
+package loomhttp
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+)
+
+// Conn is a connection of a Transport. http.Transport passes a connection on to the next
+// request before the caller has seen a response without a body, so a Conn makes that request
+// wait until the response has been checked.
+type Conn struct {
+	net.Conn
+	// checked holds a value while no request waits for its response to be checked.
+	checked chan struct{}
+	// written counts the bytes passed to Write.
+	written atomic.Int64
+	// isSpent is set once no further request may be written.
+	isSpent atomic.Bool
+}
+
+func newConn(c net.Conn) *Conn {
+	conn := &Conn{Conn: c, checked: make(chan struct{}, 1)}
+	conn.checked <- struct{}{}
+	return conn
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(b []byte) (int, error) {
+	c.written.Add(int64(len(b)))
+	return c.Conn.Write(b)
+}
+
+// Written returns the number of bytes passed to Write. If a request leaves it unchanged, no
+// part of the request can have reached the peer.
+func (c *Conn) Written() int64 {
+	return c.written.Load()
+}
+
+// IsSpent reports whether no further request may be written.
+func (c *Conn) IsSpent() bool {
+	return c.isSpent.Load()
+}
+
+// begin waits until the response to the earlier request was checked, and reports whether
+// the connection may carry another one. The wait is short: the round trip of the earlier
+// request is about to return.
+func (c *Conn) begin() bool {
+	<-c.checked
+	if c.IsSpent() {
+		// http.Transport is going to write the request all the same.
+		_ = c.Close()
+		c.checked <- struct{}{}
+		return false
+	}
+	return true
+}
+
+// end follows the check of a response.
+func (c *Conn) end(mayReuse bool) {
+	if !mayReuse {
+		c.isSpent.Store(true)
+	}
+	c.checked <- struct{}{}
+}
+
+// spentBody is the body of the last response on a connection.
+type spentBody struct {
+	io.ReadCloser
+	conn *Conn
+}
+
+// Close implements io.Closer. It also closes the connection.
+func (b spentBody) Close() error {
+	err := b.ReadCloser.Close()
+	_ = b.conn.Close()
+	return err
+}
+
+// roundTrip is one use of a connection. The zero value has none.
+type roundTrip struct {
+	conn *Conn
+	// foundSpent is set if the connection was spent before the request was written.
+	foundSpent bool
+}
+
+// gotConn is the httptrace.ClientTrace.GotConn hook. http.Transport calls it again when it
+// repeats a request by itself.
+func (t *roundTrip) gotConn(info httptrace.GotConnInfo) {
+	t.finish(false)
+	conn, ok := info.Conn.(*Conn)
+	if !ok {
+		return
+	}
+	if t.foundSpent = !conn.begin(); !t.foundSpent {
+		t.conn = conn
+	}
+}
+
+// finish ends the use of the connection, if there is one.
+func (t *roundTrip) finish(mayReuse bool) {
+	if t.conn != nil {
+		t.conn.end(mayReuse)
+	}
+	t.conn = nil
+}
+
+// finishResponse ends the use of the connection after the response w. A connection that may not be
+// used again is closed with the body.
+func (t *roundTrip) finishResponse(w *http.Response, mayReuse bool) {
+	conn := t.conn
+	t.finish(mayReuse)
+	switch {
+	case conn == nil || mayReuse:
+	case w.Body == http.NoBody:
+		_ = conn.Close()
+	default:
+		w.Body = spentBody{ReadCloser: w.Body, conn: conn}
+	}
+}
+
+// OneTimeBody is a request body that http.Transport can't rewind, so that it never repeats a
+// request by itself. A Transport of this package sends it anew if nothing was written.
+type OneTimeBody struct {
+	*bytes.Reader
+	data []byte
+}
+
+// NewOneTimeBody returns a body with data, which must not be changed.
+func NewOneTimeBody(data []byte) OneTimeBody {
+	return OneTimeBody{Reader: bytes.NewReader(data), data: data}
+}
+
+// Close implements io.Closer.
+func (OneTimeBody) Close() error { return nil }
+
+// rewound returns r with an unread body, or false if that can't be.
+func rewound(r *http.Request) (*http.Request, bool) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return r, true
+	}
+	body, ok := r.Body.(OneTimeBody)
+	if !ok {
+		return nil, false
+	}
+	again := *r
+	again.Body = NewOneTimeBody(body.data)
+	return &again, true
+}
--- a/loomhttp/transport.go
+++ b/loomhttp/transport.go
@@ -2,7 +2,10 @@
 package loomhttp
 
 import (
+	"context"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 
 	"github.com/juju/errors"
 )
@@ -13,26 +16,70 @@
 
 // Transport is an http.Transport that reads at most MaxHeaderBytes before the body of
 // a response, and that accepts no switch to another protocol: the transport would no
-// longer close the connection when the request's context ends.
+// longer close the connection when the request's context ends. It checks after which
+// responses a connection is used again. Its connections are of type *Conn.
 type Transport struct {
 	*http.Transport
+
+	mayReuse func(w *http.Response) bool
 }
 
-// NewTransport returns a Transport that uses t, which it changes.
-func NewTransport(t *http.Transport) Transport {
+// NewTransport returns a Transport that uses t, which it changes. A connection is used
+// again only after responses for which mayReuse returns true; it is called with the head of
+// each response.
+func NewTransport(t *http.Transport, mayReuse func(w *http.Response) bool) Transport {
 	t.MaxResponseHeaderBytes = MaxHeaderBytes
-	return Transport{Transport: t}
+	dial := t.DialContext
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return newConn(c), nil
+	}
+	return Transport{Transport: t, mayReuse: mayReuse}
 }
 
 // RoundTrip implements http.RoundTripper.
 func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	w, err := t.Transport.RoundTrip(r)
+	for {
+		w, foundSpent, err := t.roundTrip(r)
+		if !foundSpent {
+			return w, err
+		}
+		// Nothing was written, so a response on the connection is none to this request.
+		if err == nil {
+			_ = w.Body.Close()
+		}
+		var ok bool
+		if r, ok = rewound(r); !ok {
+			return nil, errors.New("connection was closed before the request was written")
+		}
+	}
+}
+
+// roundTrip sends r once. It returns true if the connection was spent and nothing was
+// written.
+func (t Transport) roundTrip(r *http.Request) (*http.Response, bool, error) {
+	var trip roundTrip
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: trip.gotConn})
+	w, err := t.Transport.RoundTrip(r.WithContext(ctx))
+	if trip.foundSpent {
+		return w, true, err
+	}
 	if err != nil {
-		return nil, err
+		trip.finish(false)
+		return nil, false, err
 	}
+	w.Request = r
 	if w.StatusCode == http.StatusSwitchingProtocols {
+		trip.finish(false)
 		_ = w.Body.Close()
-		return nil, errors.NotValidf("response with status %d", w.StatusCode)
+		return nil, false, errors.NotValidf("response with status %d", w.StatusCode)
 	}
-	return w, nil
+	trip.finishResponse(w, t.mayReuse(w))
+	return w, false, nil
 }
--- a/loomupstream/service.go
+++ b/loomupstream/service.go
@@ -1,7 +1,6 @@
 package loomupstream
 
 import (
-	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -26,6 +25,8 @@
 	// maxBodyBytes is the size of the largest response body. A larger one is an
 	// error, since a part of it can't be told from the whole.
 	maxBodyBytes = 8 << 20
+	// headerRequestID carries the request ID of a call.
+	headerRequestID = "X-Request-Id"
 )
 
 // Call is one call to a plain service, sent as an HTTP POST.
@@ -73,7 +74,7 @@
 		MaxIdleConnsPerHost: maxIdlePerUpstream,
 		IdleConnTimeout:     idleTimeout,
 		DialContext:         func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
-	})
+	}, mayReuse)
 	return &Services{dial: dial, client: &http.Client{
 		Transport: transport,
 		// A redirected call would be an attempt that the caller of Do does not count.
@@ -93,15 +94,20 @@
 func (s *Services) Do(ctx context.Context, address string, c Call) (Outcome, error) {
 	var delivered atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { delivered.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			conn, ok := info.Conn.(*loomhttp.Conn)
+			delivered.Store(!ok || !conn.IsSpent())
+		},
 	})
 	url := "http://" + address + "/" + strings.TrimPrefix(c.Path, "/")
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(c.Body))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, http.NoBody)
 	if err != nil {
 		return Outcome{}, errors.Annotate(err, "create service request")
 	}
-	r.GetBody = nil
-	r.Header.Set("X-Request-Id", c.RequestID)
+	if len(c.Body) > 0 {
+		r.Body, r.ContentLength = loomhttp.NewOneTimeBody(c.Body), int64(len(c.Body))
+	}
+	r.Header.Set(headerRequestID, c.RequestID)
 	if c.ContentType != "" {
 		r.Header.Set("Content-Type", c.ContentType)
 	}
@@ -110,6 +116,9 @@
 		return Outcome{Delivered: delivered.Load()}, errors.Annotate(err, "call service")
 	}
 	defer func() { _ = w.Body.Close() }()
+	if !isOwn(w) {
+		return Outcome{Delivered: true}, errors.NotValidf("response to call %q, want one to %q", w.Header.Get(headerRequestID), c.RequestID)
+	}
 	body, err := loomhttp.ReadAll(NewBody(ctx, w, s.dial, address), w.ContentLength, maxBodyBytes)
 	if err != nil {
 		return Outcome{Delivered: true}, errors.Annotate(err, "read service response")
@@ -119,6 +128,24 @@
 		ContentType: w.Header.Get("Content-Type"),
 		Body:        body,
 		Delivered:   true,
-		Refused:     w.StatusCode == http.StatusServiceUnavailable && w.Header.Get("X-Not-Run") == "true",
+		Refused:     isRefusal(w),
 	}, nil
 }
+
+// isRefusal reports whether w states that the service did not run the call.
+func isRefusal(w *http.Response) bool {
+	return w.StatusCode == http.StatusServiceUnavailable && w.Header.Get("X-Not-Run") == "true"
+}
+
+// isOwn reports whether w can be the response to its call. Services need not send the
+// request ID back.
+func isOwn(w *http.Response) bool {
+	id := w.Header.Get(headerRequestID)
+	return id == "" || id == w.Request.Header.Get(headerRequestID)
+}
+
+// mayReuse reports whether the connection of w may carry another call. A refusal that is
+// written again couldn't be told from one of a later call.
+func mayReuse(w *http.Response) bool {
+	return !isRefusal(w) && isOwn(w)
+}
