Ignore events of a store that arrive once more

A response to an earlier event watch of a store that arrived late for the next watch brought back parts that the store had removed since, set the position back and the shared clock, from which the deadlines of fetches follow. The next events put it right.

A watch that continues at a position gets only later events, so events that end at or before it belong to an earlier response; they are ignored, with a line events_repeated. TestRepeatedEventsOfStoreAreIgnored failed and passes. An engine's events are still applied twice: an estimate of what it caches, which its next answer corrects.

--- a/loomgate/free_test.go
+++ b/loomgate/free_test.go
@@ -160,3 +160,23 @@
 		assert.Assert(t, deadline > clock && deadline < clock+freeDelay, "fetch for %s of work until %s", compute, deadline-clock)
 	}
 }
+
+// TestRepeatedEventsOfStoreAreIgnored guards against a response to an earlier watch that
+// arrives again and brings back parts that the store has removed since.
+func TestRepeatedEventsOfStoreAreIgnored(t *testing.T) {
+	g := newTestGate(t, "a", newFakeSource(), &fakeRunner{})
+	now := time.Now()
+	g.stores.index.SetStores([]loomcache.StoreClass{{Address: "s", Capacity: 1000}})
+	part := loomupstream.KVEvent{Part: loomupstream.KVPart{Salt: "m/1", ID: "part"}, Tokens: 100}
+	stored := loomupstream.KVEvents{Epoch: 1, Next: 2, Events: []loomupstream.KVEvent{part}, Clock: time.Second}
+	part.Gone = true
+	removed := loomupstream.KVEvents{Epoch: 1, Next: 3, Events: []loomupstream.KVEvent{part}, Clock: 2 * time.Second}
+	since := g.stores.applyEvents(now, "s", 0, stored)
+	since = g.stores.applyEvents(now, "s", since, removed)
+	deadline := g.stores.fetchDeadline(now, time.Millisecond)
+	since = g.stores.applyEvents(now, "s", since, stored)
+	assert.Equal(t, since, uint64(3))
+	assert.Equal(t, g.stores.fetchDeadline(now, time.Millisecond), deadline)
+	_, ok := g.stores.index.Source("m/1", PromptPart{ID: "part", Tokens: 100})
+	assert.Assert(t, !ok, "the store has removed the part")
+}
--- a/loomgate/stores.go
+++ b/loomgate/stores.go
@@ -279,6 +279,10 @@
 		s.index.SetEpoch(address, e.Epoch)
 		return 0
 	}
+	if len(e.Events) > 0 && e.Next <= since {
+		s.gate.log.Warn("events_repeated", "address", address, "since", since, "next", e.Next, "events", len(e.Events))
+		return since
+	}
 	s.index.SetEpoch(address, e.Epoch)
 	for _, event := range e.Events {
 		if event.Gone {
