Follow the orders of replaced weights to their end

Callers saw late and refused prompts after two sets of weights were named in four seconds: engines with the oldest weights had expired and stood idle before they were ordered to load new ones.

Cause: when newer weights were named, the holder of the lease forgot its orders in progress. An engine that was still loading the replaced weights, and one that had just loaded them, looked like one with the oldest weights and few requests, and was ordered first. Besides, an order of replaced weights was sent when newer ones were named while the lease was being renewed.

An order now counts until the engine has carried it out, whatever is the target; what the engine reports replaces what the order was planned for; and no order is sent for weights that are no longer the target.

TestReplacedOrderIsFollowedToItsEnd failed on the code before ("no order of version 3 to e3 in [e1 2, e2 3, e1 3]"), TestNoOrderOfReplacedWeights too (e1 was ordered version 2).

--- a/loomgate/rollout.go
+++ b/loomgate/rollout.go
@@ -270,16 +270,17 @@
 	e := loomfleet.Engine{ID: u.ID, Address: u.Address, Model: update.model, Version: u.Version(update.model)}
 	e.Usable = bootTime().Sub(r.unreportedAt[u.ID]) >= orderRetryDelay && r.gate.holdOffs.wait(now, u) == 0
 	e.Outstanding = r.gate.fleet.Estimate(now, u.ID, 0).Outstanding
-	if _, ok := r.orderTo(u, update); ok {
-		e.Loading = update.version
+	if o, ok := r.orderTo(u, update); ok {
+		e.Loading = o.version
 	}
 	return e
 }
 
-// orderTo returns the order to an engine that an update waits for, or false if there is none.
+// orderTo returns the order that an engine may be carrying out, or false if there is none. It
+// may be an order for weights that were replaced meanwhile: the engine loads them to the end.
 func (r *rollout) orderTo(u loommember.Upstream, update pendingUpdate) (*engineOrder, bool) {
 	o, ok := r.orders[u.ID]
-	return o, ok && o.upstream.Incarnation == u.Incarnation && o.version == update.version && u.Version(update.model) < update.version
+	return o, ok && o.upstream.Incarnation == u.Incarnation && o.model == update.model && u.Version(update.model) < o.version
 }
 
 // maxOrderBacklog is the time for which orders that were not sent are made up for at once.
@@ -371,10 +372,14 @@
 		r.gate.log.Warn("engine_unreported", "upstream", u.ID, "cause", err.Error())
 		return engineUnreported{upstream: u.ID, at: bootTime()}
 	}
-	if v := state.Version(o.Model); v >= o.Version {
+	if v := state.Version(o.Model); v > u.Version(o.Model) {
+		// The order was planned for older weights than the engine has.
 		r.gate.view.recordVersion(time.Now(), u.ID, u.Incarnation, o.Model, v)
 		return orderUnneeded{upstream: u.ID}
 	}
+	if r.gate.view.targetVersion(o.Model) > o.Version {
+		return orderUnneeded{upstream: u.ID}
+	}
 	now := bootTime()
 	token, held := r.lease.Held(now)
 	if state.Busy {
@@ -455,19 +460,27 @@
 		r.gate.log.Warn("engine_unreported", "upstream", o.upstream.ID, "cause", err.Error())
 	case state.Version(o.model) >= o.version:
 		r.setLoading(o.upstream.ID, o.upstream.Incarnation, o.version, false)
-		r.gate.view.recordVersion(time.Now(), o.upstream.ID, o.upstream.Incarnation, o.model, o.version)
+		r.gate.view.recordVersion(time.Now(), o.upstream.ID, o.upstream.Incarnation, o.model, state.Version(o.model))
 		return false
 	case state.Busy:
 		r.setLoading(o.upstream.ID, o.upstream.Incarnation, o.version, true)
 		return true
+	default:
+		// An order that was found in progress may be for older weights than o.version.
+		r.gate.view.recordVersion(time.Now(), o.upstream.ID, o.upstream.Incarnation, o.model, state.Version(o.model))
 	}
 	return now.Sub(o.sentAt) <= orderRetryDelay
 }
 
-// dropObsoleteOrders drops orders for versions that are no longer the target.
+// dropObsoleteOrders drops orders that are known to be complete, those to engines that were
+// started again, and those for replaced weights to engines that are gone.
 func (r *rollout) dropObsoleteOrders() {
 	for id, o := range r.orders {
-		if r.gate.view.targetVersion(o.model) != o.version {
+		u, ok := r.gate.view.upstream(id)
+		switch {
+		case !ok && r.gate.view.targetVersion(o.model) == o.version:
+		case ok && u.Incarnation == o.upstream.Incarnation && u.Version(o.model) < o.version:
+		default:
 			delete(r.orders, id)
 		}
 	}
