Count names that were given since the platform's clock was read

A reading of the clock may be 30 s old, and took a time after it for one that the clock can't have shown: an instance that got a name from a peer while the store was away would have counted the version's age from its own sight. The clock has gone on since. By reading; the case 'since the reading' of TestTimeSinceClockReadingCanBePast is false on that code.

--- a/loomgate/source.go
+++ b/loomgate/source.go
@@ -118,10 +118,11 @@
 	return c.From.Add(d - c.Time)
 }
 
-// canBePast reports whether the platform's clock can have shown a number of milliseconds. A
-// time before the clock's start is one of at most an age before it.
-func (c ClockReading) canBePast(ms int64, age time.Duration) bool {
-	return ms >= -age.Milliseconds() && ms <= c.Time.Milliseconds()
+// canBePast reports whether the platform's clock can have shown a number of milliseconds by
+// now. A time before the clock's start is one of at most an age before it.
+func (c ClockReading) canBePast(now time.Time, ms int64, age time.Duration) bool {
+	latest := c.Time + now.Sub(c.From)
+	return ms >= -age.Milliseconds() && ms <= latest.Milliseconds()
 }
 
 // Change is the decoded content of a row. It is one of RoutingChanged,
--- a/loomgate/weights_row.go
+++ b/loomgate/weights_row.go
@@ -81,7 +81,7 @@
 	}
 	target, isRead := v.targets[model]
 	for _, e := range v.namedRows[model].Versions {
-		if e.Version == 0 || (isRead && e.Version > target) || !clock.canBePast(e.NamedMs, v.gate.settings.OldWeightsTTL) {
+		if e.Version == 0 || (isRead && e.Version > target) || !clock.canBePast(now, e.NamedMs, v.gate.settings.OldWeightsTTL) {
 			continue
 		}
 		namedAt := clock.localTime(time.Duration(e.NamedMs) * time.Millisecond)
--- a/loomgate/weights_row_test.go
+++ b/loomgate/weights_row_test.go
@@ -141,3 +141,26 @@
 		}
 	}
 }
+
+// TestTimeSinceClockReadingCanBePast guards against a name that is left out since the clock was read
+// before it was given.
+func TestTimeSinceClockReadingCanBePast(t *testing.T) {
+	now := time.Now()
+	read := ClockReading{Time: 10 * time.Second, From: now.Add(-4 * time.Second), Until: now.Add(-3900 * time.Millisecond)}
+	tests := []struct {
+		name string
+		ms   int64
+		want bool
+	}{
+		{"before the reading", 9_000, true},
+		{"since the reading", 13_000, true},
+		{"later than now", 14_001, false},
+		{"an age before the clock's start", -12_000, true},
+		{"longer before the clock's start", -12_001, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			assert.Equal(t, read.canBePast(now, tt.ms, 12*time.Second), tt.want)
+		})
+	}
+}
