--- a/loomhttp/listener.go
+++ b/loomhttp/listener.go
@@ -30,7 +30,7 @@
 // may take over.
 type listener struct {
 	deadlineListener
-	conns *conns
+	conns *callerConns
 
 	isReplaced atomic.Bool
 	// drainUntil is the end of maxQueueTime in Unix nanoseconds, or zero before drain is called.
--- a/loomhttp/server.go
+++ b/loomhttp/server.go
@@ -22,7 +22,7 @@
 // Start, Replace and Shutdown must not be called concurrently.
 type Server struct {
 	listener deadlineListener
-	conns    *conns
+	conns    *callerConns
 	// accepting is the listener of the last of servers, the others of which go on with the
 	// connections that they have.
 	accepting *listener
@@ -38,7 +38,7 @@
 	if !ok {
 		return nil, errors.NotValidf("listener of type %T without SetDeadline", l)
 	}
-	return &Server{listener: d, conns: newConns(), ended: make(chan error, 1)}, nil
+	return &Server{listener: d, conns: newCallerConns(), ended: make(chan error, 1)}, nil
 }
 
 // Start serves new connections by h, whose Handler, ConnState and ConnContext it replaces by
@@ -129,7 +129,7 @@
 // unless that is nil, with the connection as the listener of the Server has accepted it.
 func withConn(next func(context.Context, net.Conn) context.Context) func(context.Context, net.Conn) context.Context {
 	return func(ctx context.Context, c net.Conn) context.Context {
-		accepted, ok := c.(*conn)
+		accepted, ok := c.(*callerConn)
 		if !ok {
 			return ctx
 		}
@@ -145,7 +145,7 @@
 // unless that is nil.
 func recordState(next func(net.Conn, http.ConnState)) func(net.Conn, http.ConnState) {
 	return func(c net.Conn, state http.ConnState) {
-		if accepted, ok := c.(*conn); ok {
+		if accepted, ok := c.(*callerConn); ok {
 			accepted.setState(state)
 		}
 		if next != nil {
@@ -157,7 +157,7 @@
 // serveOpen returns a handler that passes on the requests of connections that are open.
 func serveOpen(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*conn); ok && !c.isOpen() {
+		if c, ok := r.Context().Value(connKey{}).(*callerConn); ok && !c.isOpen() {
 			panic(http.ErrAbortHandler) //nolint:forbidigo // net/http offers no other way
 		}
 		next.ServeHTTP(w, r)
--- a/loomhttp/server_conn.go
+++ b/loomhttp/server_conn.go
@@ -24,25 +24,25 @@
 // past is a deadline that wakes a reader at once.
 var past = time.Unix(1, 0)
 
-// conns are the open connections of a Server.
-type conns struct {
+// callerConns are the open connections of a Server.
+type callerConns struct {
 	mu   sync.Mutex
-	open map[*conn]struct{}
+	open map[*callerConn]struct{}
 	// isDraining is set once connections without a request are closed.
 	isDraining bool
 	// idleClosed counts the connections that were closed for that.
 	idleClosed int
 }
 
-func newConns() *conns {
-	return &conns{open: make(map[*conn]struct{})}
+func newCallerConns() *callerConns {
+	return &callerConns{open: make(map[*callerConn]struct{})}
 }
 
 // add returns the connection of a Server on c, which was accepted at now.
-func (o *conns) add(now time.Time, c net.Conn) *conn {
+func (o *callerConns) add(now time.Time, c net.Conn) *callerConn {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	added := &conn{Conn: c, conns: o, firstByteUntil: now.Add(firstRequestTimeout), isDraining: o.isDraining}
+	added := &callerConn{Conn: c, all: o, firstByteUntil: now.Add(firstRequestTimeout), isDraining: o.isDraining}
 	o.open[added] = struct{}{}
 	if added.isDraining {
 		_ = c.SetReadDeadline(added.deadline())
@@ -50,23 +50,23 @@
 	return added
 }
 
-func (o *conns) remove(c *conn) {
+func (o *callerConns) remove(c *callerConn) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	delete(o.open, c)
 }
 
-func (o *conns) recordIdleClosed() {
+func (o *callerConns) recordIdleClosed() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.idleClosed++
 }
 
 // drain makes each connection close once no part of a request is left on it.
-func (o *conns) drain() {
+func (o *callerConns) drain() {
 	o.mu.Lock()
 	o.isDraining = true
-	open := make([]*conn, 0, len(o.open))
+	open := make([]*callerConn, 0, len(o.open))
 	for c := range o.open {
 		open = append(open, c)
 	}
@@ -77,18 +77,18 @@
 }
 
 // counts returns the numbers of open connections and of those closed as idle.
-func (o *conns) counts() (open, idleClosed int) {
+func (o *callerConns) counts() (open, idleClosed int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return len(o.open), o.idleClosed
 }
 
-// conn is an accepted connection. In a drain, the goroutine that reads from it closes it, and
+// callerConn is an accepted connection. In a drain, the goroutine that reads from it closes it, and
 // only while it has read no part of a request and the kernel holds none. So no other
 // goroutine can close a connection whose request has just been read.
-type conn struct {
+type callerConn struct {
 	net.Conn
-	conns *conns
+	all *callerConns
 	// firstByteUntil is until when a drain waits for the first byte of the first request.
 	firstByteUntil time.Time
 
@@ -109,12 +109,12 @@
 }
 
 // NetConn returns the connection that c wraps.
-func (c *conn) NetConn() net.Conn {
+func (c *callerConn) NetConn() net.Conn {
 	return c.Conn
 }
 
 // deadline returns the read deadline in force. c.mu must be held, unless c is not shared yet.
-func (c *conn) deadline() time.Time {
+func (c *callerConn) deadline() time.Time {
 	switch {
 	case !c.isDraining || c.isUsed:
 		return c.serverDeadline
@@ -128,7 +128,7 @@
 }
 
 // SetReadDeadline implements net.Conn.
-func (c *conn) SetReadDeadline(t time.Time) error {
+func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serverDeadline = t
@@ -136,7 +136,7 @@
 }
 
 // SetDeadline implements net.Conn.
-func (c *conn) SetDeadline(t time.Time) error {
+func (c *callerConn) SetDeadline(t time.Time) error {
 	if err := c.SetReadDeadline(t); err != nil {
 		return err
 	}
@@ -144,7 +144,7 @@
 }
 
 // drain lets the reader close the connection once it is idle, and wakes it for that.
-func (c *conn) drain() {
+func (c *callerConn) drain() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isDraining = true
@@ -152,7 +152,7 @@
 }
 
 // Read implements net.Conn.
-func (c *conn) Read(b []byte) (int, error) {
+func (c *callerConn) Read(b []byte) (int, error) {
 	c.beginRead(len(b))
 	for {
 		n, err := c.Conn.Read(b)
@@ -172,7 +172,7 @@
 // beginRead records that a read with room for size bytes begins. If a read after a response has
 // less room than the first one on the connection, the buffer of http.Server holds the first bytes
 // of the next request.
-func (c *conn) beginRead(size int) {
+func (c *callerConn) beginRead(size int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.bufferSize == 0 {
@@ -184,14 +184,14 @@
 }
 
 // recordRead records that a read has brought bytes.
-func (c *conn) recordRead() {
+func (c *callerConn) recordRead() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.use()
 }
 
 // use records that a part of a request has been read. c.mu must be held.
-func (c *conn) use() {
+func (c *callerConn) use() {
 	if c.isUsed {
 		return
 	}
@@ -203,7 +203,7 @@
 
 // checkDeadline decides on a read that ended with err since its deadline had passed. It returns
 // nil if the read is to be repeated.
-func (c *conn) checkDeadline(now time.Time, err error) error {
+func (c *callerConn) checkDeadline(now time.Time, err error) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	hasServerTimedOut := !c.serverDeadline.IsZero() && !now.Before(c.serverDeadline)
@@ -229,14 +229,14 @@
 	}
 	if !c.isClosed {
 		c.isClosed = true
-		c.conns.recordIdleClosed()
+		c.all.recordIdleClosed()
 		_ = c.Conn.Close()
 	}
 	return net.ErrClosed
 }
 
 // setState records what http.Server says of the connection.
-func (c *conn) setState(state http.ConnState) {
+func (c *callerConn) setState(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.isActive = state == http.StateActive
@@ -252,24 +252,24 @@
 }
 
 // isOpen reports whether the connection has not been closed by this process.
-func (c *conn) isOpen() bool {
+func (c *callerConn) isOpen() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return !c.isClosed
 }
 
 // Close implements net.Conn.
-func (c *conn) Close() error {
+func (c *callerConn) Close() error {
 	c.mu.Lock()
 	c.isClosed = true
 	c.mu.Unlock()
-	c.conns.remove(c)
+	c.all.remove(c)
 	return c.Conn.Close()
 }
 
 // CloseWrite ends the writing side. http.Server calls it before it closes a connection whose
 // caller may still send.
-func (c *conn) CloseWrite() error {
+func (c *callerConn) CloseWrite() error {
 	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return inner.CloseWrite()
 	}
