Separate suspects only by ends that are known in full

Callers whose prompts share a part with a quarantined request were refused for that part by an instance that learned of an end in two messages and decided between them, and then by its peers.

Cause: the first message told of another request with that part, so that the end seemed to lie under the part without the quarantined request. For new ends the time after the end leaves room for what others tell; an instance that has started again learns of ends that are older.

The case with two messages of TestPartIsNotSeparatedByOneEnd failed on the code before and passes now.

--- a/loomquarantine/cluster.go
+++ b/loomquarantine/cluster.go
@@ -25,7 +25,9 @@
 
 // clusterEnd is an end in a cluster.
 type clusterEnd struct {
-	at        time.Time
+	at time.Time
+	// changedAt is when this instance last learned more of it.
+	changedAt time.Time
 	exposures []Exposure
 	// held are the IDs of the parts that each request held.
 	held [][]string
@@ -81,6 +83,12 @@
 	return n
 }
 
+// isComplete reports whether nothing new has been learned of the cluster for settleTime, as it is
+// when an instance that has started is told of earlier ends.
+func (c cluster) isComplete(now time.Time) bool {
+	return !slices.ContainsFunc(c.ends, func(e clusterEnd) bool { return now.Sub(e.changedAt) < settleTime })
+}
+
 // isAlone reports whether no others than the suspects of q could explain the cluster.
 func (c cluster) isAlone(q Quarantine) bool {
 	for s := range c.suspects {
@@ -160,7 +168,7 @@
 
 // newClusterEnd returns an end with what it may be explained by. The caller holds mu.
 func (l *Ledger) newClusterEnd(e *endRecord) clusterEnd {
-	result := clusterEnd{at: e.At}
+	result := clusterEnd{at: e.At, changedAt: e.changedAt}
 	for _, x := range e.exposures {
 		if x.Suspect.Kind == Part || l.exposed[x.Suspect] > 1 || len(l.bySuspect[x.Suspect]) > 0 {
 			result.exposures = append(result.exposures, x)
--- a/loomquarantine/judge.go
+++ b/loomquarantine/judge.go
@@ -39,7 +39,7 @@
 	}
 	var decided []Quarantine
 	for {
-		q, ok := l.separated(open)
+		q, ok := l.separated(now, open)
 		if !ok {
 			q, ok = mostExposed(open)
 		}
@@ -121,8 +121,11 @@
 
 // separated returns the suspects of a quarantine under which an upstream has ended without
 // the others, or false if there are none. The caller holds mu.
-func (l *Ledger) separated(clusters []cluster) (Quarantine, bool) {
+func (l *Ledger) separated(now time.Time, clusters []cluster) (Quarantine, bool) {
 	for _, c := range clusters {
+		if !c.isComplete(now) {
+			continue
+		}
 		for _, r := range l.quarantines {
 			q := Quarantine{Ends: 1}
 			for _, s := range r.Suspects {
--- a/loomquarantine/ledger.go
+++ b/loomquarantine/ledger.go
@@ -61,6 +61,8 @@
 // endRecord is an end as far as it is known.
 type endRecord struct {
 	End
+	// changedAt is when this instance last learned more of it.
+	changedAt time.Time
 	exposures map[Suspect]Exposure
 }
 
@@ -195,7 +197,7 @@
 		news.Exposures = append(news.Exposures, joined)
 	}
 	if len(news.Exposures) > 0 {
-		l.changedAt = now
+		l.changedAt, record.changedAt = now, now
 		l.append(now, news)
 	}
 	return len(news.Exposures) > 0
--- a/loomquarantine/request_test.go
+++ b/loomquarantine/request_test.go
@@ -162,6 +162,22 @@
 			late.Apply(now, []loomquarantine.Change{end(now, "e2")})
 			return late, now
 		}},
+		{"an instance that learns of an end in two messages", func(now time.Time) (*loomquarantine.Ledger, time.Time) {
+			l, now := decided(now)
+			late := newLedger(t)
+			for _, q := range l.Quarantines() {
+				late.Apply(now, []loomquarantine.Change{q})
+			}
+			whole := end(now.Add(-time.Second), "e3")
+			withOther := whole
+			withOther.Exposures = []loomquarantine.Exposure{
+				whole.Exposures[0], {Suspect: other[1], Version: 1, HasBegun: true, Parts: []string{"x"}},
+			}
+			late.Apply(now, []loomquarantine.Change{withOther})
+			late.Judge(now)
+			late.Apply(now, []loomquarantine.Change{whole})
+			return late, now
+		}},
 		{"the earlier ends have expired", func(now time.Time) (*loomquarantine.Ledger, time.Time) {
 			l, now := decided(now)
 			for range 11 {
