Follow the catalogue beside rows that hold no record or entry

What callers saw: with one odd row in the catalogue's table, instances of the completions API followed no later edit, operators could make none, and an instance that started knew no model.

Cause: one row that can't be decoded, or with another revision than its key, failed the read of the audit trail, and one such entry the read of all entries, each time again.

Now such rows are skipped. Where a record can't be read and the catalogue is at a later revision, all entries are read. The first 64 unreadable rows of a process are logged once each. History, which shows the whole audit trail, still fails and names the row.

An unreadable head row still keeps edits and an instance that starts from proceeding; instances that run follow the records.

--- a/loomcatalogue/replica.go
+++ b/loomcatalogue/replica.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -53,6 +54,8 @@
 	records []Record
 	// changedAt is when the replica reached its current revision.
 	changedAt time.Time
+	// unreadable has at most maxUnreadable elements, in the order in which they were found.
+	unreadable []UnreadableRow
 }
 
 // NewReplica returns a replica that holds the empty catalogue at revision zero.
@@ -129,7 +132,8 @@
 }
 
 // Refresh reads the edits that follow the current revision from the platform and
-// applies them. A replica at revision zero first reads all entries.
+// applies them. A replica at revision zero first reads all entries. Rows that hold no record
+// or entry are skipped; all entries are read where a record is missing.
 func (r *Replica) Refresh(ctx context.Context, now time.Time) error {
 	for {
 		revision := r.Snapshot().Revision()
@@ -139,18 +143,99 @@
 			}
 			revision = r.Snapshot().Revision()
 		}
-		records, err := r.readRecords(ctx, revision)
+		page, err := r.readPage(ctx, revision)
 		if err != nil {
 			return err
 		}
-		if err := r.ApplyRecords(now, records); err != nil {
-			return err
+		err = r.ApplyRecords(now, page.records)
+		if page.hasUnreadable || loomerror.Is(err, loomerror.RevisionConflict) {
+			return r.readMissed(ctx, now)
 		}
 		// The next refresh reads the records that follow a page that is not full.
-		if len(records) < readBatchRows {
-			return nil
+		if err != nil || !page.isFull {
+			return err
+		}
+	}
+}
+
+// recordPage is a part of the audit trail.
+type recordPage struct {
+	records []Record
+	// hasUnreadable is set if rows were skipped that hold no record, and isFull if more
+	// records may follow.
+	hasUnreadable, isFull bool
+}
+
+// readPage reads the first page of the audit trail after a revision that has records.
+func (r *Replica) readPage(ctx context.Context, revision uint64) (recordPage, error) {
+	after := fmt.Sprintf(auditKeyFormat, revision)
+	page := recordPage{isFull: true}
+	for page.isFull && len(page.records) == 0 {
+		rows, err := r.readRecordRows(ctx, after)
+		if err != nil {
+			return recordPage{}, err
+		}
+		page.records = r.readableRecords(rows)
+		page.hasUnreadable = page.hasUnreadable || len(page.records) < len(rows)
+		if page.isFull = len(rows) == readBatchRows; page.isFull {
+			after = rows[len(rows)-1].GetKey()
+		}
+	}
+	return page, nil
+}
+
+// readMissed reads all entries if the catalogue is at a later revision than the replica: a
+// record between them can't be read.
+func (r *Replica) readMissed(ctx context.Context, now time.Time) error {
+	revision, _, err := r.readHead(ctx)
+	if err != nil || revision <= r.Snapshot().Revision() {
+		return err
+	}
+	return r.readEntries(ctx, now)
+}
+
+// readableRecords returns the audit records in rows.
+func (r *Replica) readableRecords(rows []*loompb.Row) []Record {
+	records := make([]Record, 0, len(rows))
+	for _, row := range rows {
+		var rec Record
+		err := json.Unmarshal(row.GetValue(), &rec)
+		if key := fmt.Sprintf(auditKeyFormat, rec.Revision); err == nil && key != row.GetKey() {
+			err = errors.NotValidf("audit record of revision %d", rec.Revision)
+		}
+		if err != nil {
+			r.addUnreadable(row.GetKey(), err)
+			continue
 		}
+		records = append(records, rec)
 	}
+	return records
+}
+
+// maxUnreadable bounds the rows that are known to be unreadable.
+const maxUnreadable = 64
+
+// UnreadableRow is a row of the table that holds no record or entry of the catalogue.
+type UnreadableRow struct {
+	Key   string
+	Cause error
+}
+
+// addUnreadable records an unreadable row, once for each key and at most maxUnreadable.
+func (r *Replica) addUnreadable(key string, cause error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if slices.ContainsFunc(r.unreadable, func(u UnreadableRow) bool { return u.Key == key }) || len(r.unreadable) >= maxUnreadable {
+		return
+	}
+	r.unreadable = append(r.unreadable, UnreadableRow{Key: key, Cause: cause})
+}
+
+// Unreadable returns the unreadable rows after the first n that were found.
+func (r *Replica) Unreadable(n int) []UnreadableRow {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return slices.Clone(r.unreadable[min(n, len(r.unreadable)):])
 }
 
 // readEntries reads all entries page by page, which is not atomic. It therefore
@@ -173,7 +258,12 @@
 		}
 		for _, row := range reply.GetRows() {
 			after = row.GetKey()
-			doc.Entries = append(doc.Entries, Change{ID: entryID(row.GetKey()), Spec: row.GetValue()})
+			c := Change{ID: entryID(row.GetKey()), Spec: row.GetValue()}
+			if _, err := Decode(c.ID, c.Spec); err != nil {
+				r.addUnreadable(row.GetKey(), err)
+				continue
+			}
+			doc.Entries = append(doc.Entries, c)
 		}
 	}
 	head, _, err := r.readHead(ctx)
@@ -218,15 +308,20 @@
 
 // readRecords returns up to readBatchRows audit records after a revision.
 func (r *Replica) readRecords(ctx context.Context, after uint64) ([]Record, error) {
-	reply, err := r.table.ReadRows(ctx, &loompb.ReadRowsRequest{
-		Prefix: auditPrefix,
-		After:  fmt.Sprintf(auditKeyFormat, after),
-		Limit:  readBatchRows,
-	})
+	rows, err := r.readRecordRows(ctx, fmt.Sprintf(auditKeyFormat, after))
+	if err != nil {
+		return nil, err
+	}
+	return decodeRecords(rows)
+}
+
+// readRecordRows returns up to readBatchRows rows of the audit trail after a key.
+func (r *Replica) readRecordRows(ctx context.Context, after string) ([]*loompb.Row, error) {
+	reply, err := r.table.ReadRows(ctx, &loompb.ReadRowsRequest{Prefix: auditPrefix, After: after, Limit: readBatchRows})
 	if err != nil {
 		return nil, errors.Annotate(err, "read audit trail")
 	}
-	return decodeRecords(reply.GetRows())
+	return reply.GetRows(), nil
 }
 
 func decodeRecords(rows []*loompb.Row) ([]Record, error) {
--- a/loominstance/catalogue.go
+++ b/loominstance/catalogue.go
@@ -33,6 +33,10 @@
 	if err := n.catalogue.Refresh(ctx, time.Now()); err != nil {
 		n.log.Debug("reading the catalogue failed", "error", err)
 	}
+	for _, row := range n.catalogue.Unreadable(n.unreadableRows) {
+		n.unreadableRows++
+		n.log.Warn("a row of the catalogue is unreadable", "key", row.Key, "error", row.Cause)
+	}
 	n.recordRevision(before, "platform")
 }
 
--- a/loominstance/instance.go
+++ b/loominstance/instance.go
@@ -47,26 +47,29 @@
 	incarnation uint64
 	metrics     *metrics
 
-	platform      loomplatform.Platform
-	catalogue     *loomcatalogue.Replica
-	tracker       *loommember.Tracker
-	fleet         *loomroute.Fleet
-	policy        loomroute.Policy
-	index         *loomcache.Index
-	importFlights *loomcache.Flights
-	claimBatcher  *loomclaim.Batcher
-	tickets       *loomclaim.TicketStore
-	retryBudget   *loomstream.RetryBudget
-	services      *loomupstream.Services
-	peers         *peers
-	engines       *engines
-	stores        *stores
-	exporter      *exporter
-	claims        *claims
-	queues        *queues
-	quotas        *quotas
-	reconciler    *reconciler
-	quarantine    *loomquarantine.Ledger
+	platform  loomplatform.Platform
+	catalogue *loomcatalogue.Replica
+	// unreadableRows is the number of the catalogue's unreadable rows that were logged. Only
+	// refreshCatalogue uses it.
+	unreadableRows int
+	tracker        *loommember.Tracker
+	fleet          *loomroute.Fleet
+	policy         loomroute.Policy
+	index          *loomcache.Index
+	importFlights  *loomcache.Flights
+	claimBatcher   *loomclaim.Batcher
+	tickets        *loomclaim.TicketStore
+	retryBudget    *loomstream.RetryBudget
+	services       *loomupstream.Services
+	peers          *peers
+	engines        *engines
+	stores         *stores
+	exporter       *exporter
+	claims         *claims
+	queues         *queues
+	quotas         *quotas
+	reconciler     *reconciler
+	quarantine     *loomquarantine.Ledger
 
 	// view and homes are replaced as a whole when members change; they are
 	// never nil.
