Test that a service's answer is of one attempt

Rules out that the completions API gives a caller of a plain service a part of an answer that broke off, or the text of a failed attempt: TestServiceAnswerIsOfOneAttempt plays services that break off with a length and in chunks, fail, and answer with bytes that are no HTTP, each followed by further attempts. It passes on the code before.

--- /dev/null
+++ b/loominstance/service_end_test.go
@@ -0,0 +1,116 @@
+package loominstance
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"swiftloom/loomcatalogue"
+	"swiftloom/loomerror"
+	"swiftloom/loommember"
+	"swiftloom/loomroute"
+	"swiftloom/loomstream"
+	"swiftloom/loomupstream"
+)
+
+// startScriptedService returns the address of a service that writes a text for each call, the
+// next one each time, and closes the connection.
+func startScriptedService(t *testing.T, texts []string, next *atomic.Int32) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				if n := int(next.Add(1)); n <= len(texts) {
+					_, _ = io.WriteString(c, texts[n-1])
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// TestServiceAnswerIsOfOneAttempt guards against the answer of a service that holds a part of
+// an attempt that broke off, or of a failed one.
+func TestServiceAnswerIsOfOneAttempt(t *testing.T) {
+	response := func(status string, length int, body string) string {
+		return fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, length, body)
+	}
+	half := response("200 OK", 20, "first half")
+	const chunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\na\r\nfirst half\r\n"
+	whole := response("200 OK", 5, "whole")
+	failure := response("500 Internal Server Error", len(foreign), foreign)
+	tests := []struct {
+		name  string
+		texts []string
+		// answer is the body that the caller gets, or empty for an error.
+		answer string
+	}{
+		{"breaks off, then whole", []string{half, whole}, "whole"},
+		{"breaks off in chunks, then whole", []string{chunks, whole}, "whole"},
+		{"breaks off, then fails", []string{half, failure, failure, failure}, ""},
+		{"breaks off in chunks, then fails", []string{chunks, failure, failure, failure}, ""},
+		{"breaks off, then breaks off", []string{half, chunks, half, chunks}, ""},
+		{"breaks off, then no HTTP", []string{half, foreign, foreign, foreign}, ""},
+		{"fails, then whole", []string{failure, whole}, "whole"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			n := &Instance{
+				log:         slog.New(slog.DiscardHandler),
+				metrics:     newMetrics(),
+				fleet:       loomroute.NewFleet(),
+				tracker:     loommember.NewTracker(loommember.DefaultOptions()),
+				services:    loomupstream.NewServices(nil),
+				retryBudget: loomstream.NewRetryBudgetOf(0, 10),
+			}
+			n.random = rand.New(rand.NewPCG(1, 1))
+			t.Cleanup(n.metrics.close)
+			t.Cleanup(n.services.Close)
+			var next atomic.Int32
+			var listed []loommember.Listing
+			for i := range 3 {
+				listed = append(listed, loommember.Listing{Member: loommember.Member{
+					ID: fmt.Sprintf("s%d", i), Kind: loommember.KindService, Group: "jobs", Address: startScriptedService(t, tt.texts, &next), Incarnation: 1,
+				}})
+			}
+			now := time.Now()
+			n.tracker.Apply(now, loommember.Changed{Members: listed})
+			view := n.tracker.View(now)
+			n.view.Store(&view)
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			answer, err := n.callWithRetries(ctx, loomcatalogue.UpstreamGroup{Header: loomcatalogue.Header{Name: "jobs"}}, true, loomupstream.Call{RequestID: "r", Path: "x"})
+			if tt.answer != "" {
+				assert.NilError(t, err)
+				assert.Equal(t, string(answer.Body), tt.answer)
+				return
+			}
+			assert.Assert(t, err != nil, "%v", answer)
+			assert.Check(t, !strings.Contains(loomerror.From(err).Message(), foreign), "%v", err)
+		})
+	}
+}
