--- a/loominstance/service_end_test.go
+++ b/loominstance/service_end_test.go
@@ -19,6 +19,7 @@
 	"swiftloom/loomcatalogue"
 	"swiftloom/loomerror"
 	"swiftloom/loommember"
+	"swiftloom/loomquarantine"
 	"swiftloom/loomroute"
 	"swiftloom/loomstream"
 	"swiftloom/loomupstream"
@@ -79,9 +80,12 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			ledger, err := loomquarantine.NewLedger()
+			assert.NilError(t, err)
 			n := &Instance{
 				log:         slog.New(slog.DiscardHandler),
 				metrics:     newMetrics(),
+				quarantine:  ledger,
 				fleet:       loomroute.NewFleet(),
 				tracker:     loommember.NewTracker(loommember.DefaultOptions()),
 				services:    loomupstream.NewServices(nil),
@@ -103,7 +107,7 @@
 			n.view.Store(&view)
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
-			answer, err := n.callWithRetries(ctx, loomcatalogue.UpstreamGroup{Header: loomcatalogue.Header{Name: "jobs"}}, true, loomupstream.Call{RequestID: "r", Path: "x"})
+			answer, err := n.callWithRetries(ctx, loomcatalogue.UpstreamGroup{Header: loomcatalogue.Header{Name: "jobs"}}, true, loomupstream.Call{RequestID: "r", Path: "x"}, newCallGuard(n, "harbour", 1))
 			if tt.answer != "" {
 				assert.NilError(t, err)
 				assert.Equal(t, string(answer.Body), tt.answer)
