Look for the end of an upstream over TCP where no dialer is given

An instance of the completions API that is started by the command serve ended itself with a panic when an engine or service closed a connection under a request: HasEnded called the dialer of the options, which is nil there and stands for TCP. Tests give a dialer, so none saw it; brought it in. Found by a test of plain calls, which gives none either (SIGSEGV in HasEnded).

Dialer.Dial treats nil as its type says, and the client of services uses it too. TestEndOverTCPIsSeen panics on the code before.

--- a/loomplatform/platform.go
+++ b/loomplatform/platform.go
@@ -43,6 +43,15 @@
 // Dialer opens a connection to an address. A nil Dialer uses TCP.
 type Dialer func(ctx context.Context, address string) (net.Conn, error)
 
+// Dial opens a connection to an address, over TCP if d is nil.
+func (d Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
+	if d != nil {
+		return d(ctx, address)
+	}
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // Options holds the platform's addresses and the dialer for them.
 type Options struct {
 	Addresses []string
--- a/loomupstream/body.go
+++ b/loomupstream/body.go
@@ -105,7 +105,7 @@
 		if err := loomkernel.Sleep(ctx, delay); err != nil {
 			return false, err
 		}
-		conn, err := d(ctx, address)
+		conn, err := d.Dial(ctx, address)
 		if err == nil {
 			_ = conn.Close()
 		}
--- a/loomupstream/service.go
+++ b/loomupstream/service.go
@@ -59,16 +59,10 @@
 // NewServices returns a client that opens connections with d, or over TCP when d is
 // nil.
 func NewServices(d loomplatform.Dialer) *Services {
-	if d == nil {
-		dialer := &net.Dialer{Timeout: dialTimeout}
-		d = func(ctx context.Context, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, "tcp", address)
-		}
-	}
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 		defer cancel()
-		return d(ctx, address)
+		return d.Dial(ctx, address)
 	}
 	transport := loomhttp.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost: maxIdlePerUpstream,
--- a/loomupstream/service_test.go
+++ b/loomupstream/service_test.go
@@ -142,3 +142,18 @@
 		})
 	}
 }
+
+// TestEndOverTCPIsSeen guards against a process that ends itself by a panic when it looks whether an
+// upstream has ended, without a dialer of its own.
+func TestEndOverTCPIsSeen(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := l.Addr().String()
+	hasEnded, err := loomupstream.HasEnded(t.Context(), nil, address)
+	assert.NilError(t, err)
+	assert.Assert(t, !hasEnded)
+	assert.NilError(t, l.Close())
+	hasEnded, err = loomupstream.HasEnded(t.Context(), nil, address)
+	assert.NilError(t, err)
+	assert.Assert(t, hasEnded)
+}
