Leave out members that can't be called

What callers saw: by reading, a request of the completions API failed at once if it was sent to an engine whose entry in the platform's list has an address that can't be parsed; with another unusable address it cost an attempt. A sound member whose entry was replaced so could not be reached any more.

Cause: entries of the list, and those that a peer gives to an instance that starts, were taken over with any address.

Now an entry without an IP address and a port is left out, and what an earlier one said stays in force. Up to 64 such members are logged once each.

--- a/loominstance/catalogue.go
+++ b/loominstance/catalogue.go
@@ -140,7 +140,7 @@
 		n.tracker.Apply(now, loommember.MarkedLeaving{ID: peer.ID, Incarnation: reply.GetIncarnation()})
 	}
 	if n.isBootstrapping() && len(reply.GetMembers()) > 0 {
-		n.tracker.Apply(now, loommember.Changed{Members: listings(reply.GetMembers())})
+		n.tracker.Apply(now, loommember.Changed{Members: n.listings(reply.GetMembers())})
 		n.updateView(now)
 	}
 	n.applyLeavingMarks(now, reply.GetLeaving())
--- a/loominstance/instance.go
+++ b/loominstance/instance.go
@@ -53,6 +53,7 @@
 	// refreshCatalogue uses it.
 	unreadableRows int
 	tracker        *loommember.Tracker
+	oddMembers     oddMembers
 	fleet          *loomroute.Fleet
 	policy         loomroute.Policy
 	index          *loomcache.Index
--- a/loominstance/members.go
+++ b/loominstance/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -45,10 +46,10 @@
 	case err != nil:
 		n.log.Debug("reading the member list failed", "error", err)
 	case after == 0:
-		n.tracker.Apply(now, loommember.Listed{Members: listings(reply.GetMembers())})
+		n.tracker.Apply(now, loommember.Listed{Members: n.listings(reply.GetMembers())})
 		n.listRevision.Store(reply.GetRevision())
 	default:
-		n.tracker.Apply(now, loommember.Changed{Members: listings(reply.GetMembers()), Gone: reply.GetGone()})
+		n.tracker.Apply(now, loommember.Changed{Members: n.listings(reply.GetMembers()), Gone: reply.GetGone()})
 		n.listRevision.Store(reply.GetRevision())
 	}
 	n.updateView(now)
@@ -72,9 +73,39 @@
 	}
 }
 
-func listings(members []*loompb.Member) []loommember.Listing {
+// maxOddMembers bounds the members without a usable address that are logged.
+const maxOddMembers = 64
+
+// oddMembers holds the IDs of members without a usable address.
+type oddMembers struct {
+	mu  sync.Mutex
+	ids map[string]bool
+}
+
+// add adds an ID and reports whether it is to be logged.
+func (o *oddMembers) add(id string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.ids[id] || len(o.ids) >= maxOddMembers {
+		return false
+	}
+	if o.ids == nil {
+		o.ids = make(map[string]bool)
+	}
+	o.ids[id] = true
+	return true
+}
+
+// listings converts members and leaves out those that can't be called.
+func (n *Instance) listings(members []*loompb.Member) []loommember.Listing {
 	all := make([]loommember.Listing, 0, len(members))
 	for _, m := range members {
+		if address, err := netip.ParseAddrPort(m.GetAddress()); err != nil || address.Port() == 0 {
+			if n.oddMembers.add(m.GetId()) {
+				n.log.Warn("member without an IP address and a port", "id", m.GetId(), "kind", m.GetKind(), "address", m.GetAddress())
+			}
+			continue
+		}
 		all = append(all, loommember.Listing{
 			Member: loommember.Member{
 				ID:            m.GetId(),
