--- a/loominstance/http.go
+++ b/loominstance/http.go
@@ -106,14 +106,15 @@
 	// writtenStatus is the status code that was sent.
 	writtenStatus int
 	errorKind     string
-	// isStopping reports whether the connection is to be closed after this response.
+	// isStopping reports whether the connection is to be closed after this response. Nil means
+	// that it is kept.
 	isStopping func() bool
 }
 
 // announceClose tells the caller to open another connection for its next request if the
 // instance stops.
 func (x *exchange) announceClose() {
-	if x.isStopping() {
+	if x.isStopping != nil && x.isStopping() {
 		x.Header().Set("Connection", "close")
 	}
 }
