--- a/loominstance/stream_end_test.go
+++ b/loominstance/stream_end_test.go
@@ -49,7 +49,8 @@
 	t.Cleanup(n.metrics.close)
 	n.claims, n.queues, n.quotas = newClaims(n), newQueues(n), newQuotas(n)
 	complete := func(ctx context.Context, _ any) (any, error) {
-		d := &dispatch{instance: n, prompt: &prompt{maxTokens: maxScriptTokens}, attemptID: "a", hasFirstToken: true}
+		asked := &prompt{maxTokens: maxScriptTokens}
+		d := &dispatch{instance: n, prompt: asked, guard: newPromptGuard(n, asked), attemptID: "a", hasFirstToken: true}
 		d.lifecycle = loomstream.NewLifecycle(false, loomstream.NewRetryBudgetOf(0, 0), loomstream.NewBackoff(rand.New(rand.NewPCG(1, 1))))
 		d.lifecycle.Apply(time.Now(), loomstream.Dispatched{Attempt: "a"})
 		ctx, cancel := context.WithCancel(ctx)
