--- a/loomhttp/listener.go
+++ b/loomhttp/listener.go
@@ -35,8 +35,8 @@
 	isReplaced atomic.Bool
 	// drainUntil is the end of maxQueueTime in Unix nanoseconds, or zero before drain is called.
 	drainUntil atomic.Int64
-	// late counts the connections accepted after drainUntil. Only Accept uses it.
-	late int
+	// lateConns counts the connections accepted after drainUntil. Only Accept uses it.
+	lateConns int
 }
 
 // replace makes Accept return net.ErrClosed.
@@ -79,8 +79,8 @@
 // is over.
 func (l *listener) prepareDrain(now time.Time, until int64) error {
 	if now.UnixNano() > until {
-		l.late++
-		if l.late > maxLateConns || !l.hasWaiting() {
+		l.lateConns++
+		if l.lateConns > maxLateConns || !l.hasWaiting() {
 			return net.ErrClosed
 		}
 	}
--- a/loomhttp/server.go
+++ b/loomhttp/server.go
@@ -154,7 +154,8 @@
 	}
 }
 
-// serveOpen returns a handler that passes on the requests of connections that are open.
+// serveOpen returns a handler that passes on the requests of connections that are open. A request
+// may have been read from a connection that Close has cut since.
 func serveOpen(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*callerConn); ok && !c.isOpen() {
