--- a/loomgate/loading.go
+++ b/loomgate/loading.go
@@ -83,7 +83,7 @@
 	if !report.GetLoading() {
 		r.gate.view.recordVersion(now, id, report.GetIncarnation(), report.GetModel(), report.GetVersion())
 	}
-	// An earlier holder of the lease reports for a while what is no longer so.
+	// A former holder of the lease goes on reporting for loadingTTL.
 	u, ok := r.gate.view.upstream(id)
 	isLoaded := ok && u.Incarnation == report.GetIncarnation() && u.Version(report.GetModel()) >= report.GetVersion()
 	r.mu.Lock()
