--- a/loomgate/gate_test.go
+++ b/loomgate/gate_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/juju/errors"
@@ -15,6 +16,7 @@
 	"swiftloom/loomcatalogue"
 	"swiftloom/loommember"
 	"swiftloom/loompb"
+	"swiftloom/loomstream"
 	"swiftloom/loomupstream"
 )
 
@@ -207,33 +209,43 @@
 	}
 }
 
-// TestNoRequestBeginsOnExpiredWeights checks that a request is not sent to an
-// engine whose weights could expire before the request starts. A request may
-// wait at an engine for as long as its caller does.
+// TestNoRequestBeginsOnExpiredWeights checks that an engine gets no request that would expect
+// to begin on expired weights, that an attempt that begins later than expected is ended while
+// the weights may still serve, and that engines serve until then however patient callers are.
 func TestNoRequestBeginsOnExpiredWeights(t *testing.T) {
-	targetSetAt := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	g := newTestGate(t, "a", newFakeSource(), &fakeRunner{})
-	g.view.apply(targetSetAt, TopicCatalogue, page(1, row("v", "weights 2", 1)), true)
-	old := loommember.Upstream{ID: "e1", Weights: []loommember.Weights{{Model: "m", Version: 1}}}
 	routes := []loomcatalogue.Route{
 		{Name: "short", LatencyObjective: 100 * time.Millisecond},
 		{Name: "long", LatencyObjective: 900 * time.Millisecond},
 		{Name: "pauses", LatencyObjective: 100 * time.Millisecond, EventGapObjective: 400 * time.Millisecond},
+		{Name: "patient", LatencyObjective: 1200 * time.Millisecond, EventGapObjective: 600 * time.Millisecond},
 	}
 	for _, route := range routes {
 		t.Run(route.Name, func(t *testing.T) {
-			r := &request{IncomingRequest: IncomingRequest{HasPrompt: true, Prompt: Prompt{Model: "m"}}, route: route}
-			q := newPlacementQuery(g, r)
-			sent := 0
-			for at := targetSetAt; at.Before(targetSetAt.Add(12 * time.Second)); at = at.Add(50 * time.Millisecond) {
-				if q.hasExpiredWeights(at, old) {
-					continue
+			synctest.Test(t, func(t *testing.T) {
+				g := newTestGate(t, "a", newFakeSource(), &fakeRunner{})
+				named := time.Now()
+				g.view.apply(named, TopicCatalogue, page(1, row("v", "weights 2", 1)), true)
+				old := loommember.Upstream{ID: "e1", Weights: []loommember.Weights{{Model: "m", Version: 1}}}
+				r := &request{IncomingRequest: IncomingRequest{HasPrompt: true, Prompt: Prompt{Model: "m"}}, route: route}
+				ttl := g.settings.OldWeightsTTL
+				var last time.Duration
+				for ; time.Since(named) < ttl+2*time.Second; time.Sleep(50 * time.Millisecond) {
+					now := time.Now()
+					d := &dispatch{placementQuery: newPlacementQuery(g, r), req: r}
+					if d.hasExpiredWeights(now, old) {
+						continue
+					}
+					last = now.Sub(named)
+					d.version = 1
+					d.lifecycle = loomstream.NewLifecycle(false, nil, loomstream.Backoff{})
+					endedAfter := make(chan time.Duration, 1)
+					d.limitStart(now, func() { endedAfter <- time.Since(named) })
+					go func() { assert.Check(t, <-endedAfter < ttl, "sent %s after the name", now.Sub(named)) }()
 				}
-				sent++
-				begins := at.Add(firstEventTimeout(route))
-				assert.Assert(t, begins.Before(targetSetAt.Add(g.settings.OldWeightsTTL)), "sent %s after the target version was set", at.Sub(targetSetAt))
-			}
-			assert.Assert(t, sent > 100, "old weights must serve before they expire")
+				assert.Check(t, last+2*time.Second < ttl, "a request that begins within 2 s was sent after %s", last)
+				assert.Check(t, last+2500*time.Millisecond > ttl, "the engine stood idle from %s on", last)
+				time.Sleep(ttl)
+			})
 		})
 	}
 }
--- a/loomgate/placement.go
+++ b/loomgate/placement.go
@@ -27,7 +27,7 @@
 	// pauseObjective is the shortest objective for the pauses of streams among the
 	// routes to the group, or zero.
 	pauseObjective time.Duration
-	// startTimeout is how long the request may wait at an upstream.
+	// startTimeout is how long the request may wait at an upstream that is to begin it.
 	startTimeout time.Duration
 	// isLastPartReusable is set if requests on this route have used the last
 	// part of an earlier prompt again, so that they may also use this one's.
@@ -90,7 +90,7 @@
 		rank:          r.rank(),
 		prompt:        r.Prompt,
 		hasPrompt:     r.HasPrompt,
-		startTimeout:  firstEventTimeout(r.route),
+		startTimeout:  startTimeout(r.route),
 	}
 	q.pauseObjective = g.view.routing().PauseObjective(r.group.Name)
 	if r.account.IsIsolated {
--- a/loomgate/rollout_test.go
+++ b/loomgate/rollout_test.go
@@ -110,3 +110,55 @@
 		})
 	}
 }
+
+// drainingEngines is a runner whose engines run requests to their end before they carry out an
+// order, which the test lets them do.
+type drainingEngines struct {
+	loadingEngines
+
+	running int
+}
+
+// Report implements loomupstream.Runner.
+func (r *drainingEngines) Report(ctx context.Context, address, upstream string) (loomupstream.EngineState, error) {
+	state, err := r.loadingEngines.Report(ctx, address, upstream)
+	state.Running = r.running
+	return state, err
+}
+
+// TestDrainingEnginesDontHoldUpARollout guards against a rollout that waits for long streams:
+// engines that still run requests must not use up the share of engines that may load, so that
+// the others wait until their weights expire and all load at once.
+func TestDrainingEnginesDontHoldUpARollout(t *testing.T) {
+	t.Parallel()
+	const engines = 20
+	for _, tt := range []struct {
+		name    string
+		running int
+		want    int
+	}{
+		{"the engines load", 0, 6},
+		{"the engines end their requests first", 3, 10},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			r := &drainingEngines{running: tt.running, loadingEngines: loadingEngines{fakeRunner: fakeRunner{versions: make(map[string]uint64)}, loading: make(map[string]uint64)}}
+			g := newTestGate(t, "a", newFakeSource(), &r.fakeRunner)
+			g.runner = r
+			var rows []Row
+			for i := range engines {
+				id := fmt.Sprintf("e%02d", i)
+				r.versions[id] = 1
+				rows = append(rows, row(id, "up 1", uint64(i+3)))
+			}
+			now := time.Now()
+			g.view.apply(now, TopicCatalogue, page(2, row("c", "routing 1", 1), row("v", "weights 2", 2)), true)
+			g.view.apply(now, TopicUpstreams, page(engines+2, rows...), true)
+			reconcileUntil(t, g, time.Second, func() bool {
+				g.rollout.lastOrderAt = time.Time{}
+				return r.orderCount() > tt.want
+			})
+			assert.Equal(t, r.orderCount(), tt.want)
+		})
+	}
+}
--- a/loomgate/start_limit.go
+++ b/loomgate/start_limit.go
@@ -58,6 +58,18 @@
 	return max(min(firstEventTimeout(r), left)/2, minSilence)
 }
 
+// maxStartTimeout bounds startTimeout. An upstream gets a quarter of a second of work ahead,
+// and a full one was seen to begin a request 1.9 s after it was sent.
+const maxStartTimeout = 2 * time.Second
+
+// startTimeout returns how long before its weights expire an upstream gets its last requests
+// of a route. It makes it rare that an attempt has not begun by then; startLimit ends those.
+// The patience of the caller doesn't matter: with callers that wait for five seconds, engines
+// would stand idle for as long before the end of their weights.
+func startTimeout(r loomcatalogue.Route) time.Duration {
+	return min(firstEventTimeout(r), maxStartTimeout)
+}
+
 // limitStart returns the limit of the current attempt, which calls cancel. The choice of the
 // upstream expects the caller to leave before the weights expire; one that stays must not
 // let the request begin later.
