Give upstreams of evacuated failure domains no requests

Cause: rows op/evacuate/ZONE were ignored, so operators could not take a failure domain out of service: the catalogue's decoder skipped unknown keys and deletions, and nothing removed a row that a full list lacks.

Change: loommember.Evacuations decides from rows, deletions, full lists and epochs of the store which domains are evacuated; an evacuation that the store has lost stays for 4 s. The published groups leave the upstreams out, so first attempts, retries, continuations, waiting requests, coordinators, the rollout and KV cache sources don't see them; their loads and cached parts stay counted. Plans for the KV cache and choices of coordinators are checked against the own view. Requests that wait for a group that is left without upstreams are woken and refused. An order for weights is checked again before it is sent, and the rollout is woken at the end. Instances return to a domain over about a second. A routing is applied after the evacuations of its page. A choice reads the upstreams once, so that a change of the view can't leave it without one.

--- a/loomgate/choose.go
+++ b/loomgate/choose.go
@@ -33,6 +33,8 @@
 
 // candidateSet holds the upstreams that may take the next attempt.
 type candidateSet struct {
+	// upstreams are those from which the set was made. The view may change meanwhile.
+	upstreams []loommember.Upstream
 	// fresh were not tried yet, tried were, and held may get no request now because
 	// of their limits.
 	fresh, tried, held []loomroute.Candidate
@@ -80,7 +82,7 @@
 	for _, id := range q.gate.fleet.Ejected(now, ids) {
 		ejected[id] = true
 	}
-	set := candidateSet{fresh: make([]loomroute.Candidate, 0, len(upstreams)), versions: make(map[string]uint64, len(upstreams))}
+	set := candidateSet{upstreams: upstreams, fresh: make([]loomroute.Candidate, 0, len(upstreams)), versions: make(map[string]uint64, len(upstreams))}
 	q.weights = make(map[uint64]*weightsOption)
 	for _, u := range upstreams {
 		version := u.Version(q.prompt.Model)
@@ -91,7 +93,7 @@
 		}
 		c := q.candidate(now, u, weights)
 		c.Suspect = c.Suspect || ejected[u.ID] || slices.Contains(q.suspectIDs, u.ID)
-		delay := q.gate.limits.delay(now, u).atLeast(q.connectionDelay(now, u.ID, c.Outstanding)).atLeast(q.holdOffDelay(now, u))
+		delay := q.gate.limits.delay(now, u).atLeast(q.connectionDelay(now, u.ID, c.Outstanding)).atLeast(q.holdOffDelay(now, u)).atLeast(q.returnDelay(now, u, c.Outstanding))
 		set.add(c, slices.Contains(q.triedIDs, u.ID), delay)
 	}
 	return set
--- a/loomgate/gate_test.go
+++ b/loomgate/gate_test.go
@@ -100,8 +100,15 @@
 }
 
 // Decode implements Source. It accepts the values "routing N", "weights N" and
-// "up N".
+// "up N", and keys that begin with "evacuate/". The key of an upstream ends with its failure
+// domain after "@".
 func (s *fakeSource) Decode(_ Topic, r Row) (Change, error) {
+	if domain, ok := strings.CutPrefix(r.Key, "evacuate/"); ok {
+		if r.Deleted {
+			return EvacuationEnded{FailureDomain: domain}, nil
+		}
+		return EvacuationStarted{FailureDomain: domain}, nil
+	}
 	kind, number, _ := strings.Cut(string(r.Value), " ")
 	n, err := strconv.ParseUint(number, 10, 64)
 	if err != nil && !r.Deleted {
@@ -118,8 +125,9 @@
 	case kind == "weights":
 		return TargetVersionSet{Model: "m", Version: n}, nil
 	default:
+		_, domain, _ := strings.Cut(r.Key, "@")
 		return UpstreamListed{Version: r.Version, Upstream: loommember.Upstream{
-			ID: r.Key, Group: "engines", Address: r.Key, Weights: []loommember.Weights{{Model: "m", Version: n}},
+			ID: r.Key, Group: "engines", FailureDomain: domain, Address: r.Key, Weights: []loommember.Weights{{Model: "m", Version: n}},
 		}}, nil
 	}
 }
--- a/loomgate/leaving.go
+++ b/loomgate/leaving.go
@@ -40,10 +40,12 @@
 }
 
 // addLastResorts adds the upstreams that say that they leave to the groups that have no
-// others, and returns their IDs. The caller holds mu.
+// others, and returns their IDs. Those in evacuated failure domains are left out. The caller holds mu.
 func (v *clusterView) addLastResorts(now time.Time, groups map[string][]loommember.Upstream) []string {
 	upstreams, until := v.directory.LastResorts(now)
-	upstreams = slices.DeleteFunc(upstreams, func(u loommember.Upstream) bool { return len(groups[u.Group]) > 0 })
+	upstreams = slices.DeleteFunc(upstreams, func(u loommember.Upstream) bool {
+		return len(groups[u.Group]) > 0 || v.evacuations.IsEvacuated(u.FailureDomain)
+	})
 	v.lastResortsEnd = time.Time{}
 	var ids []string
 	for _, u := range upstreams {
--- a/loomgate/loading.go
+++ b/loomgate/loading.go
@@ -14,7 +14,7 @@
 func (r *rollout) refreshVersion(ctx context.Context, u loommember.Upstream, model string) {
 	r.mu.Lock()
 	now := time.Now()
-	if now.Sub(r.versionRequestedAt[u.ID]) < engineCheckInterval || r.gate.holdOffs.wait(now, u) > 0 {
+	if now.Sub(r.versionRequestedAt[u.ID]) < engineCheckInterval || r.gate.holdOffs.wait(now, u) > 0 || r.gate.view.isEvacuated(u.FailureDomain) {
 		r.mu.Unlock()
 		return
 	}
--- a/loomgate/metrics.go
+++ b/loomgate/metrics.go
@@ -206,6 +206,7 @@
 		coordinates = 1
 	}
 	scope.Gauge("coordinates").Update(coordinates)
+	scope.Gauge("evacuated_domains").Update(float64(len(g.view.evacuatedDomains())))
 	scope.Gauge("kept_parts").Update(float64(g.residency.Len()))
 	stored, used := g.stores.index.Len()
 	scope.Gauge("stored_parts").Update(float64(stored))
@@ -221,6 +222,7 @@
 	scope := g.metrics.group(name).scope
 	g.metrics.mu.Unlock()
 	scope.Gauge("upstreams").Update(float64(len(g.usableUpstreams(now, name))))
+	scope.Gauge("evacuated_upstreams").Update(float64(g.view.evacuatedCount(name)))
 	scope.Gauge("prompt_token_seconds").Update(g.prefill.forGroup(name).TokenTime().Seconds())
 	scope.Gauge("prompt_fixed_seconds").Update(g.prefill.forGroup(name).FixedTime().Seconds())
 	limits := g.limits.summary(now, name)
--- a/loomgate/place.go
+++ b/loomgate/place.go
@@ -39,7 +39,7 @@
 // instance is to choose by itself: it is a coordinator, the fleet has none, or
 // none answers.
 func (d *dispatch) askCoordinator(ctx context.Context, now time.Time, mode placeMode) (placement, bool) {
-	if !d.needsCoordinator() {
+	if !d.needsCoordinator() || d.gate.view.isGroupEvacuated(now, d.group.Name) {
 		return placement{}, false
 	}
 	choices := d.gate.coordinators.choices()
@@ -155,6 +155,7 @@
 		}
 		return p, true
 	}
+	d.logDroppedChoice(id, reply.GetUpstreamId())
 	return placement{}, false
 }
 
--- a/loomgate/placement.go
+++ b/loomgate/placement.go
@@ -122,13 +122,12 @@
 	}
 	q.setStoredTokens(candidates, sources, set.versions)
 	p := placement{limitDelay: delay, heldUpstreams: len(set.held), choice: g.policy.Choose(q.policyRequest(), candidates, g.newRand())}
-	upstreams := g.usableUpstreams(now, q.group.Name)
-	for _, u := range upstreams {
+	for _, u := range set.upstreams {
 		if u.ID == p.choice.ID {
 			p.upstream = u
 		}
 	}
-	q.countDemand(now, upstreams, p, sources)
+	q.countDemand(now, set.upstreams, p, sources)
 	for _, c := range candidates {
 		if c.ID == p.choice.ID {
 			p.wait = c.Wait
--- a/loomgate/queue.go
+++ b/loomgate/queue.go
@@ -407,6 +407,16 @@
 	}
 }
 
+// wakeAll wakes all requests in the queue of a group.
+func (q *queues) wakeAll(group string) {
+	gq := q.forGroup(group)
+	gq.mu.Lock()
+	defer gq.mu.Unlock()
+	for id := range gq.wakeups {
+		gq.signal(id)
+	}
+}
+
 // wakeFirst wakes the first request in the queue of a group, which then checks
 // for capacity.
 func (q *queues) wakeFirst(group string) {
--- a/loomgate/rollout.go
+++ b/loomgate/rollout.go
@@ -389,7 +389,7 @@
 		// An earlier order is in progress, possibly for older weights.
 		return orderSent{order: engineOrder{upstream: u, model: o.Model, version: o.Version, checkedAt: now}}
 	}
-	if !held || !r.canOrder(now) {
+	if !held || !r.canOrder(now) || r.gate.view.isEvacuated(u.FailureDomain) {
 		return orderUnneeded{upstream: u.ID}
 	}
 	holder := r.gate.settings.ID
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -239,8 +239,8 @@
 	s.Version = d.version
 	s.Salt = d.cacheSalt(d.version)
 	s.Rank = r.rank()
-	s.Fetch = d.kv.fetch
-	s.Save = d.kv.save
+	s.Fetch = d.withoutEvacuated(d.kv.fetch)
+	s.Save = d.withoutEvacuated(d.kv.save)
 	s.FetchUntil = d.kv.fetchUntil
 	return s
 }
--- a/loomgate/source.go
+++ b/loomgate/source.go
@@ -126,7 +126,8 @@
 }
 
 // Change is the decoded content of a row. It is one of RoutingChanged,
-// TargetVersionSet, UpstreamListed and UpstreamRemoved.
+// TargetVersionSet, EvacuationStarted, EvacuationEnded, UpstreamListed and
+// UpstreamRemoved.
 type Change interface {
 	change()
 }
--- a/loomgate/stores.go
+++ b/loomgate/stores.go
@@ -90,14 +90,14 @@
 }
 
 // updateWatches starts watches of new stores and engines and stops those of
-// removed ones.
+// removed ones. Stores in evacuated failure domains count as removed.
 func (s *storeWatcher) updateWatches(ctx context.Context, running *sync.WaitGroup) {
 	routing := s.gate.view.routing()
 	var classes []loomcache.StoreClass
 	wanted := make(map[string]bool)
 	bytes := bytesPerToken(routing)
 	for _, store := range routing.Stores() {
-		if !store.IsManaged {
+		if !store.IsManaged || s.gate.view.isEvacuated(store.FailureDomain) {
 			continue
 		}
 		wanted[store.Address] = true
--- a/loomgate/view.go
+++ b/loomgate/view.go
@@ -57,7 +57,9 @@
 
 	routingSnapshot atomic.Pointer[loomcatalogue.Routing]
 	groupsSnapshot  atomic.Pointer[map[string][]loommember.Upstream]
-	upstreamsLoaded atomic.Bool
+	// evacuationSnapshot is nil until an evacuation is seen.
+	evacuationSnapshot atomic.Pointer[evacuationState]
+	upstreamsLoaded    atomic.Bool
 	// catalogueVersion and upstreamsVersion are the newest versions of the
 	// platform's rows that were applied.
 	catalogueVersion atomic.Uint64
@@ -71,6 +73,10 @@
 
 	mu        sync.Mutex
 	directory *loommember.Directory
+	// evacuations decides which failure domains are evacuated, and evacuationKeys holds the
+	// keys of their rows.
+	evacuations    loommember.Evacuations
+	evacuationKeys map[string]string
 	// platform tells since when the platform answers.
 	platform loommember.Contact
 	// answersSince is since when the platform answers whoever has read the upstream list.
@@ -97,6 +103,7 @@
 	v := &clusterView{
 		gate:             g,
 		directory:        loommember.NewDirectory(g.settings.LeavingLimit, g.settings.RenewalInterval),
+		evacuationKeys:   make(map[string]string),
 		catalogueChanged: make(chan struct{}, 1),
 		targets:          make(map[string]uint64),
 		named:            make(map[string]namedVersions),
@@ -355,6 +362,7 @@
 		removal = loommember.Removal{AnswersSince: page.AsOf}
 	}
 	changed := false
+	var routings []routingRow
 	present := make(map[string]bool, len(page.Rows))
 	for _, row := range page.Rows {
 		present[row.Key] = !row.Deleted
@@ -370,14 +378,42 @@
 		case change != nil:
 			v.rows[t][row.Key] = row
 		}
+		if c, ok := change.(RoutingChanged); ok {
+			routings = append(routings, routingRow{routing: c.Routing, version: row.Version})
+			continue
+		}
 		changed = v.applyChange(now, removal, row, change) || changed
 	}
 	if full && t == TopicUpstreams {
 		changed = v.removeAbsent(now, removal, present, page.Version) || changed
 	}
+	if t == TopicCatalogue {
+		v.finishCatalogue(now, page, full, changed, routings)
+	}
 	return changed
 }
 
+// finishCatalogue applies what a page of the catalogue lacks, publishes the upstreams if the set
+// of usable ones has changed, and then applies the routings of the page: an instance is ready with
+// its first routing, so all evacuations must be in force before. The caller holds mu.
+func (v *clusterView) finishCatalogue(now time.Time, page Page, full, changed bool, routings []routingRow) {
+	if full {
+		changed = v.endMissingEvacuations(now, page) || changed
+	}
+	if changed {
+		v.publish(now)
+	}
+	for _, r := range routings {
+		v.applyRouting(r.routing, r.version)
+	}
+}
+
+// routingRow is a revision of the routing and the version of its row.
+type routingRow struct {
+	routing loomcatalogue.Routing
+	version uint64
+}
+
 // epochSpread is the time over which instances spread their reads after the platform's
 // table has returned from an older copy.
 const epochSpread = 400 * time.Millisecond
@@ -435,8 +471,10 @@
 // changed. A removal is one at the times in r. The caller holds mu.
 func (v *clusterView) applyChange(now time.Time, r loommember.Removal, row Row, change Change) bool {
 	switch c := change.(type) {
-	case RoutingChanged:
-		v.applyRouting(c.Routing, row.Version)
+	case EvacuationStarted:
+		return v.applyEvacuationRow(now, c.FailureDomain, row)
+	case EvacuationEnded:
+		return v.applyEvacuationRow(now, c.FailureDomain, row)
 	case TargetVersionSet:
 		if c.Version > v.targets[c.Model] {
 			v.targets[c.Model] = c.Version
@@ -501,11 +539,15 @@
 	groups := make(map[string][]loommember.Upstream)
 	var ids []string
 	for _, u := range v.directory.Usable(now) {
-		groups[u.Group] = append(groups[u.Group], u)
+		// Requests are still running at evacuated upstreams.
 		ids = append(ids, u.ID)
+		if !v.evacuations.IsEvacuated(u.FailureDomain) {
+			groups[u.Group] = append(groups[u.Group], u)
+		}
 	}
 	ids = append(ids, v.addLastResorts(now, groups)...)
 	v.groupsSnapshot.Store(&groups)
+	v.publishEvacuations(now)
 	v.gate.fleet.Retain(ids)
 	v.gate.limits.retain(now, ids)
 	v.gate.residency.Retain(ids)
@@ -542,7 +584,8 @@
 func (v *clusterView) evictExpired(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.removeExpired(now) {
+	changed := v.removeExpired(now)
+	if v.expireEvacuations(now) || changed {
 		v.publish(now)
 	}
 }
--- a/loommember/upstream.go
+++ b/loommember/upstream.go
@@ -416,6 +416,15 @@
 	return usable
 }
 
+// All returns every upstream that has an entry, whether it may receive requests or not.
+func (d *Directory) All() []Upstream {
+	all := make([]Upstream, 0, len(d.entries))
+	for _, e := range d.entries {
+		all = append(all, e.upstream)
+	}
+	return all
+}
+
 // HasExpiring reports whether an upstream without an entry is still usable.
 func (d *Directory) HasExpiring(now time.Time) bool {
 	for _, e := range d.entries {
