Bound what cold upstreams get from all instances together

Cause: an upstream is slow for some seconds after a start and ends if it gets more requests than its group states meanwhile (cold_per_s); nothing bounded them.

A grant that is too old isn't sent. Groups without cold_per_s are served as before.

--- a/loomcatalogue/routing.go
+++ b/loomcatalogue/routing.go
@@ -122,6 +122,11 @@
 	MaxConnections int
 	// HealthPath is the URL path of the upstreams' health check.
 	HealthPath string
+	// ColdDuration is how long an upstream is cold after a start.
+	ColdDuration time.Duration
+	// ColdRequestsPerSecond is the rate of requests from all callers together that an
+	// upstream sustains while it is cold. Zero means that there is no bound.
+	ColdRequestsPerSecond float64
 }
 
 // EngineClass describes the capacity of the model engines of a group.
--- a/loomgate/coordinator_load_test.go
+++ b/loomgate/coordinator_load_test.go
@@ -33,7 +33,7 @@
 				g.limits.hear(time.Now(), u, &loomupstream.Reply{Said: loomupstream.Statement{Limit: loomupstream.RequestLimit{IsNamed: true, PerSecond: 5}}})
 			}
 			d := &dispatch{placementQuery: placementQuery{gate: g, hasPrompt: tt.hasPrompt}}
-			assert.Equal(t, d.needsCoordinator(), tt.want)
+			assert.Equal(t, d.needsCoordinator(time.Now()), tt.want)
 		})
 	}
 }
--- a/loomgate/events.go
+++ b/loomgate/events.go
@@ -20,6 +20,7 @@
 		"wait_ms", d.wait.Milliseconds(),
 		"held_ms", d.held.Milliseconds(),
 		"held_upstreams", d.heldUpstreams,
+		"cold", g.cold.isBound(now, d.upstream),
 		"expected_ms", d.choice.Expected.Milliseconds(),
 		"recompute", d.choice.Recompute,
 		"import", d.choice.Import,
--- a/loomgate/exchange.go
+++ b/loomgate/exchange.go
@@ -69,6 +69,7 @@
 	for p.awaitRound(ctx, interval) == nil {
 		now := time.Now()
 		p.gate.view.evictExpired(now)
+		p.gate.cold.update(now)
 		request := p.newExchangeRequest()
 		targets := p.nextPeers()
 		p.gate.quarantine.judge(now)
@@ -123,6 +124,7 @@
 		Leaving:          g.view.leavingReports(time.Now()),
 		ReachedIds:       reached,
 		FailingIds:       failing,
+		Cold:             g.cold.reports(now),
 	}
 	for _, l := range p.reportedLoads() {
 		r.Loads = append(r.Loads, &loompb.UpstreamLoad{UpstreamId: l.ID, Outstanding: uint32(l.Outstanding), PendingTokens: uint32(l.Tokens), MemoryTokens: uint32(l.Memory)})
@@ -225,6 +227,8 @@
 	p.gate.view.applyLeaving(receivedAt, peer.id, reply.GetLeaving())
 	p.gate.limits.apply(receivedAt, peer.id, reply.GetLimits())
 	p.gate.limits.accept(sentAt, peer.id, reply.GetLeases())
+	p.gate.cold.answered(receivedAt, sentAt, peer.id)
+	p.gate.cold.apply(receivedAt, peer.id, reply.GetCold())
 	p.applyEvidence(receivedAt, peer, r, reply)
 	p.syncRows(ctx, peer, sentAt, reply)
 }
@@ -249,6 +253,7 @@
 		Leaving:          r.GetLeaving(),
 		ReachedIds:       r.GetReachedIds(),
 		FailingIds:       r.GetFailingIds(),
+		Cold:             r.GetCold(),
 
 		LeaseRequests:       p.gate.limits.leaseRequests(now, peer.id),
 		Evidence:            p.gate.quarantine.evidence(now, sent),
@@ -370,6 +375,8 @@
 	g.rollout.applyPeerReports(now, r.GetWeights())
 	g.view.applyLeaving(now, r.GetFrom(), r.GetLeaving())
 	g.limits.apply(now, r.GetFrom(), r.GetLimits())
+	g.cold.called(now, r.GetFrom())
+	g.cold.apply(now, r.GetFrom(), r.GetCold())
 	g.quarantine.apply(now, r.GetEvidence())
 	// Read before the version, so that the age is never that of a later list.
 	asOf := *g.view.upstreamsAsOf.Load()
@@ -383,6 +390,7 @@
 
 		NamedWeights: g.view.namedReports(now),
 		Leaving:      g.view.leavingReports(now),
+		Cold:         g.cold.reports(now),
 		Evidence:     g.quarantine.evidenceSince(now, r.GetEvidenceFrom(), r.GetEvidenceIncarnation()),
 	}
 	if since, answeredAt, ok := g.view.contact().OwnAnswers(); ok {
--- a/loomgate/exchange_test.go
+++ b/loomgate/exchange_test.go
@@ -92,6 +92,7 @@
 		Weights: []*loompb.WeightsSeen{{UpstreamId: "e"}}, Samples: []*loompb.PrefillSample{{UpstreamId: "e"}},
 		Queued: []*loompb.QueuedWork{{Group: "g"}}, Limits: []*loompb.UpstreamLimit{{UpstreamId: "e"}},
 		Leaving: []*loompb.LeavingStatement{{UpstreamId: "e"}}, ReachedIds: []string{"e"}, FailingIds: []string{"f"},
+		Cold: []*loompb.ColdUpstream{{UpstreamId: "e"}},
 	}
 	sent := g.peers.requestFor(time.Now(), &peer{id: "b", evidenceSeen: 4, evidenceIncarnation: 5}, r)
 	fields := r.ProtoReflect().Descriptor().Fields()
--- a/loomgate/gate.go
+++ b/loomgate/gate.go
@@ -45,6 +45,10 @@
 	// the list.
 	LeavingLimit    time.Duration
 	RenewalInterval time.Duration
+	// In any second, a cold upstream may get what its group states for a second times
+	// ColdOver, and ColdSlack requests more.
+	ColdOver  float64
+	ColdSlack float64
 }
 
 // Options holds the dependencies of a gate.
@@ -82,6 +86,7 @@
 	queues     *queues
 	limits     *upstreamLimits
 	holdOffs   *holdOffs
+	cold       *coldUpstreams
 
 	quarantine *quarantine
 	// coordinators decides which instances choose upstreams for others.
@@ -127,6 +132,7 @@
 	g.queues = newQueues(g)
 	g.limits = newUpstreamLimits(g)
 	g.holdOffs = newHoldOffs(g)
+	g.cold = newColdUpstreams(time.Now(), g)
 	if g.quarantine, err = newQuarantine(g); err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/loomgate/gate_test.go
+++ b/loomgate/gate_test.go
@@ -99,8 +99,8 @@
 	return reply, nil
 }
 
-// Decode implements Source. It accepts the values "routing N", "weights N" and
-// "up N".
+// Decode implements Source. It accepts the values "routing N", "weights N", "up N" and "cold
+// N", with the milliseconds for which the upstream stays cold.
 func (s *fakeSource) Decode(_ Topic, r Row) (Change, error) {
 	kind, number, _ := strings.Cut(string(r.Value), " ")
 	n, err := strconv.ParseUint(number, 10, 64)
@@ -117,6 +117,10 @@
 		})}, nil
 	case kind == "weights":
 		return TargetVersionSet{Model: "m", Version: n}, nil
+	case kind == "cold":
+		return UpstreamListed{Version: r.Version, ColdLeft: time.Duration(n) * time.Millisecond, HasColdLeft: true, Upstream: loommember.Upstream{
+			ID: r.Key, Group: "engines", Address: r.Key, Weights: []loommember.Weights{{Model: "m", Version: 1}},
+		}}, nil
 	default:
 		return UpstreamListed{Version: r.Version, Upstream: loommember.Upstream{
 			ID: r.Key, Group: "engines", Address: r.Key, Weights: []loommember.Weights{{Model: "m", Version: n}},
--- a/loomgate/holdoff.go
+++ b/loomgate/holdoff.go
@@ -109,4 +109,7 @@
 	if said.HoldOff > 0 {
 		g.holdOffs.hear(now, u, said.HoldOff, source)
 	}
+	if said.ColdLeft > 0 {
+		g.cold.mark(now, u, said.ColdLeft, source)
+	}
 }
--- a/loomgate/limit_parts.go
+++ b/loomgate/limit_parts.go
@@ -96,12 +96,8 @@
 	if p.members == nil {
 		p.members = make(map[string]partMember)
 	}
-	elected := p.gate.coordinators.elected()
 	alive := 0
-	for _, m := range p.gate.peers.fleetMembers(now) {
-		if !m.isAlive || (elected != nil && !slices.Contains(elected[m.failureDomain], m.id)) {
-			continue
-		}
+	for _, m := range p.gate.choosers(now) {
 		alive++
 		p.members[m.id] = partMember{id: m.id, failureDomain: m.failureDomain, aliveAt: now}
 	}
@@ -115,6 +111,14 @@
 	}
 }
 
+// choosers returns the instances that are alive and choose upstreams, as far as this one knows.
+func (g *Gate) choosers(now time.Time) []fleetMember {
+	elected := g.coordinators.elected()
+	return slices.DeleteFunc(g.peers.fleetMembers(now), func(m fleetMember) bool {
+		return !m.isAlive || (elected != nil && !slices.Contains(elected[m.failureDomain], m.id))
+	})
+}
+
 // ids returns the instances that choose upstreams, including those that have been
 // silent for less than partTTL.
 func (p *limitParts) ids(now time.Time) []string {
--- a/loomgate/limits.go
+++ b/loomgate/limits.go
@@ -44,6 +44,8 @@
 	incarnation   uint64
 	failureDomain string
 	rate          loomlimit.SharedRate
+	// cold counts what this instance sends, for the time after the upstream's start.
+	cold loomlimit.ColdAllowance
 	// holders are the instances with parts of the limit, as of sharedAt.
 	holders  []string
 	sharedAt time.Time
@@ -164,8 +166,15 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.setIncarnation(u.Incarnation)
+	if l.gate.cold.delay(now, u, &e.cold).wait > 0 {
+		return false
+	}
 	l.refreshShare(now, e)
-	return e.rate.Take(now)
+	if !e.rate.Take(now) {
+		return false
+	}
+	l.gate.cold.count(now, u, &e.cold)
+	return true
 }
 
 // limitDelay is how long requests are expected to be held for a limit.
@@ -178,21 +187,26 @@
 
 // delay returns how long requests to an upstream are held here.
 func (l *upstreamLimits) delay(now time.Time, u loommember.Upstream) limitDelay {
-	if !l.hasHeard.Load() {
+	isCold := l.gate.cold.mayBeBound(now)
+	if !l.hasHeard.Load() && !isCold {
 		return limitDelay{}
 	}
 	e := l.entry(u)
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	var cold limitDelay
+	if isCold {
+		cold = l.gate.cold.delay(now, u, &e.cold)
+	}
 	if !e.rate.IsLimited() {
-		return limitDelay{}
+		return cold
 	}
 	l.refreshShare(now, e)
 	d := limitDelay{wait: e.rate.Wait(now), interval: time.Hour}
 	if rate := e.rate.Rate(now); rate > 0 {
 		d.interval = time.Duration(float64(time.Second) / rate)
 	}
-	return d
+	return d.atLeast(cold)
 }
 
 // atLeast returns the delay of requests that are held for two reasons.
--- a/loomgate/metrics.go
+++ b/loomgate/metrics.go
@@ -42,6 +42,9 @@
 	// upstreamEnds counts the upstreams that ended under requests with parts that are not
 	// known to be sound, and quarantines the sets of parts that were quarantined.
 	upstreamEnds, quarantines tally.Counter
+	// colds counts the upstreams that were found to be cold, and lateGrants the choices of a
+	// cold upstream that were too old to be used.
+	colds, lateGrants tally.Counter
 
 	mu sync.Mutex
 	// groups is keyed by label. It has at most maxGroupLabels+2 entries: the
@@ -76,6 +79,8 @@
 		brokenAttempts: scope.Counter("attempts_broken_total"),
 		upstreamEnds:   scope.Counter("upstream_ends_total"),
 		quarantines:    scope.Counter("quarantines_total"),
+		colds:          scope.Counter("upstream_colds_total"),
+		lateGrants:     scope.Counter("late_grants_total"),
 
 		groups: make(map[string]*groupMetrics),
 	}
@@ -228,6 +233,10 @@
 	scope.Gauge("limit_per_second").Update(limits.perSecond)
 	scope.Gauge("limit_part_per_second").Update(limits.part)
 	scope.Gauge("limited_sent_per_second").Update(limits.sent)
+	cold := g.cold.summary(now, name)
+	scope.Gauge("cold_upstreams").Update(float64(cold.upstreams))
+	scope.Gauge("cold_allowance").Update(float64(cold.total))
+	scope.Gauge("cold_share").Update(float64(cold.share))
 	scope.Gauge("line_length").Update(float64(g.queues.length(name)))
 	scope.Gauge("retry_balance").Update(g.retries.forGroup(name).Balance())
 }
--- a/loomgate/place.go
+++ b/loomgate/place.go
@@ -39,7 +39,7 @@
 // instance is to choose by itself: it is a coordinator, the fleet has none, or
 // none answers.
 func (d *dispatch) askCoordinator(ctx context.Context, now time.Time, mode placeMode) (placement, bool) {
-	if !d.needsCoordinator() {
+	if !d.needsCoordinator(now) {
 		return placement{}, false
 	}
 	choices := d.gate.coordinators.choices()
@@ -65,10 +65,10 @@
 }
 
 // needsCoordinator reports whether the choice depends on what only coordinators know: what
-// engines cache and how much they have to read, or the parts of limits. A plain call takes
-// a few milliseconds at any upstream, so a call to a coordinator would cost it as much.
-func (d *dispatch) needsCoordinator() bool {
-	return d.hasPrompt || d.gate.limits.hasHeard.Load()
+// engines cache and how much they have to read, or the parts of limits and of what cold
+// upstreams may get. A plain call takes a few milliseconds at any upstream, so a call to a coordinator would cost it as much.
+func (d *dispatch) needsCoordinator(now time.Time) bool {
+	return d.hasPrompt || d.gate.limits.hasHeard.Load() || d.gate.cold.hasBound(now, d.group.Name)
 }
 
 // newPlaceRequest returns the message that asks for an upstream.
--- a/loomgate/relay.go
+++ b/loomgate/relay.go
@@ -54,6 +54,9 @@
 	if isOwn && (reply.Stamped || reply.NotRun) {
 		d.gate.limits.hear(now, d.upstream, reply)
 	}
+	if isOwn && reply.Stamped {
+		d.gate.cold.hearAnswer(now, d.upstream)
+	}
 	if isOwn || (reply.NotRun && reply.RequestID == "") {
 		d.gate.hear(now, d.upstream, reply.Said, "answer")
 	}
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -70,6 +70,9 @@
 	// quarantineSuspectList is the result of quarantineSuspects, or nil before it is first
 	// needed.
 	quarantineSuspectList []loomquarantine.Suspect
+	// placedAt is when the selection of the current upstream began. What that counted is
+	// not older.
+	placedAt time.Time
 	// status and framing are those of the response to the last attempt. They are
 	// zero if it got none.
 	status  int
@@ -140,6 +143,9 @@
 		if err := d.waitForEngine(ctx); err != nil {
 			return err.WithNotRun(d.lifecycle.NotRun())
 		}
+		if d.isGrantLate(time.Now()) {
+			continue
+		}
 		action := d.sendAttempt(ctx)
 		switch a := action.(type) {
 		case loomstream.Retry:
@@ -172,6 +178,7 @@
 // place selects the upstream of the next attempt, by way of a coordinator where
 // the fleet has them.
 func (d *dispatch) place(ctx context.Context, now time.Time, mode placeMode) *loomerror.Error {
+	d.placedAt = now
 	if p, ok := d.askCoordinator(ctx, now, mode); ok {
 		d.placement = p
 		return nil
@@ -232,6 +239,7 @@
 		Upstream:    d.upstream.ID,
 		Account:     r.account.Name,
 		ResumeAfter: d.sequence.LastID(),
+		StartBy:     d.startBy(now),
 	}
 	if !r.HasPrompt {
 		return s
@@ -271,6 +279,7 @@
 	if sendErr != nil && sendErr.Delivered {
 		d.gate.logAttemptBroken(d)
 	}
+	d.gate.cold.hearFailure(now, d.upstream, sendErr)
 	if sendErr != nil && (sendErr.Unreachable || d.gate.fleet.IsSilent(now, d.upstream.ID)) {
 		d.gate.fleet.Unreachable(now, d.upstream.ID)
 	}
--- a/loomgate/source.go
+++ b/loomgate/source.go
@@ -148,6 +148,10 @@
 	Leaving  bool
 	// Version is the version of the row.
 	Version uint64
+	// ColdLeft is how much longer the upstream stays cold after its start, if HasColdLeft is
+	// set.
+	ColdLeft    time.Duration
+	HasColdLeft bool
 }
 
 // UpstreamRemoved reports that an upstream's entry was deleted.
--- a/loomgate/view.go
+++ b/loomgate/view.go
@@ -481,6 +481,7 @@
 // upstreams changed. The estimated cache contents are dropped if the upstream is
 // new or has restarted. The caller holds mu.
 func (v *clusterView) applyUpstream(now time.Time, c UpstreamListed) bool {
+	v.gate.cold.hearRow(now, c, v.writtenAfter(c.Version))
 	old, known := v.directory.Get(now, c.Upstream.ID)
 	if !v.directory.Put(now, c.Upstream, c.Leaving, c.Version) {
 		return false
@@ -508,6 +509,7 @@
 	v.groupsSnapshot.Store(&groups)
 	v.gate.fleet.Retain(ids)
 	v.gate.limits.retain(now, ids)
+	v.gate.cold.retain(now, ids)
 	v.gate.residency.Retain(ids)
 	for name := range groups {
 		v.gate.prefill.forGroup(name).Retain(ids)
--- a/loomupstream/runner.go
+++ b/loomupstream/runner.go
@@ -46,6 +46,9 @@
 	// ResumeAfter is the ID of the last event that the caller has received, or
 	// empty.
 	ResumeAfter string
+	// StartBy is the latest time at which a connection may begin to carry the attempt;
+	// zero means no bound.
+	StartBy time.Time
 }
 
 // Reply is the head of an upstream's response, with its body unread. The caller
@@ -86,6 +89,8 @@
 	HoldOff time.Duration
 	// Limit is about the requests that the upstream takes.
 	Limit RequestLimit
+	// ColdLeft is how much longer the upstream stays cold after its start.
+	ColdLeft time.Duration
 }
 
 // WithEarlier returns a copy of s that also says that the upstream leaves if an earlier
@@ -200,8 +205,10 @@
 type SendError struct {
 	// Delivered reports that the upstream may have received the attempt.
 	Delivered bool
-	// Unreachable reports that no connection could be established.
+	// Unreachable reports that no connection could be established, and Refused that this is
+	// so because no process listens at the address.
 	Unreachable bool
+	Refused     bool
 	// Said is what interim responses have said of the upstream.
 	Said  Statement
 	Cause error
