--- a/loomgate/evacuation.go
+++ b/loomgate/evacuation.go
@@ -1,6 +1,7 @@
 package loomgate
 
 import (
+	"slices"
 	"time"
 
 	"swiftloom/loommember"
@@ -119,7 +120,7 @@
 // noteEvacuation logs a change of an evacuation and reports whether the set of usable upstreams
 // changed. The caller holds mu.
 func (v *clusterView) noteEvacuation(now time.Time, domain string, version uint64, change loommember.EvacuationChange, cause string) bool {
-	fields := []any{"failure_domain", domain, "row_version", version, "upstreams", v.upstreamsIn(now, domain), "cause", cause}
+	fields := []any{"failure_domain", domain, "row_version", version, "upstreams", len(v.upstreamsIn(now, domain)), "cause", cause}
 	switch change {
 	case loommember.EvacuationStarted:
 		v.gate.log.Warn("evacuation_started", fields...)
@@ -130,6 +131,7 @@
 			delete(v.evacuationKeys, domain)
 		}
 		v.gate.log.Warn("evacuation_ended", fields...)
+		v.gate.cold.markAll(now, v.upstreamsIn(now, domain), "evacuation")
 		// Its engines may lack weights that were named meanwhile.
 		v.gate.rollout.wake()
 		return true
@@ -142,16 +144,10 @@
 	return false
 }
 
-// upstreamsIn returns the number of upstreams of a failure domain that could get requests if it
-// is not evacuated. The caller holds mu.
-func (v *clusterView) upstreamsIn(now time.Time, domain string) int {
-	n := 0
-	for _, u := range v.directory.Usable(now) {
-		if u.FailureDomain == domain {
-			n++
-		}
-	}
-	return n
+// upstreamsIn returns the upstreams of a failure domain that could get requests if it is not
+// evacuated. The caller holds mu.
+func (v *clusterView) upstreamsIn(now time.Time, domain string) []loommember.Upstream {
+	return slices.DeleteFunc(v.directory.Usable(now), func(u loommember.Upstream) bool { return u.FailureDomain != domain })
 }
 
 // publishEvacuations makes the current evacuations visible to readers, and wakes the requests
--- a/loomgate/gate_test.go
+++ b/loomgate/gate_test.go
@@ -101,9 +101,9 @@
 	return reply, nil
 }
 
-// Decode implements Source. It accepts the values "routing N", "weights N" and
-// "up N", and keys that begin with "evacuate/". The key of an upstream ends with its failure
-// domain after "@".
+// Decode implements Source. It accepts the values "routing N", "weights N", "up N" and "cold
+// N", with the milliseconds for which the upstream stays cold, and keys that begin with
+// "evacuate/". The key of an upstream ends with its failure domain after "@".
 func (s *fakeSource) Decode(_ Topic, r Row) (Change, error) {
 	if domain, ok := strings.CutPrefix(r.Key, "evacuate/"); ok {
 		if r.Deleted {
@@ -126,6 +126,11 @@
 		})}, nil
 	case kind == "weights":
 		return TargetVersionSet{Model: "m", Version: n}, nil
+	case kind == "cold":
+		_, domain, _ := strings.Cut(r.Key, "@")
+		return UpstreamListed{Version: r.Version, ColdLeft: time.Duration(n) * time.Millisecond, HasColdLeft: true, Upstream: loommember.Upstream{
+			ID: r.Key, Group: "engines", FailureDomain: domain, Address: r.Key, Weights: []loommember.Weights{{Model: "m", Version: 1}},
+		}}, nil
 	default:
 		_, domain, _ := strings.Cut(r.Key, "@")
 		return UpstreamListed{Version: r.Version, Upstream: loommember.Upstream{
