--- a/loomgate/evacuation_test.go
+++ b/loomgate/evacuation_test.go
@@ -279,3 +279,27 @@
 	assert.Check(t, sentAt(now.Add(500*time.Millisecond)) <= requests*2/3)
 	assert.Check(t, sentAt(now.Add(2*time.Second)) >= requests/2)
 }
+
+// TestUpstreamsAreColdAfterAnEvacuation guards against the whole load of a failure domain at
+// upstreams that have become cold while they were out of service and have not said so yet.
+func TestUpstreamsAreColdAfterAnEvacuation(t *testing.T) {
+	now := time.Now()
+	g := newZonesGate(t, "a", now)
+	g.settings.ColdOver = 1
+	routing := loomcatalogue.NewRouting(loomcatalogue.RoutingSpec{
+		Revision: g.view.routing().Revision() + 1,
+		Groups:   []loomcatalogue.Group{{Name: "engines", ColdDuration: 3 * time.Second, ColdRequestsPerSecond: 10}},
+	})
+	g.view.routingSnapshot.Store(&routing)
+	u := g.usableUpstreams(now, "engines")[0]
+	assert.Check(t, !g.cold.isBound(now, u))
+	g.view.mu.Lock()
+	g.view.evacuations.Start(u.FailureDomain, 100)
+	change := g.view.evacuations.End(now, u.FailureDomain, 101)
+	g.view.noteEvacuation(now, u.FailureDomain, 101, change, "row deleted")
+	g.view.mu.Unlock()
+	for _, other := range g.usableUpstreams(now, "engines") {
+		assert.Check(t, g.cold.isBound(now, other) == (other.FailureDomain == u.FailureDomain), other.ID)
+	}
+	assert.Check(t, !g.cold.isBound(now.Add(5*time.Second), u))
+}
