Describe cold upstreams, and let instances without a coordinator tell all peers of them

Change: such an instance reports to all peers where a group has a bound. A holder counts peers that have chosen and still call.

--- a/loomgate/cold.go
+++ b/loomgate/cold.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"swiftloom/loomcatalogue"
 	"swiftloom/loomlimit"
 	"swiftloom/loommember"
 	"swiftloom/loompb"
@@ -50,7 +51,9 @@
 func (c *coldUpstreams) update(now time.Time) {
 	if last := c.updatedAt.Swap(now.UnixNano()); last > 0 && now.UnixNano()-last > int64(maxColdUpdateGap) {
 		c.resumedAt.Store(now.UnixNano())
-		c.gate.log.Warn("resumed", "stalled_ms", (now.UnixNano()-last)/int64(time.Millisecond))
+		if c.isConfigured() {
+			c.gate.log.Warn("resumed", "stalled_ms", (now.UnixNano()-last)/int64(time.Millisecond))
+		}
 	}
 	var ids []string
 	if c.gate.peers.areKnown() {
@@ -112,6 +115,11 @@
 	return slices.ContainsFunc(c.gate.usableUpstreams(now, group), func(u loommember.Upstream) bool { return c.isBound(now, u) })
 }
 
+// isConfigured reports whether any group states a bound.
+func (c *coldUpstreams) isConfigured() bool {
+	return slices.ContainsFunc(c.gate.view.routing().Groups(), func(g loomcatalogue.Group) bool { return g.ColdRequestsPerSecond > 0 })
+}
+
 // bound returns the bound on what a cold upstream of a group may get.
 func (c *coldUpstreams) bound(group string) loomlimit.ColdBound {
 	g, _ := c.gate.view.routing().Group(group)
--- a/loomgate/cold_test.go
+++ b/loomgate/cold_test.go
@@ -16,6 +16,7 @@
 
 	"swiftloom/loomcatalogue"
 	"swiftloom/loomerror"
+	"swiftloom/loommember"
 	"swiftloom/loomupstream"
 )
 
@@ -181,7 +182,7 @@
 		})
 	}
 	f.engines.version = uint64(p.engines + 1)
-	for e := range f.engines.modelEngines.engines {
+	for e := range f.engines.engines {
 		go f.engines.writeRows(ctx, e, time.Duration(random.Int64N(int64(time.Second))))
 	}
 	isDown := connectCut(ctx, f.gates, f.separates)
@@ -239,7 +240,11 @@
 		}}
 	}
 	chillAt := func(at time.Duration) coldEvent {
-		return coldEvent{at, func(f *coldFleet) { f.engines.chill("e0") }}
+		return coldEvent{at, func(f *coldFleet) {
+			for i := range 3 {
+				f.engines.chill(fmt.Sprint("e", i))
+			}
+		}}
 	}
 	cutAt := func(at time.Duration, isCut bool) coldEvent {
 		return coldEvent{at, func(f *coldFleet) { f.setCut(isCut) }}
@@ -308,3 +313,59 @@
 		})
 	}
 }
+
+// TestEnginesAreColdAfterEvacuation guards against the full load on upstreams that return to
+// service together, and against a bound that outlasts a row that says otherwise.
+func TestEnginesAreColdAfterEvacuation(t *testing.T) {
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	g := newTestGate(t, "a", newFakeSource(), &fakeRunner{})
+	listAt := func(at time.Time, version uint64) {
+		p := page(version, row("e1", "cold 0", version))
+		p.AsOf = at
+		g.view.apply(at, TopicUpstreams, p, false)
+	}
+	g.view.apply(at, TopicCatalogue, page(1, row("c", "routing 1", 1)), true)
+	setColdBound(g)
+	listAt(at, 2)
+	upstreams := g.usableUpstreams(at, "engines")
+	assert.Assert(t, !g.cold.hasBound(at, "engines"), "the first list says that the engine is warm")
+	g.cold.markAll(at.Add(time.Second), upstreams, "evacuation_ended")
+	assert.Assert(t, g.cold.hasBound(at.Add(time.Second), "engines"))
+	listAt(at.Add(1500*time.Millisecond), 3)
+	assert.Assert(t, g.cold.end("e1").After(at.Add(2*time.Second)), "the row may be older than the end of the evacuation")
+	listAt(at.Add(2300*time.Millisecond), 4)
+	assert.Assert(t, !g.cold.end("e1").After(at.Add(2300*time.Millisecond)), "the row is newer than the end of the evacuation")
+}
+
+// TestLateGrantIsPlacedAnew guards against a request that a process sends to a cold engine long
+// after it was counted, since the process was suspended or the coordinator was slow.
+func TestLateGrantIsPlacedAnew(t *testing.T) {
+	now := time.Now()
+	g := newTestGate(t, "a", newFakeSource(), &fakeRunner{})
+	g.view.apply(now, TopicCatalogue, page(1, row("c", "routing 1", 1)), true)
+	g.view.apply(now, TopicUpstreams, page(2, row("e1", "cold 0", 2)), true)
+	u := g.usableUpstreams(now, "engines")[0]
+	d := &dispatch{placementQuery: placementQuery{gate: g}, placement: placement{upstream: u}, req: &request{}, placedAt: now}
+	tests := []struct {
+		name     string
+		hasBound bool
+		after    time.Duration
+		want     bool
+	}{
+		{"no bound", false, time.Second, false},
+		{"in time", true, coldGrantTTL, false},
+		{"late", true, coldGrantTTL + time.Millisecond, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if tt.hasBound {
+				setColdBound(g)
+				g.cold.markAll(now, []loommember.Upstream{u}, "test")
+			}
+			assert.Equal(t, d.isGrantLate(now.Add(tt.after)), tt.want)
+		})
+	}
+	g.cold.update(now.Add(time.Minute))
+	assert.Assert(t, !g.cold.isBound(now.Add(time.Minute), u))
+	assert.Assert(t, g.cold.isBound(now.Add(2*time.Minute), u), "the process was suspended: any upstream may be cold")
+}
--- a/loomgate/coordinators.go
+++ b/loomgate/coordinators.go
@@ -122,7 +122,8 @@
 // targets returns the peers that need the state of this instance, and false if
 // all do. A coordinator reports to all others, any other instance to the one that
 // it asks. Coordinators that do not answer are among the targets, so that their
-// return is noticed.
+// return is noticed. While no coordinator answers, any peer may be the first to hear that an
+// upstream is cold after a start.
 func (c *coordinators) targets() ([]string, bool) {
 	elected := c.elected()
 	if elected == nil {
@@ -131,10 +132,11 @@
 	if c.isElected(elected) {
 		return c.all(), true
 	}
-	var ids []string
-	if choices := c.choices(); len(choices) > 0 {
-		ids = choices[:1]
+	choices := c.choices()
+	if len(choices) == 0 && c.gate.cold.isConfigured() {
+		return nil, false
 	}
+	ids := choices[:min(len(choices), 1)]
 	return append(ids, c.gate.peers.failing(elected[c.gate.settings.FailureDomain])...), true
 }
 
--- a/loomlimit/share_holders.go
+++ b/loomlimit/share_holders.go
@@ -82,7 +82,7 @@
 	}
 	_, steady, all := h.count(now)
 	for id, p := range h.peers {
-		if now.Sub(p.candidateAt) > quorumTTL && now.Sub(p.calledAt) > quorumTTL && 2*steady > all {
+		if now.Sub(p.candidateAt) > quorumTTL && 2*steady > all {
 			delete(h.peers, id)
 		}
 	}
@@ -172,7 +172,9 @@
 	confirmed, steady, all := h.count(now)
 	ids = append(ids, h.self)
 	for id, p := range h.peers {
-		if !p.candidateAt.IsZero() && (now.Sub(p.candidateAt) <= ShareTTL || 2*steady <= all) {
+		// An instance that has sent and still calls may count itself among those that send.
+		isHeard := now.Sub(p.candidateAt) <= ShareTTL || now.Sub(p.calledAt) <= ShareTTL
+		if !p.candidateAt.IsZero() && (isHeard || 2*steady <= all) {
 			ids = append(ids, id)
 		}
 	}
