--- a/loominstance/dispatch_end_test.go
+++ b/loominstance/dispatch_end_test.go
@@ -173,6 +173,19 @@
 	}
 }
 
+// TestErrorAfterDeliveryPromisesNothing guards against an error between two attempts that promises
+// that the request has not run, though the first attempt was delivered.
+func TestErrorAfterDeliveryPromisesNothing(t *testing.T) {
+	now := time.Now()
+	d := &dispatch{lifecycle: loomstream.NewLifecycle(true, loomstream.NewRetryBudgetOf(0, 10), loomstream.NewBackoff(rand.New(rand.NewPCG(1, 1))))}
+	noUpstream := loomerror.New(loomerror.NoUpstream, "none")
+	assert.Equal(t, loomerror.From(d.withNotRun(noUpstream)).NotRun(), loomerror.NotRunTrue)
+	for _, e := range []loomstream.Event{loomstream.Dispatched{Attempt: "a"}, loomstream.Delivered{Attempt: "a"}, loomstream.Broken{Attempt: "a"}} {
+		d.lifecycle.Apply(now, e)
+		assert.Equal(t, loomerror.From(d.withNotRun(noUpstream)).NotRun(), loomerror.NotRunUnknown)
+	}
+}
+
 // TestAnswerWithoutEndIsCut guards against an engine's stream that is read for as long as
 // it comes.
 func TestAnswerWithoutEndIsCut(t *testing.T) {
--- a/loominstance/service_end_test.go
+++ b/loominstance/service_end_test.go
@@ -18,6 +18,7 @@
 
 	"swiftloom/loomcatalogue"
 	"swiftloom/loomerror"
+	"swiftloom/loomhome"
 	"swiftloom/loommember"
 	"swiftloom/loomquarantine"
 	"swiftloom/loomroute"
@@ -54,6 +55,41 @@
 	return l.Addr().String()
 }
 
+// newServiceInstance returns an instance with a number of services in the group "jobs", which
+// together write the texts.
+func newServiceInstance(t *testing.T, services int, texts []string, next *atomic.Int32) *Instance {
+	t.Helper()
+	ledger, err := loomquarantine.NewLedger()
+	assert.NilError(t, err)
+	n := &Instance{
+		log:         slog.New(slog.DiscardHandler),
+		metrics:     newMetrics(),
+		quarantine:  ledger,
+		fleet:       loomroute.NewFleet(),
+		tracker:     loommember.NewTracker(loommember.DefaultOptions()),
+		services:    loomupstream.NewServices(nil),
+		retryBudget: loomstream.NewRetryBudgetOf(0, 10),
+		peers:       newPeers("", nil),
+		engines:     newEngines(nil),
+	}
+	homes := loomhome.NewTable([]string{n.ID()})
+	n.homes.Store(&homes)
+	n.random = rand.New(rand.NewPCG(1, 1))
+	t.Cleanup(n.metrics.close)
+	t.Cleanup(n.services.Close)
+	var listed []loommember.Listing
+	for i := range services {
+		listed = append(listed, loommember.Listing{Member: loommember.Member{
+			ID: fmt.Sprintf("s%d", i), Kind: loommember.KindService, Group: "jobs", Address: startScriptedService(t, texts, next), Incarnation: 1,
+		}})
+	}
+	now := time.Now()
+	n.tracker.Apply(now, loommember.Changed{Members: listed})
+	view := n.tracker.View(now)
+	n.view.Store(&view)
+	return n
+}
+
 // TestServiceAnswerIsOfOneAttempt guards against the answer of a service that holds a part of
 // an attempt that broke off, or of a failed one.
 func TestServiceAnswerIsOfOneAttempt(t *testing.T) {
@@ -80,31 +116,8 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			ledger, err := loomquarantine.NewLedger()
-			assert.NilError(t, err)
-			n := &Instance{
-				log:         slog.New(slog.DiscardHandler),
-				metrics:     newMetrics(),
-				quarantine:  ledger,
-				fleet:       loomroute.NewFleet(),
-				tracker:     loommember.NewTracker(loommember.DefaultOptions()),
-				services:    loomupstream.NewServices(nil),
-				retryBudget: loomstream.NewRetryBudgetOf(0, 10),
-			}
-			n.random = rand.New(rand.NewPCG(1, 1))
-			t.Cleanup(n.metrics.close)
-			t.Cleanup(n.services.Close)
 			var next atomic.Int32
-			var listed []loommember.Listing
-			for i := range 3 {
-				listed = append(listed, loommember.Listing{Member: loommember.Member{
-					ID: fmt.Sprintf("s%d", i), Kind: loommember.KindService, Group: "jobs", Address: startScriptedService(t, tt.texts, &next), Incarnation: 1,
-				}})
-			}
-			now := time.Now()
-			n.tracker.Apply(now, loommember.Changed{Members: listed})
-			view := n.tracker.View(now)
-			n.view.Store(&view)
+			n := newServiceInstance(t, 3, tt.texts, &next)
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
 			answer, err := n.callWithRetries(ctx, loomcatalogue.UpstreamGroup{Header: loomcatalogue.Header{Name: "jobs"}}, true, loomupstream.Call{RequestID: "r", Path: "x"}, newCallGuard(n, "harbour", 1))
@@ -118,3 +131,36 @@
 		})
 	}
 }
+
+// TestServiceCallPromisesNotRunOnlyIfRefused guards against a call that is answered as not run, or
+// sent again, though an attempt may have run.
+func TestServiceCallPromisesNotRunOnlyIfRefused(t *testing.T) {
+	const (
+		half    = "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nfirst half"
+		busy    = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+		refused = "HTTP/1.1 503 Busy\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n"
+	)
+	tests := []struct {
+		name         string
+		isRepeatable bool
+		texts        []string
+		attempts     int32
+		want         loomerror.NotRun
+	}{
+		{"breaks off", false, []string{half}, 1, loomerror.NotRunUnknown},
+		{"503 without a statement", false, []string{busy}, 1, loomerror.NotRunUnknown},
+		{"repeatable, breaks off, no service left", true, []string{half, half}, 2, loomerror.NotRunUnknown},
+		{"repeatable, breaks off, then refused", true, []string{half, refused}, 2, loomerror.NotRunUnknown},
+		{"refused, no service left", false, []string{refused, refused}, 2, loomerror.NotRunTrue},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var next atomic.Int32
+			n := newServiceInstance(t, 2, tt.texts, &next)
+			_, err := n.callWithRetries(t.Context(), loomcatalogue.UpstreamGroup{Header: loomcatalogue.Header{Name: "jobs"}}, tt.isRepeatable, loomupstream.Call{RequestID: "r", Path: "x"}, newCallGuard(n, "harbour", 1))
+			assert.Assert(t, err != nil)
+			assert.Equal(t, loomerror.From(err).NotRun(), tt.want, "%v", err)
+			assert.Equal(t, next.Load(), tt.attempts)
+		})
+	}
+}
