Bound the memory that callers can make an instance hold

Cause: nothing bounds the sum of what callers make an instance hold: heads in many short fields, bodies that stop short, answers that are not read. Change: loomhttp.MemoryBudget admits connections, heads, bodies and answers, and sheds the slowest and largest when there is no room; it is wired to the callers', readiness and metrics addresses.

--- a/loomgate/metrics.go
+++ b/loomgate/metrics.go
@@ -10,6 +10,7 @@
 
 	"swiftloom/loomcatalogue"
 	"swiftloom/loomerror"
+	"swiftloom/loomhttp"
 	"swiftloom/loomkernel"
 	"swiftloom/loommetrics"
 )
@@ -231,3 +232,24 @@
 	scope.Gauge("line_length").Update(float64(g.queues.length(name)))
 	scope.Gauge("retry_balance").Update(g.retries.forGroup(name).Balance())
 }
+
+// UpdateCallerMemory sets the gauges of the memory that is held for callers, and for the callers
+// of the readiness and metrics addresses, and adds what was rejected.
+func (m *Metrics) UpdateCallerMemory(callers, probes loomhttp.MemoryStats) {
+	m.updateMemory("callers", callers)
+	m.updateMemory("probes", probes)
+}
+
+func (m *Metrics) updateMemory(address string, s loomhttp.MemoryStats) {
+	scope := m.exporter.Scope().Tagged(map[string]string{"address": address})
+	scope.Gauge("caller_memory_budget_bytes").Update(float64(s.Size))
+	scope.Gauge("caller_memory_bytes").Update(float64(s.Held))
+	scope.Gauge("caller_memory_peak_bytes").Update(float64(s.Peak))
+	scope.Gauge("caller_connections").Update(float64(s.Conns))
+	for phase, n := range s.Shed {
+		scope.Tagged(map[string]string{"phase": phase}).Counter("callers_shed_total").Inc(n)
+	}
+	for what, n := range s.Refused {
+		scope.Tagged(map[string]string{"what": what}).Counter("callers_refused_total").Inc(n)
+	}
+}
--- a/loomhttp/listener.go
+++ b/loomhttp/listener.go
@@ -63,7 +63,11 @@
 		c, err := l.deadlineListener.Accept()
 		switch {
 		case err == nil:
-			return l.conns.add(time.Now(), c), nil
+			if added := l.conns.add(time.Now(), c); added != nil {
+				return added, nil
+			}
+			_ = c.Close()
+			continue
 		case l.isReplaced.Load():
 			return nil, net.ErrClosed
 		case l.drainUntil.Load() == 0 || !errors.Is(err, os.ErrDeadlineExceeded):
--- a/loomhttp/server.go
+++ b/loomhttp/server.go
@@ -41,6 +41,12 @@
 	return &Server{listener: d, conns: newCallerConns(), ended: make(chan error, 1)}, nil
 }
 
+// Limit bounds what is held for the callers by b, and tells rejected what is shed or refused for
+// it. It must be called before Start; rejected may be called concurrently and must not block.
+func (s *Server) Limit(b *MemoryBudget, rejected func(Rejection)) {
+	s.conns.budget, s.conns.rejected = b, rejected
+}
+
 // Start serves new connections by h, whose Handler, ConnState and ConnContext it replaces by
 // functions that call them.
 func (s *Server) Start(h *http.Server) {
--- a/loomhttp/server_conn.go
+++ b/loomhttp/server_conn.go
@@ -32,17 +32,26 @@
 	isDraining bool
 	// idleClosed counts the connections that were closed for that.
 	idleClosed int
+	// budget bounds what is held for the connections, unless it is nil, and rejected is told
+	// what it has refused or shed.
+	budget   *MemoryBudget
+	rejected func(Rejection)
 }
 
 func newCallerConns() *callerConns {
 	return &callerConns{open: make(map[*callerConn]struct{})}
 }
 
-// add returns the connection of a Server on c, which was accepted at now.
+// add returns the connection of a Server on c, which was accepted at now, or nil if the budget has
+// no room for it.
 func (o *callerConns) add(now time.Time, c net.Conn) *callerConn {
+	added := &callerConn{Conn: c, all: o, firstByteUntil: now.Add(firstRequestTimeout)}
+	if o.budget != nil && !added.openMemory(now, o.budget) {
+		return nil
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	added := &callerConn{Conn: c, all: o, firstByteUntil: now.Add(firstRequestTimeout), isDraining: o.isDraining}
+	added.isDraining = o.isDraining
 	o.open[added] = struct{}{}
 	if added.isDraining {
 		_ = c.SetReadDeadline(added.deadline())
@@ -106,6 +115,8 @@
 	// isDraining is set once the connection is to be closed when it is idle.
 	isDraining bool
 	isClosed   bool
+
+	connMemory
 }
 
 // NetConn returns the connection that c wraps.
@@ -116,6 +127,8 @@
 // deadline returns the read deadline in force. c.mu must be held, unless c is not shared yet.
 func (c *callerConn) deadline() time.Time {
 	switch {
+	case c.isShed:
+		return past
 	case !c.isDraining || c.isUsed:
 		return c.serverDeadline
 	case c.hasServed:
@@ -157,7 +170,9 @@
 	for {
 		n, err := c.Conn.Read(b)
 		if n > 0 {
-			c.recordRead()
+			if err := c.recordRead(b[:n]); err != nil {
+				return 0, err
+			}
 			return n, err
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -183,11 +198,24 @@
 	}
 }
 
-// recordRead records that a read has brought bytes.
-func (c *callerConn) recordRead() {
+// recordRead records that a read has brought bytes. Its error says that there is no memory for
+// the head that they belong to.
+func (c *callerConn) recordRead(b []byte) error {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.use()
+	if c.holder == nil {
+		c.mu.Unlock()
+		return nil
+	}
+	cost := c.meterRead(time.Now(), b)
+	c.mu.Unlock()
+	if cost == 0 {
+		return nil
+	}
+	if err := c.reserve(cost, false, nil); err != nil {
+		return c.refuseHead(err)
+	}
+	return nil
 }
 
 // use records that a part of a request has been read. c.mu must be held.
@@ -196,6 +224,7 @@
 		return
 	}
 	c.isUsed = true
+	c.enter(phaseHead, progressGrace)
 	if c.isDraining {
 		_ = c.Conn.SetReadDeadline(c.serverDeadline)
 	}
@@ -206,6 +235,9 @@
 func (c *callerConn) checkDeadline(now time.Time, err error) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.isShed {
+		return c.endShed()
+	}
 	hasServerTimedOut := !c.serverDeadline.IsZero() && !now.Before(c.serverDeadline)
 	// A process that was paused finds bytes of a head and the deadline at the same time. While a
 	// handler runs, a deadline that has passed ends the reads in the background.
@@ -242,9 +274,13 @@
 	c.isActive = state == http.StateActive
 	if c.isActive {
 		c.isUsed, c.hasServed = true, true
+		c.unshed()
+		c.enter(phaseBody, progressGrace)
 	}
 	if state == http.StateIdle {
 		c.isUsed = false
+		c.releaseRequest()
+		c.enter(phaseIdle, idleGrace)
 	}
 	if c.isDraining {
 		_ = c.Conn.SetReadDeadline(c.deadline())
@@ -264,6 +300,9 @@
 	c.isClosed = true
 	c.mu.Unlock()
 	c.all.remove(c)
+	if c.holder != nil {
+		c.holder.budget.close(c.holder)
+	}
 	return c.Conn.Close()
 }
 
