Serve small requests first under a crowd, and bound the completions API

Change: a new connection displaces the one that has been silent longest, small requests displace large ones that are still being read, answers leave a tenth of the budget. loominstance has a budget, from the new setting memory_mb.

--- a/cmd/swiftloom/serve.go
+++ b/cmd/swiftloom/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"runtime/debug"
 
 	"github.com/juju/errors"
 	"github.com/urfave/cli/v3"
@@ -29,6 +30,9 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	if s.Instance.MemoryMB > 0 {
+		debug.SetMemoryLimit(s.Instance.MemoryMB << 20 / 2)
+	}
 	log := newLogger(s.Instance.LogLevel)
 	instance, err := loominstance.New(s, loominstance.Options{Log: log, Seed: rand.Uint64()})
 	if err != nil {
--- a/loomgate/relay.go
+++ b/loomgate/relay.go
@@ -117,7 +117,7 @@
 	if d.req.Method == http.MethodHead {
 		length = -1
 	}
-	body, err := loomhttp.ReadAnswer(ctx, d.req.Memory, reply.Body, length, maxBufferedAnswer)
+	body, err := loomhttp.ReadAnswer(ctx, reply.Body, length, maxBufferedAnswer)
 	now := time.Now()
 	if err == nil && length >= 0 && int64(len(body)) != length {
 		err = errors.NotValidf("answer of %d bytes with declared length %d", len(body), length)
--- a/loomgate/request.go
+++ b/loomgate/request.go
@@ -7,7 +7,6 @@
 	"swiftloom/loomcache"
 	"swiftloom/loomcatalogue"
 	"swiftloom/loomerror"
-	"swiftloom/loomhttp"
 	"swiftloom/loomupstream"
 )
 
@@ -62,8 +61,6 @@
 	Received    time.Time
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
-	// Memory is where answers that are held for the caller are reserved.
-	Memory loomhttp.RequestMemory
 }
 
 // Responder writes the answer to one request. The first call is WriteAnswer,
--- a/loomhttp/body.go
+++ b/loomhttp/body.go
@@ -38,9 +38,11 @@
 // fills.
 const firstAnswerBytes = 8 << 10
 
-// ReadAnswer is ReadAll for an answer that is held for a caller: its bytes are reserved in m before
-// they are read. It waits for room until ctx ends. After an error nothing stays reserved.
-func ReadAnswer(ctx context.Context, m RequestMemory, body io.Reader, length, limit int64) ([]byte, error) {
+// ReadAnswer is ReadAll for an answer that is held for the caller of the request with the context
+// ctx: its bytes are reserved before they are read. It waits for room until ctx ends. After an
+// error nothing stays reserved.
+func ReadAnswer(ctx context.Context, body io.Reader, length, limit int64) ([]byte, error) {
+	m := MemoryOf(ctx)
 	if length > limit {
 		return nil, errors.Annotatef(ErrTooLarge, "%d bytes declared, limit %d", length, limit)
 	}
--- a/loomhttp/memory_budget.go
+++ b/loomhttp/memory_budget.go
@@ -32,10 +32,12 @@
 )
 
 // Shares of a budget. What is left above largeShare is reserved for small requests and for
-// answers, and what is left above connShare for requests of any kind.
+// answers, what is left above answerShare for small requests, and what is left above connShare
+// for requests of any kind.
 const (
-	connShare  = 0.5
-	largeShare = 0.75
+	connShare   = 0.5
+	largeShare  = 0.75
+	answerShare = 0.9
 )
 
 // phase is what a connection is doing.
@@ -79,8 +81,8 @@
 	leavingConns  int
 	holders       map[*holder]struct{}
 	byAddress     map[netip.Addr]int64
-	// scanAfter is the time before which no search for victims is made.
-	scanAfter time.Time
+	// scanAfter is the time before which no search for victims is made, for each use.
+	scanAfter [len(useNames)]time.Time
 	// freed is closed when something is released, and nil if nobody waits for it.
 	freed chan struct{}
 	stats MemoryStats
@@ -183,7 +185,7 @@
 		need := int64(max(len(b.holders)-b.leavingConns-b.maxConns+1, 0)) * connBytes
 		need = max(need, b.held-b.leaving+connBytes-b.size)
 		var ok bool
-		shed, ok = b.chooseVictims(now, h, need)
+		shed, ok = b.chooseVictims(now, h, need, useConn)
 		if !ok || len(b.holders) >= b.maxConns+b.maxConns/4 {
 			b.stats.Refused[useNames[useConn]]++
 			return nil, shed
@@ -214,10 +216,14 @@
 
 // ceiling returns how much may be held after memory was given for u.
 func (b *MemoryBudget) ceiling(u use) int64 {
-	if u == useLarge {
+	switch u {
+	case useLarge:
 		return int64(float64(b.size) * largeShare)
+	case useAnswer:
+		return int64(float64(b.size) * answerShare)
+	default:
+		return b.size
 	}
-	return b.size
 }
 
 // grow gives h another n bytes for u if there is room. If there is none, it returns the connections
@@ -226,12 +232,16 @@
 func (b *MemoryBudget) grow(now time.Time, h *holder, n int64, u use) (ok bool, shed []shedding, freed <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if _, ok := b.holders[h]; !ok {
+		// The server was closed while the request runs. Nothing would give the bytes back.
+		return true, nil, nil
+	}
 	over := b.held + n - b.ceiling(u)
 	if over <= 0 {
 		b.add(h, n)
 		return true, nil, nil
 	}
-	shed, ok = b.chooseVictims(now, h, over-b.leaving)
+	shed, ok = b.chooseVictims(now, h, over-b.leaving, u)
 	if !ok && u == useLarge {
 		return false, shed, nil
 	}
@@ -255,7 +265,9 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.add(h, -n)
+	if _, ok := b.holders[h]; ok {
+		b.add(h, -n)
+	}
 }
 
 // close takes back everything of h.
@@ -305,11 +317,11 @@
 // chooseVictims chooses connections that hold at least need bytes and records that they are being
 // shed. It returns false if there are not enough. A requester whose address holds more than
 // its fair part makes only connections of the same address close. b.mu must be held.
-func (b *MemoryBudget) chooseVictims(now time.Time, requester *holder, need int64) ([]shedding, bool) {
+func (b *MemoryBudget) chooseVictims(now time.Time, requester *holder, need int64, u use) ([]shedding, bool) {
 	if need <= 0 {
 		return nil, true
 	}
-	if now.Before(b.scanAfter) {
+	if now.Before(b.scanAfter[u]) {
 		return nil, false
 	}
 	fair := b.fairPart(requester.address)
@@ -319,7 +331,7 @@
 		if h == requester || h.isLeaving || (isOverFair && h.address != requester.address) {
 			continue
 		}
-		if c, ok := h.victim(now, !isOverFair && b.byAddress[h.address] > fair); ok {
+		if c, ok := h.victim(now, u, !isOverFair && b.byAddress[h.address] > fair); ok {
 			candidates = append(candidates, c)
 		}
 	}
@@ -335,25 +347,33 @@
 		chosen = append(chosen, c)
 	}
 	if need > 0 {
-		b.scanAfter = now.Add(scanInterval)
+		b.scanAfter[u] = now.Add(scanInterval)
 	}
 	return chosen, need <= 0
 }
 
-// victim returns h as a connection to be shed, if it may be: it makes too little progress, or its
-// address holds too much and the request has not been read yet.
-func (h *holder) victim(now time.Time, isAddressOver bool) (shedding, bool) {
+// victim returns h as a connection to be shed for u, if it may be. That is one that makes too little
+// progress. Of those whose request is still being read, it is also one whose address holds
+// too much, a large one if a small request or a connection asks, and a connection without a
+// byte if another one asks. A connection whose bytes have not been read yet is kept in the end.
+func (h *holder) victim(now time.Time, u use, isAddressOver bool) (shedding, bool) {
 	p := phase(h.phase.Load())
-	slow := now.Sub(h.budget.start) - time.Duration(h.paidUntil.Load())
-	isReading := p == phaseHead || p == phaseBody
-	isVictim := p != phaseRun && (slow > 0 || (isAddressOver && isReading))
-	return shedding{holder: h, phase: p, held: h.held, slow: slow}, isVictim
+	c := shedding{holder: h, phase: p, held: h.held, slow: now.Sub(h.budget.start) - time.Duration(h.paidUntil.Load())}
+	switch p {
+	case phaseRun:
+		return c, false
+	case phaseHead, phaseBody:
+		isLarge := (u == useConn || u == useSmall) && h.held > connBytes+smallRequestBytes
+		isSilent := u == useConn && p == phaseHead && h.held == connBytes
+		return c, c.slow > 0 || isAddressOver || isLarge || isSilent
+	default:
+		return c, c.slow > 0
+	}
 }
 
-// score orders connections to be shed: by the bytes held times the time for which that was
-// without progress.
+// score orders connections to be shed: by the bytes held times the time since the last progress.
 func (s shedding) score() float64 {
-	return float64(s.held) * max(s.slow, time.Millisecond).Seconds()
+	return float64(s.held) * max(s.slow+progressGrace, time.Millisecond).Seconds()
 }
 
 // enter records that h begins a phase, in which it may make no progress for grace.
--- a/loominstance/http.go
+++ b/loominstance/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -34,6 +35,20 @@
 	idleConnTimeout   = 2 * time.Minute
 	// maxHeaderBytes bounds the head of a request.
 	maxHeaderBytes = 64 << 10
+	// callerMemoryRatio is the part of the memory that is held for callers, and defaultMemoryMB the
+	// memory that is assumed without a setting.
+	callerMemoryRatio = 0.28
+	defaultMemoryMB   = 1024
+	// bodyCopies is how often a body is in memory while it is decoded: as it was read, in
+	// the decoder's buffer, which doubles as it grows, and as text.
+	bodyCopies = 4
+	// overloadRetryAfter is the time after which a request that found no memory may be tried
+	// again.
+	overloadRetryAfter = time.Second
+	// metricsPageBytes is what a metrics page takes until it is read.
+	metricsPageBytes = 1 << 20
+	// refusalReadTime bounds what is read of its body.
+	refusalReadTime = 300 * time.Millisecond
 )
 
 // serveHTTP serves callers and operators. When ctx ends, it drains the server.
@@ -43,6 +58,11 @@
 		return errors.Trace(err)
 	}
 	defer server.Close()
+	memoryMB := cmp.Or(n.settings.Instance.MemoryMB, defaultMemoryMB)
+	budget := loomhttp.NewMemoryBudget(time.Now(), int64(float64(memoryMB<<20)*callerMemoryRatio), 0)
+	server.Limit(budget, n.logRejection)
+	ticker := time.NewTicker(metricsInterval)
+	defer ticker.Stop()
 	server.Start(&http.Server{
 		Handler:           n.handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
@@ -50,14 +70,25 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 	})
-	select {
-	case err := <-server.Ended():
-		return errors.Annotate(err, "serve callers")
-	case <-n.killed:
-	case <-ctx.Done():
-		n.drain(server)
+	for {
+		select {
+		case <-ticker.C:
+			n.metrics.updateMemory(budget.Stats())
+			continue
+		case err := <-server.Ended():
+			return errors.Annotate(err, "serve callers")
+		case <-n.killed:
+		case <-ctx.Done():
+			n.drain(server)
+		}
+		return nil
 	}
-	return nil
+}
+
+// logRejection logs what was refused or shed for lack of memory. A crowd causes many, so that only
+// the metrics tell of it at the usual level.
+func (n *Instance) logRejection(r loomhttp.Rejection) {
+	n.log.Debug("caller rejected", "caller", r.Address, "shed", r.IsShed, "what", r.What, "held_bytes", r.Held, "slow_seconds", r.Slow.Seconds())
 }
 
 // drain shuts the server down. It first marks the instance as stopping, which
@@ -85,7 +116,14 @@
 	serviceshttp.New(services.NewEndpoints(&servicesAPI{n}), mux, decode, encode, n.logEncodeError, formatError).Mount(mux)
 	cataloguehttp.New(catalogue.NewEndpoints(&catalogueAPI{n}), mux, decode, encode, n.logEncodeError, formatError).Mount(mux)
 	healthhttp.New(health.NewEndpoints(&healthAPI{n}), mux, decode, encode, n.logEncodeError, formatError).Mount(mux)
-	mux.Handle(http.MethodGet, "/metrics", n.metrics.page.Handler().ServeHTTP)
+	page := n.metrics.page.Handler()
+	mux.Handle(http.MethodGet, "/metrics", func(w http.ResponseWriter, r *http.Request) {
+		if err := loomhttp.MemoryOf(r.Context()).Reserve(metricsPageBytes); err != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		page.ServeHTTP(w, r)
+	})
 	return n.withExchange(mux)
 }
 
@@ -158,6 +196,7 @@
 			writeError(ctx, x, err)
 		} else {
 			next.ServeHTTP(x, r.WithContext(ctx))
+			loomhttp.MemoryOf(ctx).EndRun()
 		}
 		if x.errorKind != "" {
 			n.log.Info("request failed", "request_id", x.requestID, "path", r.URL.Path, "kind", x.errorKind, "status", x.writtenStatus, "seconds", time.Since(started).Seconds())
@@ -177,10 +216,13 @@
 	if r.ContentLength != 0 {
 		_ = controller.SetReadDeadline(time.Now().Add(readBodyTimeout))
 	}
-	limited := http.MaxBytesReader(x.ResponseWriter, r.Body, n.settings.Instance.MaxBodyBytes)
-	body, err := io.ReadAll(limited)
+	body, err := n.readBody(x.ResponseWriter, r)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case loomhttp.IsOverloaded(err):
+		x.Header().Set("Connection", "close")
+		_ = controller.SetReadDeadline(time.Now().Add(refusalReadTime))
+		return loomerror.Wrap(loomerror.Overloaded, err, "read request").WithRetryAfter(overloadRetryAfter)
 	case errors.As(err, &tooLarge):
 		return loomerror.New(loomerror.BodyTooLarge, "the request body is larger than %d bytes", tooLarge.Limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -195,6 +237,26 @@
 	return nil
 }
 
+// readBody reads the body of r and reserves what its decoding takes.
+func (n *Instance) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	limit := n.settings.Instance.MaxBodyBytes
+	if r.ContentLength > limit {
+		return nil, &http.MaxBytesError{Limit: limit}
+	}
+	memory := loomhttp.MemoryOf(r.Context())
+	if err := memory.Admit(r); err != nil {
+		return nil, err
+	}
+	body, err := loomhttp.ReadRequestBody(memory, http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit)
+	if err != nil {
+		return nil, err
+	}
+	if err := memory.Reserve((bodyCopies - 1) * int64(len(body))); err != nil {
+		return nil, err
+	}
+	return body, memory.BeginRun()
+}
+
 // errorBody is the JSON body of every error response.
 type errorBody struct {
 	Kind      string `json:"kind"`
--- a/loominstance/metrics.go
+++ b/loominstance/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"swiftloom/loomerror"
+	"swiftloom/loomhttp"
 	"swiftloom/loommetrics"
 )
 
@@ -66,6 +67,19 @@
 	m.page.Scope().Tagged(map[string]string{"kind": k.String()}).Counter("errors_total").Inc(1)
 }
 
+// updateMemory sets the gauges of what is held for callers, and adds what was rejected.
+func (m *metrics) updateMemory(s loomhttp.MemoryStats) {
+	scope := m.page.Scope()
+	scope.Gauge("caller_memory_bytes").Update(float64(s.Held))
+	scope.Gauge("caller_connections").Update(float64(s.Conns))
+	for phase, n := range s.Shed {
+		scope.Tagged(map[string]string{"phase": phase}).Counter("callers_shed_total").Inc(n)
+	}
+	for what, n := range s.Refused {
+		scope.Tagged(map[string]string{"what": what}).Counter("callers_refused_total").Inc(n)
+	}
+}
+
 func (m *metrics) close() {
 	_ = m.page.Close()
 }
--- a/loomsettings/read.go
+++ b/loomsettings/read.go
@@ -109,6 +109,7 @@
 	r.address("instance", "peer_address", &s.Instance.PeerAddress)
 	r.optionalAddresses("instance", "seed_peers", &s.Instance.SeedPeers)
 	r.count("instance", "max_body_bytes", &s.Instance.MaxBodyBytes)
+	r.count("instance", "memory_mb", &s.Instance.MemoryMB)
 	r.level("instance", "log_level", &s.Instance.LogLevel)
 	r.text("platform", "driver", &s.Platform.Driver, false)
 	r.addresses("platform", "addresses", &s.Platform.Addresses)
--- a/loomsettings/settings.go
+++ b/loomsettings/settings.go
@@ -33,7 +33,10 @@
 	SeedPeers []netip.AddrPort
 	// MaxBodyBytes bounds a request body.
 	MaxBodyBytes int64
-	LogLevel     slog.Level
+	// MemoryMB is the memory of the process in MiB. Zero means that the default bounds what is
+	// held for callers and the heap is not bounded.
+	MemoryMB int64
+	LogLevel slog.Level
 }
 
 // Platform holds the driver and the addresses of the platform.
--- a/loomupstream/service.go
+++ b/loomupstream/service.go
@@ -113,7 +113,7 @@
 	if !isOwn(w) {
 		return Outcome{Delivered: true}, errors.NotValidf("response to call %q, want one to %q", w.Header.Get(headerRequestID), c.RequestID)
 	}
-	body, err := loomhttp.ReadAll(NewBody(ctx, w, s.dial, address), w.ContentLength, maxBodyBytes)
+	body, err := loomhttp.ReadAnswer(ctx, NewBody(ctx, w, s.dial, address), w.ContentLength, maxBodyBytes)
 	if err != nil {
 		return Outcome{Delivered: true}, errors.Annotate(err, "read service response")
 	}
