Forget instances without contact that no longer count for who has shares of cold upstreams

Cause: rows of instances that are gone stay in the store; if they were the larger part, no instance would have had a share for as long as its process lived.

--- a/loomlimit/cold_allowance_test.go
+++ b/loomlimit/cold_allowance_test.go
@@ -308,3 +308,31 @@
 		})
 	}
 }
+
+// TestInstancesGoneBeforeAreForgotten guards against a fleet that never has shares since most of
+// the instances that are listed ended before the others started.
+func TestInstancesGoneBeforeAreForgotten(t *testing.T) {
+	const perSecond, instances, gone = 14, 7, 4
+	f := &coldFleet{now: rateStart, bound: ColdBound{PerSecond: perSecond, Over: 1}}
+	for i := range instances {
+		s := &coldSender{id: fmt.Sprint("i", i)}
+		f.senders = append(f.senders, s)
+		f.start(s)
+		s.isDown = i < gone
+	}
+	used := func(after time.Duration) int {
+		sum := 0
+		for range after / coldStep {
+			f.now = f.now.Add(coldStep)
+			for _, s := range f.senders[gone:] {
+				f.call(s)
+			}
+		}
+		for _, s := range f.senders[gone:] {
+			sum += f.share(s)
+		}
+		return sum
+	}
+	assert.Equal(t, used(time.Minute), 0, "those that are gone may be the larger part")
+	assert.Equal(t, used(quorumTTL), perSecond)
+}
--- a/loomlimit/share_holders.go
+++ b/loomlimit/share_holders.go
@@ -80,9 +80,11 @@
 			h.peers[id] = p
 		}
 	}
-	_, steady, all := h.count(now)
+	confirmed, steady, all := h.count(now)
 	for id, p := range h.peers {
-		if now.Sub(p.candidateAt) > quorumTTL && 2*steady > all {
+		// An instance without contact may have gone before this one started.
+		isForgettable := 2*steady > all || (p.contactAt().IsZero() && confirmed > 1)
+		if now.Sub(p.candidateAt) > quorumTTL && isForgettable {
 			delete(h.peers, id)
 		}
 	}
