Let coordinators give free capacity to the request that should have it

Cause: a free slot went to the instance that asked next: each asked every 60 to 240 ms with the head of its own queue. Change: a waiting request's call stays open at a coordinator for up to 250 ms (WaitTerms); a wait list for each group gives the turns in the order of loomschedule, every 20 ms while it is not empty, and tries at most 8 requests, of which 3 in vain. An instance keeps at most 2 calls of a group open, those of its own first requests. The call's timeout is the hold time and placeTimeout, so a silent coordinator is noticed after 370 ms. Coordinators take turns of 400 ms at each upstream for requests that aren't urgent: without that four of them filled the same engine at once. A coordinator that stops answers its calls at once. An instance that no coordinator answers uses a list of its own. Retry-After is spread over half of its value, and a late request is refused once the work ahead outlasts its caller; the error of the expected wait is a metric. All of it only for prompts to groups whose routes differ in rank or objective, in fleets with coordinators, or as schedule.order says.

--- a/loomcatalogue/routing.go
+++ b/loomcatalogue/routing.go
@@ -185,6 +185,16 @@
 	// pauseObjectives holds, by group, the shortest objective for the gap between
 	// two events among the routes to the group.
 	pauseObjectives map[string]time.Duration
+	// urgencies holds, by group, the rank and objective of the last route with prompts to the
+	// group, and differing the groups with routes of others.
+	urgencies map[string]urgency
+	differing map[string]bool
+}
+
+// urgency is what decides how long the requests of a route may wait.
+type urgency struct {
+	rank      int
+	objective time.Duration
 }
 
 // RoutingSpec holds the contents of a Routing.
@@ -214,10 +224,13 @@
 		limits:      s.Limits,
 
 		pauseObjectives: make(map[string]time.Duration),
+		urgencies:       make(map[string]urgency),
+		differing:       make(map[string]bool),
 	}
 	for _, route := range s.Routes {
 		r.byHost[route.Host] = append(r.byHost[route.Host], route)
 		r.addPauseObjective(route)
+		r.addUrgency(route)
 	}
 	for _, routes := range r.byHost {
 		slices.SortStableFunc(routes, func(a, b Route) int {
@@ -243,6 +256,25 @@
 	}
 }
 
+// addUrgency records the rank and objective of a route.
+func (r Routing) addUrgency(route Route) {
+	if !route.HasPrompts {
+		return
+	}
+	own := urgency{rank: route.Rank, objective: route.LatencyObjective}
+	for _, t := range route.Targets {
+		if first, ok := r.urgencies[t.Group]; ok && first != own {
+			r.differing[t.Group] = true
+		}
+		r.urgencies[t.Group] = own
+	}
+}
+
+// HasDifferentUrgency reports whether routes with prompts to a group differ in rank or objective.
+func (r Routing) HasDifferentUrgency(group string) bool {
+	return r.differing[group]
+}
+
 // Revision returns the revision, which is zero if no configuration has been
 // received.
 func (r Routing) Revision() uint64 {
--- a/loomgate/events.go
+++ b/loomgate/events.go
@@ -20,6 +20,7 @@
 		"wait_ms", d.wait.Milliseconds(),
 		"held_ms", d.held.Milliseconds(),
 		"held_upstreams", d.heldUpstreams,
+		"queue_error_ms", d.queueError(now).Milliseconds(),
 		"expected_ms", d.choice.Expected.Milliseconds(),
 		"recompute", d.choice.Recompute,
 		"import", d.choice.Import,
@@ -30,6 +31,15 @@
 		"left_ms", r.deadline.Sub(now).Milliseconds())
 }
 
+// queueError returns how much later a request that waited starts than was expected when it
+// arrived, or zero if it didn't wait.
+func (d *dispatch) queueError(now time.Time) time.Duration {
+	if d.expectedStart.IsZero() {
+		return 0
+	}
+	return now.Sub(d.expectedStart)
+}
+
 // outdatedFor returns the time since the first target version that is newer than the weights
 // of the attempt was named, or zero if there is none.
 func (d *dispatch) outdatedFor(now time.Time) time.Duration {
@@ -97,6 +107,9 @@
 		g.metrics.failed(r.group.Name, failure.Kind())
 	} else {
 		g.metrics.answered(r.group.Name, r.route.Kind, now.Sub(r.Received))
+		if r.HasPrompt && !d.firstAt.IsZero() && d.attempts == 1 {
+			g.queues.forGroup(r.group.Name).observeOutput(r.Prompt.ExpectedOutputTokens, now.Sub(d.firstAt))
+		}
 	}
 	first := int64(-1)
 	if !d.firstAt.IsZero() {
--- a/loomgate/gate.go
+++ b/loomgate/gate.go
@@ -45,6 +45,8 @@
 	// the list.
 	LeavingLimit    time.Duration
 	RenewalInterval time.Duration
+	// StartOrder is the order in which waiting requests start.
+	StartOrder StartOrder
 }
 
 // Options holds the dependencies of a gate.
@@ -80,6 +82,7 @@
 	rollout    *rollout
 	stores     *storeWatcher
 	queues     *queues
+	waitLists  *waitLists
 	limits     *upstreamLimits
 	holdOffs   *holdOffs
 
@@ -125,6 +128,7 @@
 	g.rollout = newRollout(g)
 	g.stores = newStoreWatcher(g)
 	g.queues = newQueues(g)
+	g.waitLists = &waitLists{gate: g, byGroup: make(map[string]*waitList)}
 	g.limits = newUpstreamLimits(g)
 	g.holdOffs = newHoldOffs(g)
 	if g.quarantine, err = newQuarantine(g); err != nil {
--- a/loomgate/metrics.go
+++ b/loomgate/metrics.go
@@ -60,6 +60,8 @@
 	total      map[loomcatalogue.RouteKind]tally.Histogram
 	errors     map[loomerror.Kind]tally.Counter
 	streamEnds map[streamEnd]tally.Counter
+	// waitErrors is keyed by whether requests started sooner or later than expected.
+	waitErrors map[string]tally.Histogram
 }
 
 func newMetrics() *Metrics {
@@ -109,6 +111,7 @@
 		total:      make(map[loomcatalogue.RouteKind]tally.Histogram),
 		errors:     make(map[loomerror.Kind]tally.Counter),
 		streamEnds: make(map[streamEnd]tally.Counter),
+		waitErrors: make(map[string]tally.Histogram),
 	}
 	m.groups[label] = g
 	return g
@@ -135,6 +138,24 @@
 	m.group(group).held.Inc(1)
 }
 
+// waited records how much later a request that waited started than was expected, which is
+// negative if it started sooner.
+func (m *Metrics) waited(group string, late time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	g := m.group(group)
+	direction := "later"
+	if late < 0 {
+		direction, late = "sooner", -late
+	}
+	h, ok := g.waitErrors[direction]
+	if !ok {
+		h = g.scope.Tagged(map[string]string{"direction": direction}).Histogram("wait_error_seconds", latencyBuckets)
+		g.waitErrors[direction] = h
+	}
+	h.RecordDuration(late)
+}
+
 // streamEnded counts how an upstream's stream ended.
 func (m *Metrics) streamEnded(group string, end streamEnd) {
 	m.mu.Lock()
@@ -229,5 +250,6 @@
 	scope.Gauge("limit_part_per_second").Update(limits.part)
 	scope.Gauge("limited_sent_per_second").Update(limits.sent)
 	scope.Gauge("line_length").Update(float64(g.queues.length(name)))
+	scope.Gauge("wait_list_length").Update(float64(g.waitLists.length(name)))
 	scope.Gauge("retry_balance").Update(g.retries.forGroup(name).Balance())
 }
--- a/loomgate/place.go
+++ b/loomgate/place.go
@@ -158,9 +158,14 @@
 	return placement{}, false
 }
 
-// place asks another instance for an upstream. It returns false if that instance
-// does not answer in time or has failed to do so within placeBackoff.
+// place asks another instance for an upstream.
 func (p *peers) place(ctx context.Context, id string, r *loompb.PlaceRequest) (*loompb.PlaceReply, bool) {
+	return p.placeWithin(ctx, id, r, placeTimeout)
+}
+
+// placeWithin asks another instance for an upstream. It returns false if that instance
+// does not answer within timeout or has failed to do so within placeBackoff.
+func (p *peers) placeWithin(ctx context.Context, id string, r *loompb.PlaceRequest, timeout time.Duration) (*loompb.PlaceReply, bool) {
 	p.mu.Lock()
 	peer, ok := p.byID[id]
 	ok = ok && time.Since(peer.placeFailedAt) > placeBackoff
@@ -168,7 +173,7 @@
 	if !ok {
 		return nil, false
 	}
-	call, cancel := context.WithTimeout(ctx, placeTimeout)
+	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, err := peer.client.Place(call, r)
 	if err == nil {
@@ -183,32 +188,23 @@
 }
 
 // Place implements loompb.GatePeerServer.
-func (s *peerService) Place(_ context.Context, r *loompb.PlaceRequest) (*loompb.PlaceReply, error) {
+func (s *peerService) Place(ctx context.Context, r *loompb.PlaceRequest) (*loompb.PlaceReply, error) {
 	now := time.Now()
 	if !s.gate.coordinators.isCoordinator() {
 		return &loompb.PlaceReply{}, nil
 	}
+	if r.GetWait() != nil {
+		return s.placeInOrder(ctx, now, r), nil
+	}
 	q := s.gate.queryOf(r)
 	p, err := q.choose(now)
 	if err != nil {
 		return &loompb.PlaceReply{}, nil
 	}
-	reply := &loompb.PlaceReply{
-		UpstreamId:     p.upstream.ID,
-		Version:        p.version,
-		WaitMicros:     p.wait.Microseconds(),
-		ExpectedMicros: p.choice.Expected.Microseconds(),
-		Recompute:      uint32(p.choice.Recompute),
-		Import:         uint32(p.choice.Import),
-		TokensAhead:    uint32(max(p.tokensAhead, 0)),
-		CachedTokens:   uint32(p.cachedTokens),
-		QueuedMicros:   s.gate.queuedFor(now, r).Microseconds(),
-	}
+	reply := newPlaceReply(p)
+	reply.QueuedMicros = s.gate.queuedFor(now, r).Microseconds()
 	if p.limitDelay.wait > 0 {
-		// The requests of all instances that ask here share the limit.
-		p.limitDelay.interval *= time.Duration(s.gate.coordinators.meanInstances())
-		reply.HeldMicros = p.limitDelay.wait.Microseconds()
-		reply.HeldIntervalMicros = p.limitDelay.interval.Microseconds()
+		s.gate.addLimitDelay(reply, p)
 		return reply, nil
 	}
 	if r.GetOnlyEstimate() || (!r.GetMustStart() && !q.hasCapacity(p)) || !s.gate.limits.take(now, p.upstream) {
@@ -217,12 +213,38 @@
 	kv := q.planKV(now, p)
 	q.recordPlacement(p)
 	s.gate.reserve(now, &q, p)
+	addReservation(reply, kv)
+	return reply, nil
+}
+
+// newPlaceReply returns the reply that describes a placement.
+func newPlaceReply(p placement) *loompb.PlaceReply {
+	return &loompb.PlaceReply{
+		UpstreamId:     p.upstream.ID,
+		Version:        p.version,
+		WaitMicros:     p.wait.Microseconds(),
+		ExpectedMicros: p.choice.Expected.Microseconds(),
+		Recompute:      uint32(p.choice.Recompute),
+		Import:         uint32(p.choice.Import),
+		TokensAhead:    uint32(max(p.tokensAhead, 0)),
+		CachedTokens:   uint32(p.cachedTokens),
+	}
+}
+
+// addLimitDelay adds how long the limits of the upstreams hold the request. The requests of all
+// instances that ask here share them.
+func (g *Gate) addLimitDelay(reply *loompb.PlaceReply, p placement) {
+	reply.HeldMicros = p.limitDelay.wait.Microseconds()
+	reply.HeldIntervalMicros = (p.limitDelay.interval * time.Duration(g.coordinators.meanInstances())).Microseconds()
+}
+
+// addReservation adds that the upstream expects the attempt, with a plan for the KV cache.
+func addReservation(reply *loompb.PlaceReply, kv kvPlan) {
 	reply.IsReserved = true
 	reply.Fetch = kv.fetch
 	reply.Save = kv.save
 	reply.FetchedTokens = uint32(kv.fetchedTokens)
 	reply.FetchUntilMicros = kv.fetchUntil.Microseconds()
-	return reply, nil
 }
 
 // queryOf returns the query in a request of another instance.
@@ -262,11 +284,11 @@
 	return q
 }
 
-// reserve counts a request that another instance is about to send, for
-// reservationTTL.
-func (g *Gate) reserve(now time.Time, q *placementQuery, p placement) {
+// reserve counts a request that is about to be sent, for reservationTTL.
+func (g *Gate) reserve(now time.Time, q *placementQuery, p placement) loomroute.Ticket {
 	ticket := g.fleet.RecordSentWithMemory(now, p.upstream.ID, q.expectedWork(p.choice), q.memoryTokens())
 	time.AfterFunc(reservationTTL, func() { g.fleet.Done(ticket) })
+	return ticket
 }
 
 // queuedFor returns the work that goes before a request of another instance and
--- a/loomgate/placement.go
+++ b/loomgate/placement.go
@@ -48,6 +48,8 @@
 	// isWanted is set once the demand of the attempt has been counted at the upstream
 	// that it would go to without limits.
 	isWanted bool
+	// outputTime is the expected time to generate the output, or zero if it is not known.
+	outputTime time.Duration
 }
 
 // placement is the upstream that was selected for an attempt, and what is
--- a/loomgate/queue.go
+++ b/loomgate/queue.go
@@ -12,6 +12,7 @@
 	"swiftloom/loomkernel"
 	"swiftloom/loomlimit"
 	"swiftloom/loompb"
+	"swiftloom/loomschedule"
 )
 
 const (
@@ -61,6 +62,13 @@
 	mu      sync.Mutex
 	waiters loomlimit.DeadlineQueue
 	wakeups map[string]chan struct{}
+	// costs holds those of the waiting requests that start in the order of loomschedule, and
+	// asking the ones whose calls for their turn are open.
+	costs  loomschedule.List
+	asking map[string]bool
+	// outputTokenTime is the mean time to generate a token of output, or zero before any
+	// answer.
+	outputTokenTime time.Duration
 	// heldDemand is the rate at which requests arrive that are held for limits.
 	heldDemand loomlimit.Demand
 	// isTicking is set while a goroutine checks the queue periodically.
@@ -81,7 +89,7 @@
 	defer q.mu.Unlock()
 	gq, ok := q.byGroup[group]
 	if !ok {
-		gq = &groupQueue{wakeups: make(map[string]chan struct{})}
+		gq = &groupQueue{wakeups: make(map[string]chan struct{}), asking: make(map[string]bool)}
 		q.byGroup[group] = gq
 	}
 	return gq
@@ -130,6 +138,9 @@
 	if d.streamStatus != 0 {
 		return d.placeContinuation(ctx, now)
 	}
+	if d.hasPrompt && d.gate.ordersByCost(d.group.Name) {
+		return d.waitByCost(ctx, now)
+	}
 	q := d.gate.queues.forGroup(d.req.group.Name)
 	hasTurn := q.hasTurn(now, d.rank)
 	mode := placeIfFree
@@ -267,6 +278,9 @@
 		return d.limitDelay.wait + time.Duration(q.waiters.CountAhead(d.rank))*d.limitDelay.interval
 	}
 	engines := max(len(d.gate.usableUpstreams(now, d.req.group.Name)), 1)
+	if d.gate.ordersByCost(d.group.Name) {
+		engines = d.gate.startingUpstreams(now, d.group.Name)
+	}
 	ahead := q.waiters.WorkAhead(d.rank)
 	switch {
 	case d.coordinator != "":
@@ -359,9 +373,89 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.waiters.Remove(id)
+	q.costs.Remove(id)
 	delete(q.wakeups, id)
 }
 
+// push adds a request that starts in the order of loomschedule. The caller holds mu.
+func (q *groupQueue) push(w loomlimit.Waiter, c loomschedule.Waiter, wake chan struct{}) {
+	q.waiters.Push(w)
+	q.costs.Push(c)
+	q.wakeups[w.ID] = wake
+}
+
+// removeAndWake removes a request and lets the next ones ask for their turn.
+func (q *groupQueue) removeAndWake(id string) {
+	q.remove(id)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.wakeHeads(time.Now())
+}
+
+// askAgain lets the next requests ask for their turn after a call that was held in vain.
+func (q *groupQueue) askAgain(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.wakeHeads(now)
+}
+
+// recordStart records that a request starts, for the order of those that remain.
+func (q *groupQueue) recordStart(now time.Time, id string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.costs.Start(now, id)
+}
+
+// setAsking records whether the call of a request for its turn is open.
+func (q *groupQueue) setAsking(id string, isAsking bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if isAsking {
+		q.asking[id] = true
+		return
+	}
+	delete(q.asking, id)
+}
+
+// wakeHeads lets the first requests in the order of loomschedule ask for their turn, up to
+// maxOpenCalls. The caller holds mu.
+func (q *groupQueue) wakeHeads(now time.Time) {
+	open := len(q.asking)
+	for _, w := range q.costs.First(now, maxOpenCalls, loomschedule.Capacity{Upstreams: 1}) {
+		if open >= maxOpenCalls {
+			return
+		}
+		if !q.asking[w.ID] {
+			q.signal(w.ID)
+			open++
+		}
+	}
+}
+
+// outputTokenMemory is the number of recent answers that determine the time to generate a token.
+const outputTokenMemory = 50
+
+// observeOutput records the time in which the output of an answer was generated.
+func (q *groupQueue) observeOutput(tokens int, took time.Duration) {
+	if tokens <= 0 || took <= 0 {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	perToken := took / time.Duration(tokens)
+	if q.outputTokenTime == 0 {
+		q.outputTokenTime = perToken
+	}
+	q.outputTokenTime += (perToken - q.outputTokenTime) / outputTokenMemory
+}
+
+// outputTime returns the expected time to generate a number of tokens.
+func (q *groupQueue) outputTime(tokens int) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return time.Duration(max(tokens, 0)) * q.outputTokenTime
+}
+
 // startTicker starts the goroutine that checks the queue at checkInterval for as long
 // as it is not empty. The caller holds mu.
 func (q *groupQueue) startTicker() {
@@ -393,6 +487,11 @@
 		q.isTicking = false
 		return false
 	}
+	if q.costs.Len() > 0 {
+		q.costs.TakeExpired(now)
+		q.wakeHeads(now)
+		return true
+	}
 	q.signal(first.ID)
 	return true
 }
@@ -413,6 +512,10 @@
 	gq := q.forGroup(group)
 	gq.mu.Lock()
 	defer gq.mu.Unlock()
+	if gq.costs.Len() > 0 {
+		// The wait list that was asked lets requests start.
+		return
+	}
 	if first, ok := gq.waiters.Next(time.Now()); ok {
 		gq.signal(first.ID)
 	}
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -78,6 +78,8 @@
 	// its last attempt, and held how long it was before that attempt.
 	heldAt time.Time
 	held   time.Duration
+	// expectedStart is when a waiting request was expected to start, or zero.
+	expectedStart time.Time
 	// cause says why the last attempt failed.
 	cause string
 }
