--- a/loomgate/gate.go
+++ b/loomgate/gate.go
@@ -49,6 +49,8 @@
 	// ColdOver, and ColdSlack requests more.
 	ColdOver  float64
 	ColdSlack float64
+	// StartOrder is the order in which waiting requests start.
+	StartOrder StartOrder
 }
 
 // Options holds the dependencies of a gate.
@@ -84,6 +86,7 @@
 	rollout    *rollout
 	stores     *storeWatcher
 	queues     *queues
+	waitLists  *waitLists
 	limits     *upstreamLimits
 	holdOffs   *holdOffs
 	cold       *coldUpstreams
@@ -130,6 +133,7 @@
 	g.rollout = newRollout(g)
 	g.stores = newStoreWatcher(g)
 	g.queues = newQueues(g)
+	g.waitLists = &waitLists{gate: g, byGroup: make(map[string]*waitList)}
 	g.limits = newUpstreamLimits(g)
 	g.holdOffs = newHoldOffs(g)
 	g.cold = newColdUpstreams(time.Now(), g)
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -70,7 +70,7 @@
 	// quarantineSuspectList is the result of quarantineSuspects, or nil before it is first
 	// needed.
 	quarantineSuspectList []loomquarantine.Suspect
-	// placedAt is when the selection of the current upstream began. What that counted is
+	// placedAt is when the current upstream was selected, or earlier. What that counted is
 	// not older.
 	placedAt time.Time
 	// status and framing are those of the response to the last attempt. They are
@@ -81,6 +81,8 @@
 	// its last attempt, and held how long it was before that attempt.
 	heldAt time.Time
 	held   time.Duration
+	// expectedStart is when a waiting request was expected to start, or zero.
+	expectedStart time.Time
 	// cause says why the last attempt failed.
 	cause string
 }
