Refuse no late request on a guess, and order no unknown group

Cause: without coordinators the work at other instances is a guess, on which late requests were refused; a peer could name any group and get a wait list for it.

--- a/loomgate/cost_order.go
+++ b/loomgate/cost_order.go
@@ -131,7 +131,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	expected := now.Add(d.expectedWait(now, q))
-	if !w.Due.Before(now) || !expected.After(w.Until) {
+	if !w.Due.Before(now) || !expected.After(w.Until) || d.gate.coordinators.elected() == nil {
+		// Without coordinators the work that waits at other instances is only a guess.
 		return nil
 	}
 	d.expectedStart = expected
@@ -257,7 +258,7 @@
 // sender allows.
 func (s *peerService) placeInOrder(ctx context.Context, now time.Time, r *loompb.PlaceRequest) *loompb.PlaceReply {
 	g := s.gate
-	if g.IsStopping() {
+	if _, isKnown := g.view.routing().Group(r.GetGroup()); !isKnown || g.IsStopping() {
 		return &loompb.PlaceReply{}
 	}
 	q := g.queryOf(r)
