Keep requests and their KV cache in the regions that routes and accounts allow

Cause: routes and client accounts could not be restricted to regions; every upstream of a group and every KV cache store could get any request.

Change: allowed_regions of routes and tenants, settings region and zones.ZONE. loomcatalogue.Regions, RegionMap and RegionFaults decide; choices, answers of coordinators, sources and targets of the KV cache and the addresses that are sent are filtered, and only coordinators in allowed regions are asked. The salt of a restricted prompt contains its regions, so that engines elsewhere can't fetch its KV cache for another prompt with the same parts. Restricted requests wait in queues of their own, so that a full region holds up no others. Conflicts are logged once a revision (region_fault) with route and account; the requests are refused with the new kind region_unavailable (503, not run). request_refused lines have the message.

Measured: the new tests pass (loomcatalogue, loomgate, platform: two instances in two regions over sockets). Thirteen changes that each remove one condition: one survived at first (the filter of the addresses that are sent), and after a check was added its two parts make tests fail.

--- a/loomcache/store_index.go
+++ b/loomcache/store_index.go
@@ -22,6 +22,9 @@
 	PerToken  time.Duration
 }
 
+// StoreFilter reports whether a store may be used. Nil accepts all.
+type StoreFilter func(StoreClass) bool
+
 // transferTime returns the time to transfer a part to or from the store.
 func (c StoreClass) transferTime(tokens int) time.Duration {
 	return c.FirstByte + time.Duration(tokens)*c.PerToken
@@ -183,9 +186,17 @@
 // transfer time among those that have all of it. It returns false if there is
 // none.
 func (s *StoreIndex) Source(salt string, part PromptPart) (StoreClass, bool) {
+	return s.SourceAmong(nil, salt, part)
+}
+
+// SourceAmong is like Source for the stores that a filter accepts.
+func (s *StoreIndex) SourceAmong(accepts StoreFilter, salt string, part PromptPart) (StoreClass, bool) {
 	var best StoreClass
 	found := false
 	for _, p := range s.all() {
+		if accepts != nil && !accepts(p.class) {
+			continue
+		}
 		faster := !found || p.class.transferTime(part.Tokens) < best.transferTime(part.Tokens)
 		if faster && p.hasAll(salt, part) {
 			best, found = p.class, true
@@ -208,10 +219,18 @@
 // each token. Among these it chooses by weighted rendezvous hashing, so that all
 // instances prefer the same store for a part.
 func (s *StoreIndex) Target(now time.Time, salt string, part PromptPart, tokenTime time.Duration) string {
+	return s.TargetAmong(nil, now, salt, part, tokenTime)
+}
+
+// TargetAmong is like Target for the stores that a filter accepts.
+func (s *StoreIndex) TargetAmong(accepts StoreFilter, now time.Time, salt string, part PromptPart, tokenTime time.Duration) string {
 	compute := time.Duration(float64(part.Tokens) * float64(tokenTime) * maxTransferRatio)
 	var best *storeParts
 	var bestWeight float64
 	for _, p := range s.all() {
+		if accepts != nil && !accepts(p.class) {
+			continue
+		}
 		if p.hasOrExpects(now, salt, part) {
 			return ""
 		}
--- a/loomcatalogue/routing.go
+++ b/loomcatalogue/routing.go
@@ -72,6 +72,8 @@
 	// HasPrompts reports whether the requests carry prompts whose parts recur in
 	// later requests.
 	HasPrompts bool
+	// AllowedRegions are the regions that may serve the requests.
+	AllowedRegions Regions
 }
 
 // IsRepeatable reports whether a request of the route may be executed more than
@@ -110,6 +112,9 @@
 	HasRank bool
 	// IsIsolated reports whether the account shares no KV cache with others.
 	IsIsolated bool
+	// AllowedRegions are the regions that may serve the requests of the account, among those
+	// that the route allows.
+	AllowedRegions Regions
 }
 
 // Group is a set of interchangeable upstreams. It is immutable.
@@ -185,6 +190,8 @@
 	// pauseObjectives holds, by group, the shortest objective for the gap between
 	// two events among the routes to the group.
 	pauseObjectives map[string]time.Duration
+	// regionRules is nil if nothing is restricted to regions.
+	regionRules []RegionRule
 }
 
 // RoutingSpec holds the contents of a Routing.
@@ -214,6 +221,7 @@
 		limits:      s.Limits,
 
 		pauseObjectives: make(map[string]time.Duration),
+		regionRules:     regionRules(s),
 	}
 	for _, route := range s.Routes {
 		r.byHost[route.Host] = append(r.byHost[route.Host], route)
@@ -283,6 +291,12 @@
 	return r.pauseObjectives[group]
 }
 
+// RegionRules returns the restrictions of routes and client accounts to regions, or nil if there
+// are none. The caller must not modify the slice.
+func (r Routing) RegionRules() []RegionRule {
+	return r.regionRules
+}
+
 // Groups returns all upstream groups, ordered by name.
 func (r Routing) Groups() []Group {
 	groups := make([]Group, 0, len(r.groups))
--- a/loomerror/kind.go
+++ b/loomerror/kind.go
@@ -37,6 +37,7 @@
 	ShuttingDown
 	PromptQuarantined
 	RequestQuarantined
+	RegionUnavailable
 	Canceled
 	kindCount
 )
@@ -108,6 +109,7 @@
 	ShuttingDown:        {"shutting_down", http.StatusServiceUnavailable, true, NotRunTrue},
 	PromptQuarantined:   {"prompt_quarantined", http.StatusServiceUnavailable, false, NotRunTrue},
 	RequestQuarantined:  {"request_quarantined", http.StatusServiceUnavailable, false, NotRunTrue},
+	RegionUnavailable:   {"region_unavailable", http.StatusServiceUnavailable, true, NotRunTrue},
 	Canceled:            {"canceled", statusClientClosedRequest, false, NotRunUnknown},
 }
 
--- a/loomgate/choose.go
+++ b/loomgate/choose.go
@@ -73,7 +73,7 @@
 
 // candidates returns the upstreams that may take the next attempt.
 func (q *placementQuery) candidates(now time.Time) candidateSet {
-	upstreams := q.gate.usableUpstreams(now, q.group.Name)
+	upstreams := q.allowedUpstreams(now)
 	ids := make([]string, 0, len(upstreams))
 	for _, u := range upstreams {
 		ids = append(ids, u.ID)
@@ -134,7 +134,7 @@
 	salt := q.cacheSalt(version)
 	o.keys = loomcache.NewPartKeys(salt, q.prompt.Parts)
 	if n := len(q.prompt.Parts); n > 0 {
-		o.source, o.hasSource = q.gate.stores.index.Source(salt, q.prompt.Parts[max(q.reusableParts(), 1)-1])
+		o.source, o.hasSource = q.gate.stores.index.SourceAmong(q.storeFilter(), salt, q.prompt.Parts[max(q.reusableParts(), 1)-1])
 	}
 	return o
 }
--- a/loomgate/evacuation.go
+++ b/loomgate/evacuation.go
@@ -155,8 +155,7 @@
 }
 
 // publishEvacuations makes the current evacuations visible to readers, and wakes the requests
-// that wait for a group that is left without upstreams, so that they are refused at once. The
-// caller holds mu.
+// that are left without upstreams, so that they are refused at once. The caller holds mu.
 func (v *clusterView) publishEvacuations(now time.Time) {
 	domains, ended := v.evacuations.Evacuated(), v.evacuations.Ended()
 	if len(domains) == 0 && len(ended) == 0 {
@@ -184,9 +183,7 @@
 	}
 	v.evacuationSnapshot.Store(state)
 	for group := range state.counts {
-		if v.isGroupEvacuated(now, group) {
-			go v.gate.queues.wakeAll(group)
-		}
+		go v.gate.queues.wakeStranded(now, group)
 	}
 }
 
--- a/loomgate/evacuation_test.go
+++ b/loomgate/evacuation_test.go
@@ -168,15 +168,18 @@
 		{Address: "s1", FailureDomain: "z1"}, {Address: "s2", FailureDomain: "z2"},
 	}})
 	g.view.routingSnapshot.Store(&routing)
-	d := &dispatch{placementQuery: placementQuery{gate: g, group: loomcatalogue.Group{Name: "engines"}}, req: &request{}}
+	d := &dispatch{placementQuery: placementQuery{gate: g, group: loomcatalogue.Group{Name: "engines"}}, req: &request{IncomingRequest: IncomingRequest{HasPrompt: true}}}
 	addresses := []string{"e1@z1", "", "s1", "s2", "e3@z2"}
 	_, ok := d.placementOf(now, "c", &loompb.PlaceReply{UpstreamId: "e1@z1", Version: 1, IsReserved: true})
 	assert.Assert(t, ok)
-	assert.DeepEqual(t, d.withoutEvacuated(addresses), addresses)
+	d.kv = kvPlan{fetch: addresses, save: addresses}
+	assert.DeepEqual(t, d.newSend(now).Fetch, addresses)
 	g.view.apply(now, TopicCatalogue, page(6, evacuate("z1", 6)), false)
 	_, ok = d.placementOf(now, "c", &loompb.PlaceReply{UpstreamId: "e1@z1", Version: 1, IsReserved: true})
 	assert.Check(t, !ok)
-	assert.DeepEqual(t, d.withoutEvacuated(addresses), []string{"", "", "", "s2", "e3@z2"})
+	kept := []string{"", "", "", "s2", "e3@z2"}
+	assert.DeepEqual(t, d.newSend(now).Fetch, kept)
+	assert.DeepEqual(t, d.newSend(now).Save, kept)
 }
 
 // TestRolloutLeavesEvacuatedEnginesOut guards against orders to evacuated engines, a rollout that
--- a/loomgate/events.go
+++ b/loomgate/events.go
@@ -10,7 +10,7 @@
 // logDispatch logs the choice of an upstream for an attempt.
 func (g *Gate) logDispatch(d *dispatch, now time.Time) {
 	r := d.req
-	g.log.Info("dispatch",
+	fields := []any{
 		"request_id", r.RequestID,
 		"attempt", d.attempts,
 		"route", r.route.Name,
@@ -27,7 +27,12 @@
 		"outdated_ms", d.outdatedFor(now).Milliseconds(),
 		"revision", r.revision,
 		"upstreams_age_ms", g.view.upstreamsAge(now).Milliseconds(),
-		"left_ms", r.deadline.Sub(now).Milliseconds())
+		"left_ms", r.deadline.Sub(now).Milliseconds(),
+	}
+	if d.regions.IsRestricted() {
+		fields = append(fields, "regions", d.regions.String())
+	}
+	g.log.Info("dispatch", fields...)
 }
 
 // outdatedFor returns the time since the first target version that is newer than the weights
--- a/loomgate/gate.go
+++ b/loomgate/gate.go
@@ -25,6 +25,10 @@
 	// ID is unique among the instances that run at the same time.
 	ID            string
 	FailureDomain string
+	// Region is the region of the instance, or empty. ZoneRegions holds the regions of failure
+	// domains.
+	Region      string
+	ZoneRegions map[string]string
 	// ProcessorCores is the processor capacity of the instance in cores.
 	ProcessorCores float64
 	// PeerAddress is the address on which other instances reach this one.
@@ -69,6 +73,8 @@
 	metrics     *Metrics
 
 	view *clusterView
+	// regions holds the regions of the failure domains.
+	regions loomcatalogue.RegionMap
 	// unreadable holds the platform's rows that can't be used.
 	unreadable *unreadableRows
 	fleet      *loomroute.Fleet
@@ -118,6 +124,7 @@
 		random:      rand.New(rand.NewPCG(o.Seed, uint64(len(s.ID)))),
 	}
 	g.prefill.byGroup = make(map[string]*loomroute.PrefillModel)
+	g.regions = loomcatalogue.NewRegionMap(s.ZoneRegions, s.FailureDomain, s.Region)
 	g.unreadable = newUnreadableRows(g.log)
 	g.view = newClusterView(g)
 	g.peers = newPeers(g)
@@ -224,6 +231,9 @@
 			return nil, loomerror.New(loomerror.Unauthorized, "unknown API key")
 		}
 	}
+	if err := r.resolveRegions(); err != nil {
+		return nil, err
+	}
 	target := route.Target(hashString(in.RequestID))
 	if r.group, ok = routing.Group(target); !ok {
 		r.group = loomcatalogue.Group{Name: target}
--- a/loomgate/kvcache.go
+++ b/loomgate/kvcache.go
@@ -35,9 +35,10 @@
 // reusable.
 func (q *placementQuery) storedTokens(version uint64) int {
 	salt := q.cacheSalt(version)
+	filter := q.storeFilter()
 	tokens := 0
 	for _, part := range q.prompt.Parts[:q.reusableParts()] {
-		if _, found := q.gate.stores.index.Source(salt, part); !found {
+		if _, found := q.gate.stores.index.SourceAmong(filter, salt, part); !found {
 			return tokens
 		}
 		tokens += part.Tokens
@@ -105,11 +106,12 @@
 	salt := q.cacheSalt(p.version)
 	plan := kvPlan{fetch: make([]string, len(parts)), save: make([]string, len(parts))}
 	index := q.gate.stores.index
+	filter := q.storeFilter()
 	for i, part := range parts[:q.reusableParts()] {
-		source, found := index.Source(salt, part)
+		source, found := index.SourceAmong(filter, salt, part)
 		address := source.Address
 		if !found {
-			plan.save[i] = index.Target(now, salt, part, q.workUnitTime())
+			plan.save[i] = index.TargetAmong(filter, now, salt, part, q.workUnitTime())
 		}
 		if !found || source.PerToken > linkTokenTime(q.group.Engine) {
 			// Engines have faster links than large stores, and there are more
@@ -144,7 +146,7 @@
 	last := parts[len(parts)-1:]
 	keys := loomcache.NewPartKeys(salt, last)
 	address := ""
-	for _, u := range q.gate.usableUpstreams(now, q.group.Name) {
+	for _, u := range q.allowedUpstreams(now) {
 		if u.ID == p.upstream.ID || u.Version(q.prompt.Model) != p.version || q.gate.residency.CachedTokensOf(u.ID, keys, last) == 0 {
 			continue
 		}
--- a/loomgate/metrics.go
+++ b/loomgate/metrics.go
@@ -206,6 +206,7 @@
 		coordinates = 1
 	}
 	scope.Gauge("coordinates").Update(coordinates)
+	scope.Gauge("region_faults").Update(float64(g.view.regionFaultCount()))
 	scope.Gauge("evacuated_domains").Update(float64(len(g.view.evacuatedDomains())))
 	scope.Gauge("kept_parts").Update(float64(g.residency.Len()))
 	stored, used := g.stores.index.Len()
--- a/loomgate/place.go
+++ b/loomgate/place.go
@@ -42,7 +42,7 @@
 	if !d.needsCoordinator() || d.gate.view.isGroupEvacuated(now, d.group.Name) {
 		return placement{}, false
 	}
-	choices := d.gate.coordinators.choices()
+	choices := d.gate.coordinators.choicesIn(d.regions)
 	if len(choices) == 0 {
 		return placement{}, false
 	}
@@ -80,6 +80,7 @@
 		Route:           d.req.route.Name,
 		Rank:            uint32(max(d.rank, 0)),
 		IsolatedAccount: d.isolatedAccount,
+		AllowedRegions:  d.regions.Names(),
 		StartTimeoutMs:  uint32(d.startTimeout.Milliseconds()),
 		TriedIds:        d.triedIDs,
 		SuspectIds:      d.suspects(now),
@@ -116,7 +117,7 @@
 // names no upstream that this instance may use: the coordinator may know less than
 // this instance.
 func (d *dispatch) placementOf(now time.Time, id string, reply *loompb.PlaceReply) (placement, bool) {
-	for _, u := range d.gate.usableUpstreams(now, d.group.Name) {
+	for _, u := range d.allowedUpstreams(now) {
 		if u.ID != reply.GetUpstreamId() {
 			continue
 		}
@@ -233,6 +234,7 @@
 		failureDomain:   r.GetFailureDomain(),
 		rank:            int(r.GetRank()),
 		isolatedAccount: r.GetIsolatedAccount(),
+		regions:         loomcatalogue.NewRegions(r.GetAllowedRegions()),
 		startTimeout:    time.Duration(r.GetStartTimeoutMs()) * time.Millisecond,
 		triedIDs:        r.GetTriedIds(),
 		suspectIDs:      r.GetSuspectIds(),
--- a/loomgate/placement.go
+++ b/loomgate/placement.go
@@ -24,6 +24,8 @@
 	// isolatedAccount is the client account that shares no KV cache with others,
 	// or empty.
 	isolatedAccount string
+	// regions are those whose upstreams may serve the request.
+	regions loomcatalogue.Regions
 	// pauseObjective is the shortest objective for the pauses of streams among the
 	// routes to the group, or zero.
 	pauseObjective time.Duration
@@ -87,6 +89,7 @@
 		gate:          g,
 		failureDomain: g.settings.FailureDomain,
 		group:         r.group,
+		regions:       r.regions,
 		rank:          r.rank(),
 		prompt:        r.Prompt,
 		hasPrompt:     r.HasPrompt,
@@ -108,7 +111,7 @@
 		candidates = preferIdle(candidates)
 	}
 	if len(candidates) == 0 {
-		return placement{}, loomerror.New(loomerror.NoUpstream, "no live upstream in group %q", q.group.Name).WithRetryAfter(defaultRetryAfter)
+		return placement{}, q.noUpstream(len(set.upstreams))
 	}
 	if len(q.triedIDs) > 0 && allSuspect(candidates) {
 		// Do not wait for another attempt to fail: an instance that is cut off
@@ -200,11 +203,12 @@
 }
 
 // cacheSalt returns the salt of the KV cache that the request may use. It
-// contains the model and version, and also the account if that is isolated.
+// contains the model and version, and also the account if that is isolated and the
+// regions if these are restricted.
 func (q *placementQuery) cacheSalt(version uint64) string {
 	salt := modelSalt(q.prompt.Model, version)
 	if q.isolatedAccount != "" {
 		salt += "/" + q.isolatedAccount
 	}
-	return salt
+	return salt + q.regionSalt()
 }
--- a/loomgate/queue.go
+++ b/loomgate/queue.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math"
+	"strings"
 	"sync"
 	"time"
 
@@ -49,8 +50,11 @@
 type queues struct {
 	gate *Gate
 
-	mu      sync.Mutex
-	byGroup map[string]*groupQueue
+	mu sync.Mutex
+	// byGroup is keyed by group and allowed regions, and restricted holds by group the queues of
+	// requests that are restricted to regions.
+	byGroup    map[string]*groupQueue
+	restricted map[string][]*groupQueue
 
 	// elsewhere holds the work that waits at other instances.
 	elsewhere queuedWork
@@ -58,6 +62,9 @@
 
 // groupQueue holds the requests of one group that wait for capacity.
 type groupQueue struct {
+	// regions are those that the requests are restricted to.
+	regions loomcatalogue.Regions
+
 	mu      sync.Mutex
 	waiters loomlimit.DeadlineQueue
 	wakeups map[string]chan struct{}
@@ -72,27 +79,57 @@
 }
 
 func newQueues(g *Gate) *queues {
-	return &queues{gate: g, byGroup: make(map[string]*groupQueue)}
+	return &queues{gate: g, byGroup: make(map[string]*groupQueue), restricted: make(map[string][]*groupQueue)}
 }
 
-// forGroup returns the queue of a group and creates it on first use.
-func (q *queues) forGroup(group string) *groupQueue {
+// forRequest returns the queue in which a request waits. Requests that are restricted to regions
+// have queues of their own, so that a full region doesn't hold up those that may go elsewhere.
+func (q *queues) forRequest(p *placementQuery) *groupQueue {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	gq, ok := q.byGroup[group]
+	return q.get(p.group.Name, p.regions)
+}
+
+// get returns the queue of a group for requests that are restricted to regions, and creates it on
+// first use. The caller holds mu.
+func (q *queues) get(group string, r loomcatalogue.Regions) *groupQueue {
+	key := group
+	if r.IsRestricted() {
+		key += queueKeySeparator + strings.Join(r.Names(), queueKeySeparator)
+	}
+	gq, ok := q.byGroup[key]
 	if !ok {
-		gq = &groupQueue{wakeups: make(map[string]chan struct{})}
-		q.byGroup[group] = gq
+		gq = &groupQueue{regions: r, wakeups: make(map[string]chan struct{})}
+		q.byGroup[key] = gq
+		if r.IsRestricted() {
+			q.restricted[group] = append(q.restricted[group], gq)
+		}
 	}
 	return gq
 }
 
-// length returns the number of requests in the queue of a group.
+// ofGroup returns the queue of a group, and those of its requests that are restricted to regions.
+// The caller must not change the slice.
+func (q *queues) ofGroup(group string) (all *groupQueue, restricted []*groupQueue) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.get(group, loomcatalogue.Regions{}), q.restricted[group]
+}
+
+// length returns the number of requests that wait for a group.
 func (q *queues) length(group string) int {
-	gq := q.forGroup(group)
-	gq.mu.Lock()
-	defer gq.mu.Unlock()
-	return gq.waiters.Len()
+	all, restricted := q.ofGroup(group)
+	n := all.length()
+	for _, gq := range restricted {
+		n += gq.length()
+	}
+	return n
+}
+
+func (q *groupQueue) length() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.waiters.Len()
 }
 
 // firstEventTimeout returns how long after its arrival a request's first event
@@ -130,7 +167,7 @@
 	if d.streamStatus != 0 {
 		return d.placeContinuation(ctx, now)
 	}
-	q := d.gate.queues.forGroup(d.req.group.Name)
+	q := d.gate.queues.forRequest(&d.placementQuery)
 	hasTurn := q.hasTurn(now, d.rank)
 	mode := placeIfFree
 	if !hasTurn {
@@ -266,7 +303,7 @@
 	if d.limitDelay.wait > 0 {
 		return d.limitDelay.wait + time.Duration(q.waiters.CountAhead(d.rank))*d.limitDelay.interval
 	}
-	engines := max(len(d.gate.usableUpstreams(now, d.req.group.Name)), 1)
+	engines := max(len(d.allowedUpstreams(now)), 1)
 	ahead := q.waiters.WorkAhead(d.rank)
 	switch {
 	case d.coordinator != "":
@@ -286,10 +323,10 @@
 	groups := maps.Clone(q.byGroup)
 	q.mu.Unlock()
 	var work []*loompb.QueuedWork
-	for name, gq := range groups {
+	for key, gq := range groups {
 		gq.mu.Lock()
 		for rank, d := range gq.waiters.WorkByRank() {
-			work = append(work, &loompb.QueuedWork{Group: name, Rank: uint32(max(rank, 0)), Micros: uint32(min(d.Microseconds(), math.MaxUint32))})
+			work = append(work, &loompb.QueuedWork{Group: groupOfQueue(key), Rank: uint32(max(rank, 0)), Micros: uint32(min(d.Microseconds(), math.MaxUint32))})
 		}
 		gq.mu.Unlock()
 	}
@@ -407,23 +444,40 @@
 	}
 }
 
-// wakeAll wakes all requests in the queue of a group.
-func (q *queues) wakeAll(group string) {
-	gq := q.forGroup(group)
-	gq.mu.Lock()
-	defer gq.mu.Unlock()
-	for id := range gq.wakeups {
-		gq.signal(id)
+// wakeStranded wakes the requests that wait for a group without any upstream for them.
+func (q *queues) wakeStranded(now time.Time, group string) {
+	all, restricted := q.ofGroup(group)
+	for _, gq := range append([]*groupQueue{all}, restricted...) {
+		p := placementQuery{gate: q.gate, group: loomcatalogue.Group{Name: group}, regions: gq.regions}
+		if len(p.allowedUpstreams(now)) == 0 {
+			gq.wakeAll()
+		}
+	}
+}
+
+func (q *groupQueue) wakeAll() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for id := range q.wakeups {
+		q.signal(id)
 	}
 }
 
-// wakeFirst wakes the first request in the queue of a group, which then checks
+// wakeFirst wakes the first request in each queue of a group, which then checks
 // for capacity.
 func (q *queues) wakeFirst(group string) {
-	gq := q.forGroup(group)
-	gq.mu.Lock()
-	defer gq.mu.Unlock()
-	if first, ok := gq.waiters.Next(time.Now()); ok {
-		gq.signal(first.ID)
+	now := time.Now()
+	all, restricted := q.ofGroup(group)
+	all.wakeFirst(now)
+	for _, gq := range restricted {
+		gq.wakeFirst(now)
+	}
+}
+
+func (q *groupQueue) wakeFirst(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if first, ok := q.waiters.Next(now); ok {
+		q.signal(first.ID)
 	}
 }
--- a/loomgate/request.go
+++ b/loomgate/request.go
@@ -89,6 +89,8 @@
 	route   loomcatalogue.Route
 	account loomcatalogue.RoutedAccount
 	group   loomcatalogue.Group
+	// regions are those that route and account allow.
+	regions loomcatalogue.Regions
 	// revision is the revision of the routing that admitted the request.
 	revision uint64
 	// deadline is when the gate stops: at the caller's deadline or after the
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -117,7 +117,7 @@
 func (g *Gate) recordRefusal(in IncomingRequest, err *loomerror.Error) {
 	g.metrics.failed("", err.Kind())
 	g.log.Info("request_refused", "request_id", in.RequestID, "host", in.Host, "path", in.Path,
-		"kind", err.Kind().String(), "revision", g.view.routing().Revision())
+		"kind", err.Kind().String(), "message", err.Message(), "revision", g.view.routing().Revision())
 }
 
 // writeError writes the error of a request, or aborts the answer if the caller
@@ -239,8 +239,8 @@
 	s.Version = d.version
 	s.Salt = d.cacheSalt(d.version)
 	s.Rank = r.rank()
-	s.Fetch = d.withoutEvacuated(d.kv.fetch)
-	s.Save = d.withoutEvacuated(d.kv.save)
+	s.Fetch = d.withinRegions(now, d.withoutEvacuated(d.kv.fetch))
+	s.Save = d.withinRegions(now, d.withoutEvacuated(d.kv.save))
 	s.FetchUntil = d.kv.fetchUntil
 	return s
 }
--- a/loomgate/view.go
+++ b/loomgate/view.go
@@ -77,6 +77,7 @@
 	// keys of their rows.
 	evacuations    loommember.Evacuations
 	evacuationKeys map[string]string
+	regionFaults   regionFaults
 	// platform tells since when the platform answers.
 	platform loommember.Contact
 	// answersSince is since when the platform answers whoever has read the upstream list.
@@ -350,7 +351,9 @@
 	if changed || !v.upstreamsLoaded.Load() {
 		v.publish(now)
 	}
-	v.upstreamsLoaded.Store(true)
+	if !v.upstreamsLoaded.Swap(true) {
+		v.checkRegions(now)
+	}
 }
 
 // applyRows applies the rows of a page and reports whether the set of usable upstreams
@@ -406,6 +409,9 @@
 	for _, r := range routings {
 		v.applyRouting(r.routing, r.version)
 	}
+	if len(routings) > 0 {
+		v.checkRegions(now)
+	}
 }
 
 // routingRow is a revision of the routing and the version of its row.
@@ -548,6 +554,7 @@
 	ids = append(ids, v.addLastResorts(now, groups)...)
 	v.groupsSnapshot.Store(&groups)
 	v.publishEvacuations(now)
+	v.checkRegions(now)
 	v.gate.fleet.Retain(ids)
 	v.gate.limits.retain(now, ids)
 	v.gate.residency.Retain(ids)
--- a/loomlog/explain.go
+++ b/loomlog/explain.go
@@ -105,7 +105,7 @@
 
 // stateEvents are the events that change an instance's view of the deployment.
 var stateEvents = []string{
-	"catalogue_changed", "dependency_lost", "dependency_regained", "history_lost", "lease_given_up", "lease_lost", "lease_taken", "order_sent", "prompt_part_quarantined", "request_quarantined",
+	"catalogue_changed", "dependency_lost", "dependency_regained", "evacuation_ended", "evacuation_lost", "evacuation_started", "history_lost", "lease_given_up", "lease_lost", "lease_taken", "order_sent", "prompt_part_quarantined", "region_fault", "request_quarantined",
 	"row_written_again", "rows_from_peer", "store_epoch_rose", "store_restarted", "upstream_ended", "upstream_held_off", "upstream_leaving", "upstream_limit_named", "upstream_limit_withdrawn", "upstream_listed", "upstream_removed",
 	"upstream_weights", "weights_named",
 }
