--- a/loomerror/kind.go
+++ b/loomerror/kind.go
@@ -38,6 +38,7 @@
 	PromptQuarantined
 	RequestQuarantined
 	Overloaded
+	RegionUnavailable
 	Canceled
 	kindCount
 )
@@ -110,6 +111,7 @@
 	PromptQuarantined:   {"prompt_quarantined", http.StatusServiceUnavailable, false, NotRunTrue},
 	RequestQuarantined:  {"request_quarantined", http.StatusServiceUnavailable, false, NotRunTrue},
 	Overloaded:          {"overloaded", http.StatusServiceUnavailable, true, NotRunTrue},
+	RegionUnavailable:   {"region_unavailable", http.StatusServiceUnavailable, true, NotRunTrue},
 	Canceled:            {"canceled", statusClientClosedRequest, false, NotRunUnknown},
 }
 
--- a/loomgate/cost_order.go
+++ b/loomgate/cost_order.go
@@ -44,14 +44,21 @@
 	}
 }
 
+// ordersByCost reports whether the request starts in the order of loomschedule. One that is
+// restricted to regions doesn't: a full region must not hold up what may go elsewhere, and the
+// requests of a wait list may go to any upstream of the group.
+func (q *placementQuery) ordersByCost() bool {
+	return !q.regions.IsRestricted() && q.gate.ordersByCost(q.group.Name)
+}
+
 // waitByCost waits until the request has its turn in the order of loomschedule and an upstream has
 // capacity for it. It refuses at once a request that could not start in time.
 func (d *dispatch) waitByCost(ctx context.Context, now time.Time) *loomerror.Error {
-	d.outputTime = d.gate.queues.forGroup(d.group.Name).outputTime(d.prompt.ExpectedOutputTokens)
+	d.outputTime = d.gate.queues.forRequest(&d.placementQuery).outputTime(d.prompt.ExpectedOutputTokens)
 	if hasStarted, err := d.askToStart(ctx, now, 0); hasStarted || err != nil {
 		return err
 	}
-	q := d.gate.queues.forGroup(d.group.Name)
+	q := d.gate.queues.forRequest(&d.placementQuery)
 	q.mu.Lock()
 	waiter := d.waiter()
 	d.expectedStart = now.Add(d.expectedWait(now, q))
--- a/loomgate/events.go
+++ b/loomgate/events.go
@@ -10,7 +10,7 @@
 // logDispatch logs the choice of an upstream for an attempt.
 func (g *Gate) logDispatch(d *dispatch, now time.Time) {
 	r := d.req
-	g.log.Info("dispatch",
+	fields := []any{
 		"request_id", r.RequestID,
 		"attempt", d.attempts,
 		"route", r.route.Name,
@@ -29,7 +29,12 @@
 		"outdated_ms", d.outdatedFor(now).Milliseconds(),
 		"revision", r.revision,
 		"upstreams_age_ms", g.view.upstreamsAge(now).Milliseconds(),
-		"left_ms", r.deadline.Sub(now).Milliseconds())
+		"left_ms", r.deadline.Sub(now).Milliseconds(),
+	}
+	if d.regions.IsRestricted() {
+		fields = append(fields, "regions", d.regions.String())
+	}
+	g.log.Info("dispatch", fields...)
 }
 
 // queueError returns how much later a request that waited starts than was expected when it
@@ -109,7 +114,7 @@
 	} else {
 		g.metrics.answered(r.group.Name, r.route.Kind, now.Sub(r.Received))
 		if r.HasPrompt && !d.firstAt.IsZero() && d.attempts == 1 {
-			g.queues.forGroup(r.group.Name).observeOutput(r.Prompt.ExpectedOutputTokens, now.Sub(d.firstAt))
+			g.queues.forRequest(&d.placementQuery).observeOutput(r.Prompt.ExpectedOutputTokens, now.Sub(d.firstAt))
 		}
 	}
 	first := int64(-1)
