Give answers a share of the memory for callers, and let refusals be read

Cause: beside callers that send ahead without reading, answers took what large requests need (3 of 148 requests of 1 MiB served), and a connection that was refused with unread bytes was reset before its caller saw the 503 (16 of 148). Change: answers have 0.3 of the budget for themselves; large requests, small ones and connections have ceilings within the rest; a refused connection reads on for 250 ms. The budget is 0.38 of the memory.

--- a/loomhttp/body.go
+++ b/loomhttp/body.go
@@ -50,12 +50,12 @@
 	if length < 0 {
 		room = min(firstAnswerBytes, limit+1)
 	}
-	data, err := readGrowing(body, room, limit, func(n int64) error { return m.ReserveAnswer(ctx, n) }, m.Release)
+	data, err := readGrowing(body, room, limit, func(n int64) error { return m.ReserveAnswer(ctx, n) }, m.ReleaseAnswer)
 	if err != nil {
 		return nil, err
 	}
 	if int64(len(data)) > limit {
-		m.Release(int64(cap(data)))
+		m.ReleaseAnswer(int64(cap(data)))
 		return nil, errors.Annotatef(ErrTooLarge, "limit %d", limit)
 	}
 	return data, nil
--- a/loomhttp/conn_memory.go
+++ b/loomhttp/conn_memory.go
@@ -64,6 +64,9 @@
 	// isShed is set while the connection is to be closed for lack of memory, and
 	// isShedAsSlow if that is for too little progress.
 	isShed, isShedAsSlow bool
+	// lingers is set if a request was refused before its body was read: a connection that is
+	// closed with unread bytes is reset, and the caller may not see the refusal.
+	lingers bool
 }
 
 // enter records that a phase begins. c.mu must be held.
@@ -148,6 +151,7 @@
 		c.writeHeadRefusal()
 		return readError(ErrOverloaded)
 	default:
+		c.lingers = p == phaseBody
 		return ErrOverloaded
 	}
 }
@@ -165,10 +169,15 @@
 // refuseHead refuses the request whose head is being read, and returns the error of the read.
 func (c *callerConn) refuseHead(err error) error {
 	c.writeHeadRefusal()
+	c.linger()
+	return readError(err)
+}
+
+// linger ends the writing side and reads for some time what the caller still sends.
+func (c *callerConn) linger() {
 	_ = c.CloseWrite()
 	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
 	_, _ = io.CopyBuffer(io.Discard, io.LimitReader(c.Conn, lingerBytes), make([]byte, 2<<10))
-	return readError(err)
 }
 
 // meterRead records what a read has brought, and returns what it costs as a part of a head. c.mu
@@ -257,8 +266,8 @@
 	return c.granted
 }
 
-// unreserve gives back n bytes that were reserved.
-func (c *callerConn) unreserve(n int64) {
+// unreserve gives back n bytes that were reserved in part p.
+func (c *callerConn) unreserve(p part, n int64) {
 	if c.holder == nil {
 		return
 	}
@@ -267,7 +276,7 @@
 	c.used -= n
 	if excess := (c.granted - c.used) / grantBytes * grantBytes; excess > 0 {
 		c.granted -= excess
-		c.holder.budget.release(c.holder, excess)
+		c.holder.budget.release(c.holder, p, excess)
 	}
 }
 
@@ -276,7 +285,7 @@
 	if c.holder == nil {
 		return
 	}
-	c.holder.budget.release(c.holder, c.granted)
+	c.holder.budget.release(c.holder, partAnswers, c.granted)
 	c.used, c.granted, c.meter = 0, 0, headMeter{}
 }
 
@@ -364,10 +373,17 @@
 	return m.conn.reserve(n, true, ctx.Done())
 }
 
-// Release gives n bytes back. What is left is given back after the response.
+// Release gives back n bytes of Reserve. What is left is given back after the response.
 func (m RequestMemory) Release(n int64) {
 	if m.conn != nil {
-		m.conn.unreserve(n)
+		m.conn.unreserve(partRequests, n)
+	}
+}
+
+// ReleaseAnswer gives back n bytes of ReserveAnswer.
+func (m RequestMemory) ReleaseAnswer(n int64) {
+	if m.conn != nil {
+		m.conn.unreserve(partAnswers, n)
 	}
 }
 
--- a/loomhttp/memory_budget.go
+++ b/loomhttp/memory_budget.go
@@ -31,15 +31,33 @@
 	scanInterval = 10 * time.Millisecond
 )
 
-// Shares of a budget. What is left above largeShare is reserved for small requests and for
-// answers, what is left above answerShare for small requests, and what is left above connShare
-// for requests of any kind.
+// Shares of a budget. Answers have one of their own, since a request that runs ends only with its
+// answer: 0.3 of the smallest budget, 50 MiB, is room for one of 8 MiB that has grown from 4 MiB.
+// Connections and requests have the rest. What is above the sum of connShare and largeShare is
+// left to small requests.
 const (
-	connShare   = 0.5
-	largeShare  = 0.75
-	answerShare = 0.9
+	connShare   = 0.25
+	largeShare  = 0.4
+	smallShare  = 0.7
+	answerShare = 0.3
 )
 
+// part is the part of a budget that bytes belong to.
+type part int
+
+const (
+	partRequests part = iota
+	partAnswers
+	partCount
+)
+
+// amounts are bytes by part.
+type amounts [partCount]int64
+
+func (a amounts) sum() int64 {
+	return a[partRequests] + a[partAnswers]
+}
+
 // phase is what a connection is doing.
 type phase int32
 
@@ -77,7 +95,7 @@
 	mu sync.Mutex
 	// held is the sum of what holders hold, and leaving the part of it whose holders are
 	// being shed.
-	held, leaving int64
+	held, leaving amounts
 	leavingConns  int
 	holders       map[*holder]struct{}
 	byAddress     map[netip.Addr]int64
@@ -135,9 +153,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.stats
-	s.Held, s.Conns = b.held, len(b.holders)
+	s.Held, s.Conns = b.held.sum(), len(b.holders)
 	b.stats = newMemoryStats(b.size)
-	b.stats.Peak = b.held
+	b.stats.Peak = s.Held
 	return s
 }
 
@@ -158,7 +176,7 @@
 	paidUntil atomic.Int64
 
 	// The fields below are guarded by MemoryBudget.mu.
-	held      int64
+	held      amounts
 	isLeaving bool
 }
 
@@ -179,11 +197,10 @@
 	h := &holder{budget: b, address: address, conn: conn}
 	h.enter(now, phaseHead, firstByteGrace)
 	var shed []shedding
-	if len(b.holders) >= b.maxConns || b.held+connBytes > b.size {
+	if len(b.holders) >= b.maxConns {
 		// What is being shed takes up to a second to close. A quarter more connections may be
 		// open meanwhile.
 		need := int64(max(len(b.holders)-b.leavingConns-b.maxConns+1, 0)) * connBytes
-		need = max(need, b.held-b.leaving+connBytes-b.size)
 		var ok bool
 		shed, ok = b.chooseVictims(now, h, need, useConn)
 		if !ok || len(b.holders) >= b.maxConns+b.maxConns/4 {
@@ -192,38 +209,49 @@
 		}
 	}
 	b.holders[h] = struct{}{}
-	b.add(h, connBytes)
+	b.add(h, partRequests, connBytes)
 	return h, shed
 }
 
 // add records n bytes more or less for h. b.mu must be held.
-func (b *MemoryBudget) add(h *holder, n int64) {
-	b.held += n
-	h.held += n
+func (b *MemoryBudget) add(h *holder, p part, n int64) {
+	b.held[p] += n
+	h.held[p] += n
 	b.byAddress[h.address] += n
 	if h.isLeaving {
-		b.leaving += n
+		b.leaving[p] += n
 	}
 	if b.byAddress[h.address] == 0 {
 		delete(b.byAddress, h.address)
 	}
-	b.stats.Peak = max(b.stats.Peak, b.held)
+	b.stats.Peak = max(b.stats.Peak, b.held.sum())
 	if n < 0 && b.freed != nil {
 		close(b.freed)
 		b.freed = nil
 	}
 }
 
-// ceiling returns how much may be held after memory was given for u.
+// ceiling returns how much may be held in the part of u after memory was given for it.
 func (b *MemoryBudget) ceiling(u use) int64 {
+	share := smallShare
 	switch u {
+	case useConn:
+		share = connShare
 	case useLarge:
-		return int64(float64(b.size) * largeShare)
+		share = largeShare
 	case useAnswer:
-		return int64(float64(b.size) * answerShare)
-	default:
-		return b.size
+		share = answerShare
+	case useSmall:
 	}
+	return int64(float64(b.size) * share)
+}
+
+// part returns the part that memory for u belongs to.
+func (u use) part() part {
+	if u == useAnswer {
+		return partAnswers
+	}
+	return partRequests
 }
 
 // grow gives h another n bytes for u if there is room. If there is none, it returns the connections
@@ -236,12 +264,13 @@
 		// The server was closed while the request runs. Nothing would give the bytes back.
 		return true, nil, nil
 	}
-	over := b.held + n - b.ceiling(u)
+	p := u.part()
+	over := b.held[p] + n - b.ceiling(u)
 	if over <= 0 {
-		b.add(h, n)
+		b.add(h, p, n)
 		return true, nil, nil
 	}
-	shed, ok = b.chooseVictims(now, h, over-b.leaving, u)
+	shed, ok = b.chooseVictims(now, h, over-b.leaving[p], u)
 	if !ok && u == useLarge {
 		return false, shed, nil
 	}
@@ -258,16 +287,19 @@
 	b.stats.Refused[useNames[u]]++
 }
 
-// release takes back n bytes of h.
-func (b *MemoryBudget) release(h *holder, n int64) {
+// release takes back n bytes of h, first of the part p.
+func (b *MemoryBudget) release(h *holder, p part, n int64) {
 	if n == 0 {
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if _, ok := b.holders[h]; ok {
-		b.add(h, -n)
+	if _, ok := b.holders[h]; !ok {
+		return
 	}
+	first := min(n, h.held[p])
+	b.add(h, p, -first)
+	b.add(h, partCount-1-p, first-n)
 }
 
 // close takes back everything of h.
@@ -278,7 +310,8 @@
 		return
 	}
 	b.setLeaving(h, false)
-	b.add(h, -h.held)
+	b.add(h, partRequests, -h.held[partRequests])
+	b.add(h, partAnswers, -h.held[partAnswers])
 	delete(b.holders, h)
 }
 
@@ -288,13 +321,14 @@
 		return
 	}
 	h.isLeaving = isLeaving
+	sign := int64(-1)
 	if isLeaving {
-		b.leaving += h.held
-		b.leavingConns++
-		return
+		sign = 1
+	}
+	for p, n := range h.held {
+		b.leaving[p] += sign * n
 	}
-	b.leaving -= h.held
-	b.leavingConns--
+	b.leavingConns += int(sign)
 }
 
 // keep records that h was not shed after all, since it has made progress.
@@ -304,14 +338,14 @@
 	b.setLeaving(h, false)
 }
 
-// fairPart returns the part of the budget that each address may hold under pressure. b.mu must
-// be held.
+// fairPart returns what each address may hold under pressure: its part of what large requests may
+// hold. b.mu must be held.
 func (b *MemoryBudget) fairPart(address netip.Addr) int64 {
 	n := len(b.byAddress)
 	if _, ok := b.byAddress[address]; !ok {
 		n++
 	}
-	return b.size / int64(n)
+	return b.ceiling(useLarge) / int64(n)
 }
 
 // chooseVictims chooses connections that hold at least need bytes and records that they are being
@@ -331,6 +365,9 @@
 		if h == requester || h.isLeaving || (isOverFair && h.address != requester.address) {
 			continue
 		}
+		if h.held[u.part()] == 0 {
+			continue
+		}
 		if c, ok := h.victim(now, u, !isOverFair && b.byAddress[h.address] > fair); ok {
 			candidates = append(candidates, c)
 		}
@@ -341,7 +378,7 @@
 		if need <= 0 {
 			break
 		}
-		need -= c.held
+		need -= c.holder.held[u.part()]
 		b.setLeaving(c.holder, true)
 		b.stats.Shed[c.phase.String()]++
 		chosen = append(chosen, c)
@@ -358,13 +395,13 @@
 // byte if another one asks. A connection whose bytes have not been read yet is kept in the end.
 func (h *holder) victim(now time.Time, u use, isAddressOver bool) (shedding, bool) {
 	p := phase(h.phase.Load())
-	c := shedding{holder: h, phase: p, held: h.held, slow: now.Sub(h.budget.start) - time.Duration(h.paidUntil.Load())}
+	c := shedding{holder: h, phase: p, held: h.held.sum(), slow: now.Sub(h.budget.start) - time.Duration(h.paidUntil.Load())}
 	switch p {
 	case phaseRun:
 		return c, false
 	case phaseHead, phaseBody:
-		isLarge := (u == useConn || u == useSmall) && h.held > connBytes+smallRequestBytes
-		isSilent := u == useConn && p == phaseHead && h.held == connBytes
+		isLarge := (u == useConn || u == useSmall) && c.held > connBytes+smallRequestBytes
+		isSilent := u == useConn && p == phaseHead && c.held == connBytes
 		return c, c.slow > 0 || isAddressOver || isLarge || isSilent
 	default:
 		return c, c.slow > 0
--- a/loomhttp/server.go
+++ b/loomhttp/server.go
@@ -122,6 +122,7 @@
 
 // Close cuts all connections.
 func (s *Server) Close() {
+	s.conns.isClosing.Store(true)
 	_ = s.listener.Close()
 	for _, h := range s.servers {
 		_ = h.Close()
--- a/loomhttp/server_conn.go
+++ b/loomhttp/server_conn.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -36,6 +37,8 @@
 	// what it has refused or shed.
 	budget   *MemoryBudget
 	rejected func(Rejection)
+	// isClosing is set once all connections are cut.
+	isClosing atomic.Bool
 }
 
 func newCallerConns() *callerConns {
@@ -297,8 +300,12 @@
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	c.mu.Lock()
+	isLingering := c.lingers && !c.isClosed && !c.all.isClosing.Load()
 	c.isClosed = true
 	c.mu.Unlock()
+	if isLingering {
+		c.linger()
+	}
 	c.all.remove(c)
 	if c.holder != nil {
 		c.holder.budget.close(c.holder)
--- a/loominstance/http.go
+++ b/loominstance/http.go
@@ -37,7 +37,7 @@
 	maxHeaderBytes = 64 << 10
 	// callerMemoryRatio is the part of the memory that is held for callers, and defaultMemoryMB the
 	// memory that is assumed without a setting.
-	callerMemoryRatio = 0.28
+	callerMemoryRatio = 0.38
 	defaultMemoryMB   = 1024
 	// bodyCopies is how often a body is in memory while it is decoded: as it was read, in
 	// the decoder's buffer, which doubles as it grows, and as text.
