Test calls with claims, quarantine after an attempt, and bodies cut short at the completions API

Each failed when its ground was taken away: a held claim that counts as repeatable, the missing statement of Lifecycle, the ignored error of the body. They pass on this code.

--- a/loominstance/service_end_test.go
+++ b/loominstance/service_end_test.go
@@ -9,19 +9,23 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"swiftloom/loomcatalogue"
+	"swiftloom/loomclaim"
 	"swiftloom/loomerror"
 	"swiftloom/loomhome"
 	"swiftloom/loommember"
 	"swiftloom/loomquarantine"
 	"swiftloom/loomroute"
+	"swiftloom/loomstandin"
 	"swiftloom/loomstream"
 	"swiftloom/loomupstream"
 )
@@ -164,3 +168,54 @@
 		})
 	}
 }
+
+// TestCallWithClaimIsSentOnce guards against a call with an idempotency key that is sent again after
+// an attempt that may have run, though its caller allows that.
+func TestCallWithClaimIsSentOnce(t *testing.T) {
+	var next atomic.Int32
+	half := "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nfirst half"
+	n := newServiceInstance(t, 2, []string{half, half}, &next)
+	n.claimBatcher, n.claims = loomclaim.NewBatcher(), newClaims(n)
+	n.claimWriters.Store(&[]string{})
+	go func() {
+		var table loomstandin.Table
+		for t.Context().Err() == nil {
+			if b, ok := n.claimBatcher.Next(time.Now()); ok {
+				n.claimBatcher.Done(time.Now(), b, table.Transact(b.Request))
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	_, err := n.callWithClaim(t.Context(), loomcatalogue.ClientAccount{}, loomcatalogue.UpstreamGroup{Header: loomcatalogue.Header{Name: "jobs"}}, "key", true, loomupstream.Call{RequestID: "r", Path: "x"})
+	assert.Check(t, loomerror.Is(err, loomerror.OutcomeUnknown), "%v", err)
+	assert.Equal(t, next.Load(), int32(1))
+}
+
+// TestQuarantineAfterAttemptPromisesNothing guards against a call that is refused as quarantined and
+// not run, after an attempt that may have run.
+func TestQuarantineAfterAttemptPromisesNothing(t *testing.T) {
+	var next atomic.Int32
+	n := newServiceInstance(t, 2, []string{"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nfirst half"}, &next)
+	suspects := loomquarantine.NewSuspects("", nil, "digest")
+	now := time.Now()
+	n.quarantine.Apply(now, []loomquarantine.Change{loomquarantine.Quarantine{Ends: 3, IsCertain: true, UsedAt: now}.WithSuspects(suspects...)})
+	guard := &quarantineGuard{instance: n, suspects: func() []loomquarantine.Suspect {
+		if next.Load() == 0 {
+			return nil
+		}
+		return suspects
+	}}
+	_, err := n.callWithRetries(t.Context(), loomcatalogue.UpstreamGroup{Header: loomcatalogue.Header{Name: "jobs"}}, true, loomupstream.Call{RequestID: "r", Path: "x"}, guard)
+	assert.Check(t, loomerror.Is(err, loomerror.RequestQuarantined), "%v", err)
+	assert.Equal(t, loomerror.From(err).NotRun(), loomerror.NotRunUnknown)
+	assert.Equal(t, next.Load(), int32(1))
+}
+
+// TestBodyCutShortIsNotPassedOn guards against a request that runs with a part of its body.
+func TestBodyCutShortIsNotPassedOn(t *testing.T) {
+	n := &Instance{}
+	n.settings.Instance.MaxBodyBytes = 100
+	r := httptest.NewRequest(http.MethodPost, "/", io.MultiReader(strings.NewReader("part"), iotest.ErrReader(io.ErrUnexpectedEOF)))
+	err := n.bufferBody(&exchange{ResponseWriter: httptest.NewRecorder()}, r)
+	assert.Check(t, loomerror.Is(err, loomerror.InvalidRequest), "%v", err)
+}
