--- a/loomgate/evacuation.go
+++ b/loomgate/evacuation.go
@@ -230,10 +230,11 @@
 }
 
 // returnDelay returns how long a request to an upstream with a number of requests in flight is
-// held since the evacuation of its failure domain has ended only just now.
+// held since the evacuation of its failure domain has ended only just now. An upstream whose group
+// bounds what a cold one may get counts as cold instead.
 func (q *placementQuery) returnDelay(now time.Time, u loommember.Upstream, inFlight int) limitDelay {
 	state := q.gate.view.evacuated()
-	if state == nil {
+	if state == nil || q.gate.cold.bound(u.Group).IsBound() {
 		return limitDelay{}
 	}
 	endedAt, ok := state.endedAt[u.FailureDomain]
