--- a/loomgate/rollout.go
+++ b/loomgate/rollout.go
@@ -44,10 +44,10 @@
 	// effect may be sent again, and after which an engine that did not report
 	// its state is asked again.
 	orderRetryDelay = 1500 * time.Millisecond
-	// maxLoadingShare is the share of a group's engines that may load weights at once.
-	// A site can deliver weights at full speed to about a sixth of the engines; the
-	// rest covers the delay of reports. Engines that still run requests don't count:
-	// they serve meanwhile, and the time until they load depends on these requests.
+	// maxLoadingShare is the share of a group's engines that may have an order
+	// in progress at once. A site can deliver weights at full speed to about a
+	// sixth of the engines; the rest of the time of an order is spent waiting
+	// for running requests to end.
 	maxLoadingShare = 0.3
 	// orderSpreadShare is the share of OldWeightsTTL over which the orders to a
 	// group are spread, so that engines load one after another.
@@ -117,8 +117,6 @@
 	version   uint64
 	sentAt    time.Time
 	checkedAt time.Time
-	// isDraining is set while the engine still runs requests that it ends before it loads.
-	isDraining bool
 }
 
 // loadingState is a report that an engine is loading weights, or that it has loaded them.
@@ -242,10 +240,11 @@
 	loading := 0
 	for _, u := range update.engines {
 		byID[u.ID] = u
-		engines = append(engines, r.engineState(u, update))
-		if o, ok := r.orderTo(u, update); ok && !o.isDraining {
+		e := r.engineState(u, update)
+		if e.Loading > 0 {
 			loading++
 		}
+		engines = append(engines, e)
 	}
 	limit := max(int(float64(len(update.engines))*maxLoadingShare+0.99), 1)
 	target := loomfleet.Target{Model: update.model, Version: update.version, LoadLimit: limit}
@@ -388,7 +387,7 @@
 	token, held := r.lease.Held(now)
 	if state.Busy {
 		// An earlier order is in progress, possibly for older weights.
-		return orderSent{order: engineOrder{upstream: u, model: o.Model, version: o.Version, checkedAt: now, isDraining: state.Running > 0}}
+		return orderSent{order: engineOrder{upstream: u, model: o.Model, version: o.Version, checkedAt: now}}
 	}
 	if !held || !r.canOrder(now) || r.gate.view.isEvacuated(u.FailureDomain) {
 		return orderUnneeded{upstream: u.ID}
@@ -403,7 +402,7 @@
 	switch reply.Outcome {
 	case loomupstream.OrderAccepted, loomupstream.OrderUnknown:
 		r.recordLoading(time.Now(), u, o.Model, o.Version)
-		return orderSent{order: engineOrder{upstream: u, model: o.Model, version: o.Version, sentAt: now, checkedAt: now, isDraining: state.Running > 0}}
+		return orderSent{order: engineOrder{upstream: u, model: o.Model, version: o.Version, sentAt: now, checkedAt: now}}
 	case loomupstream.OrderUnchanged:
 		r.recordLoaded(time.Now(), u, o.Model, o.Version)
 	default:
@@ -466,7 +465,6 @@
 		r.recordLoaded(time.Now(), o.upstream, o.model, state.Version(o.model))
 		return false
 	case state.Busy:
-		o.isDraining = state.Running > 0
 		r.recordLoading(time.Now(), o.upstream, o.model, o.version)
 		return true
 	case state.Version(o.model) > o.upstream.Version(o.model):
--- a/loomupstream/runner.go
+++ b/loomupstream/runner.go
@@ -132,9 +132,6 @@
 type EngineState struct {
 	// Busy reports that an order is being carried out.
 	Busy bool
-	// Running is the number of requests that run. An engine that is busy with an order and
-	// still runs requests has not begun to load.
-	Running int
 	// Orders is the number of orders accepted since the start of the engine.
 	Orders  int64
 	Weights []EngineWeights
