review: replace the case of the older copy by that of a killed lease holder

Cause: an instance that takes a lease which was given back delays its first order only in memory; after a restart it takes its own lease at once and orders without delay.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -24,10 +24,10 @@
 // cases holds the function of each case, which reports whether the rule was broken.
 var cases = map[string]func() bool{
 	"renewal":  renewal,
-	"old-copy": oldCopy,
 	"unframed": unframed,
 	"feed":     feed,
 	"parts":    parts,
+	"handover": handover,
 }
 
 // record writes a line to the record, with the time since the start.
--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -128,3 +128,14 @@
 
 // apiKey is a key of the manifests.
 const apiKey = "fqasnmgkcuyj8pjbvk9m"
+
+// await returns what a channel receives within 30 s.
+func await(c <-chan string, what string) string {
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(30 * time.Second):
+		fail("no %s within 30 s", what)
+		return ""
+	}
+}
