--- a/review/rig/parts.go
+++ b/review/rig/parts.go
@@ -28,10 +28,11 @@
 	// which a request follows partInterval after the answer to the one before.
 	partConns    = 20
 	partInterval = 30 * time.Millisecond
-	// partKills is how often the processes of a machine end by the rule, and partTime bounds the
-	// time of the case.
-	partKills = 3
-	partTime  = 90 * time.Second
+	// partKills is how often the processes of a machine end by the rule. partTime bounds the time
+	// of the case, and calmPartTime that without the disruption.
+	partKills    = 3
+	partTime     = 100 * time.Second
+	calmPartTime = 45 * time.Second
 )
 
 // residentMB returns the resident memory of a process in MiB.
@@ -172,7 +173,11 @@
 		victims = append(victims, v)
 	}
 	record("a request has %d bytes and %d parts of one token", len(partHead(1)), strings.Count(partHead(1), ":1,")+1)
-	ctx, cancel := context.WithTimeout(context.Background(), partTime)
+	limit := partTime
+	if !trouble {
+		limit = calmPartTime
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	var watching, pressing sync.WaitGroup
 	for _, v := range victims {
