review: read TROUBLE in the scripts, and make the rig pass the linter

Cause: the scripts left TROUBLE to the rig's environment, so that they didn't show what it does; the linter of the project had 32 remarks on the rig, which it doesn't see as a part of the module.

The messages of the platform are types, requests and connections have contexts, long functions are split. A stand-in that refuses a stream for other weights no longer counts it as running. What the cases do and judge is the same.

--- a/review/rig/feed.go
+++ b/review/rig/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,10 +14,10 @@
 const (
 	// lossTime is how long the store loses answers.
 	lossTime = 4500 * time.Millisecond
-	// contactMs and applyMs are the bounds of the same names, and revokeMs that for keys.
-	contactMs = 3 * time.Second
-	applyMs   = 2 * time.Second
-	revokeMs  = 5 * time.Second
+	// contactTime, applyTime and revokeTime are the bounds contact_ms, apply_ms and revoke_ms.
+	contactTime = 3 * time.Second
+	applyTime   = 2 * time.Second
+	revokeTime  = 5 * time.Second
 	// withdrawnKey is a key that the second manifest no longer has.
 	withdrawnKey = "68k7b2ex5wa5xwyhks8n"
 	// watchTime is how long requests are sent after the second manifest.
@@ -70,12 +71,12 @@
 
 // call sends a request and returns the answer.
 func call(g *gate, id, key string) result {
-	r, err := http.NewRequest(http.MethodPost, "http://"+g.front+"/alarm/x", bytes.NewReader([]byte(strings.Repeat("x", 600))))
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+g.front+"/alarm/x", bytes.NewReader([]byte(strings.Repeat("x", 600))))
 	if err != nil {
 		fail("make request: %v", err)
 	}
-	r.Host = "cumy.example"
-	r.Header.Set("Swiftloom-Request-Id", id)
+	r.Host = hostName
+	r.Header.Set(headerRequestID, id)
 	r.Header.Set("Swiftloom-Deadline-Ms", "600")
 	r.Header.Set("Authorization", "Bearer "+key)
 	res := result{sent: time.Now(), gate: g.name, key: key}
@@ -91,53 +92,55 @@
 	return res
 }
 
+// The services of the manifests: oldService has the route at first, newService later.
+const (
+	oldService = "dysp-a"
+	newService = "dysp-b"
+)
+
 // writePlainManifest writes a manifest with one route to a plain service.
-func (s *site) writePlainManifest(version int, service string, keys ...string) {
-	s.store.put("op", "config", map[string]any{
-		"version": version,
-		"routes": []map[string]any{{
-			"name": "r-1", "host": "cumy.example", "prefix": "/alarm/", "kind": "non_idempotent", "timeout_ms": 600, "goal_ms": 100,
-			"priority": 2, "service": service, "attempts": 1, "public": false, "sticky": false, "resumable": false,
-		}},
-		"services": []map[string]any{
-			{"name": "dysp-a", "health_path": "/healthz", "max_conns": 100, "protocol": "h1", "tls": false},
-			{"name": "dysp-b", "health_path": "/healthz", "max_conns": 100, "protocol": "h1", "tls": false},
+func (s *site) writePlainManifest(version int, to string, keys ...string) {
+	s.store.put("op", "config", manifest{
+		Version: version,
+		Routes:  []route{{Name: "r-1", Host: hostName, Prefix: "/alarm/", Kind: "non_idempotent", Timeout: 600, Goal: 100, Priority: 2, Service: to, Attempts: 1}},
+		Services: []service{
+			{Name: oldService, HealthPath: healthPath, MaxConns: 100, Protocol: "h1"},
+			{Name: newService, HealthPath: healthPath, MaxConns: 100, Protocol: "h1"},
 		},
-		"limits":  map[string]any{"header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []map[string]any{{"name": "pulo", "api_keys": keys, "priority": 1}},
+		Limits:  siteLimits,
+		Tenants: []tenant{{Name: "pulo", APIKeys: keys, Priority: 1}},
 	})
-	record("operator writes manifest %d: the route goes to %s, keys %s", version, service, strings.Join(keys, ", "))
+	record("operator writes manifest %d: the route goes to %s, keys %s", version, to, strings.Join(keys, ", "))
 }
 
-// feed: the store loses the answers to three polls, those by which the three gates would learn of
-// a new manifest.
-func feed() bool {
-	s := newSite(0, defaultKVTokens)
-	s.writePlainManifest(2, "dysp-a", apiKey, withdrawnKey)
-	for i, service := range []string{"dysp-a", "dysp-a", "dysp-b", "dysp-b"} {
-		r := &runner{id: fmt.Sprintf("i-%02d", i+1), service: service, zone: "hala-nport", store: s.store, named: s.newest, saw: s.saw}
+// startPlainRunners starts two runners of each service.
+func (s *site) startPlainRunners() {
+	for i, to := range []string{oldService, oldService, newService, newService} {
+		r := &runner{id: fmt.Sprintf("i-%02d", i+1), service: to, store: s.store, named: s.newest, saw: s.saw}
 		r.serve = func(w http.ResponseWriter, q *http.Request) {
 			_ = readAll(q)
 			time.Sleep(15 * time.Millisecond)
-			w.Header().Set("Swiftloom-Request-Id", q.Header.Get("Swiftloom-Request-Id"))
-			w.Header().Set("Swiftloom-Server-Stamp", "3e1b."+r.id)
-			_, _ = io.WriteString(w, r.service+" has run "+q.Header.Get("Swiftloom-Request-Id")+"\n")
+			w.Header().Set(headerRequestID, q.Header.Get(headerRequestID))
+			w.Header().Set(headerStamp, stampPrefix+r.id)
+			_, _ = io.WriteString(w, r.service+" has run it\n")
 		}
 		r.start()
 	}
-	var all []*gate
+}
+
+// feed: the store loses the answers to three polls, those by which the three gates would learn of
+// a new manifest.
+func feed() bool {
+	s := newSite(0, defaultKVTokens)
+	s.writePlainManifest(2, oldService, keptKey, withdrawnKey)
+	s.startPlainRunners()
 	var doors []*lossyDoor
-	for _, name := range []string{"front-1", "front-2", "front-3"} {
-		d := &lossyDoor{machine: name}
+	all := s.newGates(func(machine string) door {
+		d := &lossyDoor{machine: machine}
 		doors = append(doors, d)
-		all = append(all, newGate(name, "hala-nport", defaultMemoryMB, s.store.listen(d)))
-	}
-	for _, g := range all {
-		g.start()
-	}
-	for _, g := range all {
-		g.awaitReady(10 * time.Second)
-	}
+		return d
+	})
+	startGates(all)
 	time.Sleep(4 * time.Second)
 	lossFrom := time.Now()
 	if trouble {
@@ -146,55 +149,70 @@
 		}
 	}
 	time.Sleep(500 * time.Millisecond)
-	s.writePlainManifest(3, "dysp-b", apiKey)
+	s.writePlainManifest(3, newService, keptKey)
 	acked := time.Now()
-	inTouch := lossFrom.Add(lossTime + contactMs)
+	results := callAll(all, acked)
+	if trouble {
+		for _, d := range doors {
+			record("store: %d answers to machine %s in %s, %d lost", d.answers, d.machine, lossTime, d.lost)
+		}
+	}
+	isBroken := false
+	for _, g := range all {
+		isBroken = judgeManifest(g, results, acked, lossFrom.Add(lossTime+contactTime)) || isBroken
+	}
+	return isBroken
+}
+
+// callAll sends requests with both keys to all gates for watchTime after a manifest was
+// acknowledged, and returns the answers.
+func callAll(all []*gate, acked time.Time) []result {
 	var mu sync.Mutex
 	var results []result
 	var running sync.WaitGroup
 	n := 0
+	send := func(g *gate, key string) {
+		n++
+		id := fmt.Sprintf("c%015d", n)
+		running.Go(func() {
+			res := call(g, id, key)
+			record("client: request %s, sent to %s %d ms after the ack with key %s, got status %d, run by %q", id, g.name, res.sent.Sub(acked).Milliseconds(), key, res.status, res.service)
+			mu.Lock()
+			defer mu.Unlock()
+			results = append(results, res)
+		})
+	}
 	for time.Since(acked) < watchTime {
 		for _, g := range all {
-			for _, key := range []string{apiKey, withdrawnKey} {
-				n++
-				id := fmt.Sprintf("c%015d", n)
-				running.Go(func() {
-					res := call(g, id, key)
-					record("client: request %s, sent to %s %d ms after the ack with key %s, got status %d, run by %q", id, g.name, res.sent.Sub(acked).Milliseconds(), key, res.status, res.service)
-					mu.Lock()
-					defer mu.Unlock()
-					results = append(results, res)
-				})
-			}
+			send(g, keptKey)
+			send(g, withdrawnKey)
 		}
 		time.Sleep(250 * time.Millisecond)
 	}
 	running.Wait()
-	if trouble {
-		for _, d := range doors {
-			record("store: %d answers to machine %s in %s, %d lost", d.answers, d.machine, lossTime, d.lost)
+	return results
+}
+
+// judgeManifest reports whether a gate has handled a request as only the older manifest allows.
+// Requests count that were sent when the machine was in touch again.
+func judgeManifest(g *gate, results []result, acked, inTouch time.Time) bool {
+	all, old, withdrawn := 0, 0, 0
+	for _, res := range results {
+		if res.gate != g.name || !res.sent.After(inTouch) || !res.sent.After(acked.Add(applyTime)) {
+			continue
 		}
-	}
-	isBroken := false
-	for _, g := range all {
-		counts := make(map[string]int)
-		for _, res := range results {
-			isLate := res.sent.After(inTouch) && res.sent.After(acked.Add(applyMs))
-			if res.gate != g.name || !isLate {
-				continue
-			}
-			counts["all"]++
-			switch {
-			case res.key == apiKey && res.status == http.StatusOK && res.service == "dysp-a":
-				counts["old service"]++
-				isBroken = true
-			case res.key == withdrawnKey && res.status == http.StatusOK && res.sent.After(acked.Add(revokeMs)):
-				counts["withdrawn key"]++
-				isBroken = true
-			}
+		all++
+		if res.status != http.StatusOK {
+			continue
+		}
+		if res.key == keptKey && res.service == oldService {
+			old++
+		}
+		if res.key == withdrawnKey && res.sent.After(acked.Add(revokeTime)) {
+			withdrawn++
 		}
-		record("gate %s, requests sent from %d ms after the ack, when it is in touch, to %d ms: %d, of them run by the old service %d, run with the withdrawn key %d",
-			g.name, inTouch.Sub(acked).Milliseconds(), watchTime.Milliseconds(), counts["all"], counts["old service"], counts["withdrawn key"])
 	}
-	return isBroken
+	record("gate %s, requests sent from %d ms after the ack, when it is in touch, to %d ms: %d, of them run by the old service %d, run with the withdrawn key %d",
+		g.name, inTouch.Sub(acked).Milliseconds(), watchTime.Milliseconds(), all, old, withdrawn)
+	return old > 0 || withdrawn > 0
 }
--- a/review/rig/gate.go
+++ b/review/rig/gate.go
@@ -1,9 +1,9 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -14,11 +14,11 @@
 
 // gate is a process of the project: the role entry of the deploy file.
 type gate struct {
-	name, zone, ip string
-	front, ready   string
-	settings       string
-	cmd            *exec.Cmd
-	ended          chan struct{}
+	name, ip     string
+	front, ready string
+	settings     string
+	cmd          *exec.Cmd
+	ended        chan struct{}
 }
 
 // defaultMemoryMB is limits.memory_mb at cumy-gdansk.
@@ -28,9 +28,9 @@
 var lastIP = 9
 
 // newGate writes the settings of a gate with a loopback address of its own.
-func newGate(name, zone string, memoryMB int, storeAddress string) *gate {
+func newGate(name string, memoryMB int, storeAddress string) *gate {
 	lastIP++
-	g := &gate{name: name, zone: zone, ip: fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()>>8&63, os.Getpid()&255, lastIP)}
+	g := &gate{name: name, ip: fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()>>8&63, os.Getpid()&255, lastIP)}
 	g.front, g.ready = g.ip+":8580", g.ip+":8586"
 	g.settings = filepath.Join(tempDir, name+".conf")
 	text := fmt.Sprintf(`node=%s
@@ -65,7 +65,7 @@
 bounds.version_all_ms=17000
 platform.addr=%s
 platform.form=table
-`, g.name, g.ip, g.zone, g.zone, g.front, g.ready, memoryMB, storeAddress)
+`, g.name, g.ip, zoneName, zoneName, g.front, g.ready, memoryMB, storeAddress)
 	if err := os.WriteFile(g.settings, []byte(text), 0o600); err != nil {
 		fail("write settings: %v", err)
 	}
@@ -78,7 +78,7 @@
 	if err != nil {
 		fail("open log: %v", err)
 	}
-	g.cmd = exec.Command("target/swiftloom", "gate")
+	g.cmd = exec.CommandContext(context.Background(), "target/swiftloom", "gate")
 	g.cmd.Env = append(os.Environ(), "SWIFTLOOM_NODE_FILE="+g.settings)
 	g.cmd.Stdout, g.cmd.Stderr = log, log
 	// The processes end with the rig.
@@ -102,11 +102,19 @@
 	_ = g.cmd.Process.Signal(s)
 }
 
+// readyTimeout is how long a gate may take to become ready.
+const readyTimeout = 10 * time.Second
+
 // awaitReady waits until the gate says that it is ready.
-func (g *gate) awaitReady(limit time.Duration) {
-	client := http.Client{Timeout: time.Second}
-	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		w, err := client.Get("http://" + g.ready + "/readyz")
+func (g *gate) awaitReady() {
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	for ; ctx.Err() == nil; time.Sleep(20 * time.Millisecond) {
+		r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+g.ready+"/readyz", http.NoBody)
+		if err != nil {
+			fail("make readiness probe: %v", err)
+		}
+		w, err := http.DefaultClient.Do(r)
 		if err != nil {
 			continue
 		}
@@ -115,7 +123,7 @@
 			return
 		}
 	}
-	fail("gate %s is not ready within %s", g.name, limit)
+	fail("gate %s is not ready within %s", g.name, readyTimeout)
 }
 
 // gates are the processes that were started.
@@ -138,13 +146,3 @@
 	data, _ := io.ReadAll(r.Body)
 	return data
 }
-
-// isFree reports whether a loopback address can be listened on.
-func isFree(address string) bool {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return false
-	}
-	_ = l.Close()
-	return true
-}
--- a/review/rig/handover.go
+++ b/review/rig/handover.go
@@ -51,33 +51,20 @@
 // again.
 func handover() bool {
 	s := newSite(1, defaultKVTokens)
-	var all []*gate
-	byName := make(map[string]*gate)
 	doors := make(map[string]*watchedDoor)
 	written := make(chan string, 10)
-	for _, name := range []string{"front-1", "front-2", "front-3"} {
-		doors[name] = &watchedDoor{machine: name, written: written}
-		g := newGate(name, "hala-nport", defaultMemoryMB, s.store.listen(doors[name]))
-		all = append(all, g)
-		byName[name] = g
+	all := s.newGates(func(machine string) door {
+		doors[machine] = &watchedDoor{machine: machine, written: written}
+		return doors[machine]
+	})
+	byName := make(map[string]*gate)
+	for _, g := range all {
+		byName[g.name] = g
 	}
 	r := s.runners[0]
-	first := make(chan string, 1)
-	saw := r.saw
-	r.saw = func(a arrival) {
-		saw(a)
-		select {
-		case first <- a.order.Holder:
-		default:
-		}
-	}
+	first := firstHolder(r)
 	r.start()
-	for _, g := range all {
-		g.start()
-	}
-	for _, g := range all {
-		g.awaitReady(10 * time.Second)
-	}
+	startGates(all)
 	time.Sleep(3 * time.Second)
 	s.name(2)
 	stopped := byName[await(first, "first order")]
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -1,7 +1,7 @@
 // Command rig runs the cases of the review that are scripts: it starts the project's program as
 // separate processes beside stand-ins for the platform's store and for runners.
 //
-// Usage: rig CASE RECORD, in the repository's root. TROUBLE=0 leaves the disruption out.
+// Usage: rig CASE RECORD TROUBLE, in the repository's root. A TROUBLE of 0 leaves the disruption out.
 // The exit status is 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 package main
 
@@ -16,7 +16,7 @@
 var (
 	began    = time.Now()
 	tempDir  string
-	trouble  = os.Getenv("TROUBLE") != "0"
+	trouble  bool
 	recordMu sync.Mutex
 	recordTo *os.File
 )
@@ -60,12 +60,13 @@
 		runChild(os.Args[2], os.Args[3])
 		return
 	}
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD")
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: rig CASE RECORD TROUBLE")
 		os.Exit(2)
 	}
+	trouble = os.Args[3] != "0"
 	var err error
-	if recordTo, err = os.Create(os.Args[2]); err == nil {
+	if recordTo, err = os.Create(os.Args[2]); err == nil { //nolint:gosec // the record's path is named by the user
 		tempDir, err = os.MkdirTemp("", "swiftloom-review-")
 	}
 	if err != nil {
--- a/review/rig/parts.go
+++ b/review/rig/parts.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -53,8 +52,8 @@
 // partHead returns a request for a short stream. With trouble the prompt consists of very many
 // parts of one token, each with an ID of its own; else of two parts with as many tokens.
 func partHead(n int) string {
-	head := fmt.Sprintf("POST /skrot/x HTTP/1.1\r\nHost: cumy.example\r\nSwiftloom-Request-Id: d%015d\r\nSwiftloom-Model: %s\r\n"+
-		"Swiftloom-Deadline-Ms: 12000\r\nAuthorization: Bearer %s\r\nContent-Length: 10\r\n", n, modelName, apiKey)
+	head := fmt.Sprintf("POST /skrot/x HTTP/1.1\r\nHost: %s\r\nSwiftloom-Request-Id: d%015d\r\nSwiftloom-Model: %s\r\n"+
+		"Swiftloom-Deadline-Ms: 12000\r\nAuthorization: Bearer %s\r\nContent-Length: 10\r\n", hostName, n, modelName, keptKey)
 	var parts []string
 	for size := len(head); size < headBytes; size += len(parts[len(parts)-1]) + 1 {
 		parts = append(parts, fmt.Sprintf("%x:1", n<<12|len(parts)))
@@ -87,7 +86,7 @@
 // press sends requests on one connection after the other until ctx ends.
 func (v *victim) press(ctx context.Context) {
 	for ctx.Err() == nil {
-		conn, err := net.Dial("tcp", v.gate.front)
+		conn, err := dial(v.gate.front)
 		if err != nil {
 			time.Sleep(partInterval)
 			continue
@@ -143,7 +142,7 @@
 		}
 		time.Sleep(time.Second)
 		restarts <- v.gate
-		v.gate.awaitReady(10 * time.Second)
+		v.gate.awaitReady()
 	}
 }
 
@@ -159,16 +158,16 @@
 		r.serve = func(w http.ResponseWriter, q *http.Request) {
 			_ = readAll(q)
 			w.Header().Set("Content-Type", "text/event-stream")
-			w.Header().Set("Swiftloom-Request-Id", q.Header.Get("Swiftloom-Request-Id"))
-			w.Header().Set("Swiftloom-Server-Stamp", "3e1b."+r.id)
-			w.Header().Set("Swiftloom-Weight-Versions", "1")
+			w.Header().Set(headerRequestID, q.Header.Get(headerRequestID))
+			w.Header().Set(headerStamp, stampPrefix+r.id)
+			w.Header().Set(headerWeights, "1")
 			_, _ = io.WriteString(w, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
 		}
 		r.start()
 	}
 	var victims []*victim
 	for _, name := range []string{"front-1", "front-2"} {
-		v := &victim{gate: newGate(name, "hala-nport", memoryMB, s.store.listen(openDoor{}))}
+		v := &victim{gate: newGate(name, memoryMB, s.store.listen(openDoor{}))}
 		v.gate.start()
 		victims = append(victims, v)
 	}
@@ -181,7 +180,7 @@
 	defer cancel()
 	var watching, pressing sync.WaitGroup
 	for _, v := range victims {
-		v.gate.awaitReady(10 * time.Second)
+		v.gate.awaitReady()
 		watching.Go(func() { v.watch(ctx) })
 		for range partConns {
 			pressing.Go(func() { v.press(ctx) })
--- a/review/rig/renewal.go
+++ b/review/rig/renewal.go
@@ -97,28 +97,14 @@
 func renewal() bool {
 	s := newSite(1, defaultKVTokens)
 	doors := make(map[string]*troubledDoor)
-	var all []*gate
-	for _, name := range []string{"front-1", "front-2", "front-3"} {
-		doors[name] = &troubledDoor{machine: name}
-		all = append(all, newGate(name, "hala-nport", defaultMemoryMB, s.store.listen(doors[name])))
-	}
+	all := s.newGates(func(machine string) door {
+		doors[machine] = &troubledDoor{machine: machine}
+		return doors[machine]
+	})
 	r := s.runners[0]
-	first := make(chan string, 1)
-	saw := r.saw
-	r.saw = func(a arrival) {
-		saw(a)
-		select {
-		case first <- a.order.Holder:
-		default:
-		}
-	}
+	first := firstHolder(r)
 	r.start()
-	for _, g := range all {
-		g.start()
-	}
-	for _, g := range all {
-		g.awaitReady(10 * time.Second)
-	}
+	startGates(all)
 	time.Sleep(3 * time.Second)
 	// The runner finishes its streams before it loads weights.
 	s.press(all, 3)
--- a/review/rig/runner.go
+++ b/review/rig/runner.go
@@ -3,18 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 )
 
-const (
-	modelName = "m0"
-	heartbeat = 1200 * time.Millisecond
-)
-
 // order is the body of an order.
 type order struct {
 	Op       string `json:"op"`
@@ -36,9 +30,9 @@
 
 // runner is a model runner. It doesn't check fencing tokens.
 type runner struct {
-	id, service, zone, address string
-	store                      *store
-	born                       int64
+	id, service, address string
+	store                *store
+	born                 int64
 	// load is how long it loads weights.
 	load time.Duration
 	// named returns the newest version that the operator has named.
@@ -54,17 +48,13 @@
 	busy    bool
 	running int
 	beats   int
-	gone    bool
 }
 
 // start listens and keeps the runner's entry up to date.
 func (r *runner) start() {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		fail("listen: %v", err)
-	}
+	l := mustListen()
 	r.address, r.born, r.version = l.Addr().String(), time.Now().UnixMilli(), 1
-	go func() { _ = http.Serve(l, r) }()
+	go serve(l, r)
 	r.beat()
 	go func() {
 		for range time.Tick(heartbeat) {
@@ -77,25 +67,22 @@
 func (r *runner) beat() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.gone {
-		return
-	}
 	r.beats++
-	r.store.put("servers", r.id, map[string]any{
-		"service": r.service, "addr": r.address, "zone": r.zone, "version": "v1", "slots": 128, "state": "ready",
-		"cold_left_ms": 0, "stage": "unified", "models": r.models(), "seq": r.beats, "born": r.born,
+	r.store.put("servers", r.id, entry{
+		Service: r.service, Addr: r.address, Zone: zoneName, Version: "v1", Slots: 128, State: "ready", Stage: "unified",
+		Models: r.models(), Seq: r.beats, Born: r.born,
 	})
 }
 
 // models returns the weights. r.mu must be held.
-func (r *runner) models() []map[string]any {
-	return []map[string]any{{"name": modelName, "version": r.version, "adapters": []string{}}}
+func (r *runner) models() []model {
+	return modelOf(r.version)
 }
 
 // ServeHTTP implements http.Handler.
 func (r *runner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
-	if id := q.Header.Get("Swiftloom-Target-Instance"); id != "" && id != r.id {
-		w.Header().Set("Swiftloom-Instance-Id", r.id)
+	if id := q.Header.Get(headerTarget); id != "" && id != r.id {
+		w.Header().Set(headerInstance, r.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -103,10 +90,7 @@
 	case "/report":
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		writeJSON(w, http.StatusOK, map[string]any{
-			"stage": "unified", "models": r.models(), "busy": r.busy, "seq": r.seq, "queued": 0, "active": 0,
-			"kv_used": 0, "kv_total": 100000, "handles": 0, "born": r.born,
-		})
+		writeJSON(w, report{Stage: "unified", Models: r.models(), Busy: r.busy, Seq: r.seq, KVTotal: 100000, Born: r.born})
 	case "/order":
 		r.takeOrder(w, q)
 	case "/kv-events":
@@ -116,9 +100,9 @@
 		case <-q.Context().Done():
 			return
 		}
-		writeJSON(w, http.StatusOK, map[string]any{"epoch": r.born, "next": 1, "lost": false, "events": [][]any{}, "born": r.born})
-	case "/healthz":
-		w.Header().Set("Swiftloom-Instance-Id", r.id)
+		writeJSON(w, kvEvents{Epoch: r.born, Next: 1, Events: [][]any{}, Born: r.born})
+	case healthPath:
+		w.Header().Set(headerInstance, r.id)
 	default:
 		if r.serve != nil {
 			r.serve(w, q)
@@ -173,8 +157,7 @@
 	r.beat()
 }
 
-func writeJSON(w http.ResponseWriter, status int, v any) {
+func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(v)
 }
--- a/review/rig/site.go
+++ b/review/rig/site.go
@@ -9,8 +9,8 @@
 // defaultKVTokens is the memory of a runner at cumy-gdansk.
 const defaultKVTokens = 179183
 
-// leaseMs is the bound lease_ms of the rule ONE.
-const leaseMs = 3000 * time.Millisecond
+// leaseTime is the bound lease_ms of the rule ONE.
+const leaseTime = 3 * time.Second
 
 // site is a small deployment: a store, runners of one model and gates in one zone.
 type site struct {
@@ -29,10 +29,10 @@
 func newSite(n, kvTokens int) *site {
 	s := &site{store: newStore(), kvTokens: kvTokens, named: 1}
 	s.writeManifest(1)
-	s.store.put("op", "version/"+modelName, map[string]any{"model": modelName, "version": 1})
+	s.store.put("op", "version/"+modelName, namedVersion{Model: modelName, Version: 1})
 	for i := range n {
 		r := &runner{
-			id: fmt.Sprintf("i-%02d", i+1), service: "llm-port", zone: "hala-nport", store: s.store,
+			id: fmt.Sprintf("i-%02d", i+1), service: modelGroup, store: s.store,
 			load: 1300 * time.Millisecond, named: s.newest, saw: s.saw,
 		}
 		s.runners = append(s.runners, r)
@@ -40,25 +40,20 @@
 	return s
 }
 
+// writeManifest writes a manifest with routes to the model's runners, of which one may be resumed.
 func (s *site) writeManifest(version int) {
-	s.store.put("op", "config", map[string]any{
-		"version": version,
-		"routes": []map[string]any{{
-			"name": "r-1", "host": "cumy.example", "prefix": "/skrot/", "kind": "streaming", "timeout_ms": 12000, "goal_ms": 400,
-			"priority": 1, "service": "llm-port", "attempts": 2, "public": false, "sticky": true, "resumable": true, "gap_target_ms": 300,
-		}, {
-			"name": "r-2", "host": "cumy.example", "prefix": "/szkic/", "kind": "streaming", "timeout_ms": 15000, "goal_ms": 600,
-			"priority": 2, "service": "llm-port", "attempts": 1, "public": false, "sticky": true, "resumable": false, "gap_target_ms": 300,
+	s.store.put("op", "config", manifest{
+		Version: version,
+		Routes: []route{
+			{Name: "r-1", Host: hostName, Prefix: "/skrot/", Kind: "streaming", Timeout: 12000, Goal: 400, Priority: 1, Service: modelGroup, Attempts: 2, Sticky: true, Resumable: true, GapTarget: 300},
+			{Name: "r-2", Host: hostName, Prefix: "/szkic/", Kind: "streaming", Timeout: 15000, Goal: 600, Priority: 2, Service: modelGroup, Attempts: 1, Sticky: true, GapTarget: 300},
+		},
+		Services: []service{{
+			Name: modelGroup, HealthPath: healthPath, MaxConns: 620, Protocol: "h1",
+			Engine: &engine{Slots: 128, KVTokens: s.kvTokens, KVBytes: 35136, LinkMbps: 260000, Managed: true, Stride: 6, MaxInflight: 12, Models: []modelID{{Name: modelName}}},
 		}},
-		"services": []map[string]any{{
-			"name": "llm-port", "health_path": "/healthz", "max_conns": 620, "protocol": "h1", "tls": false,
-			"engine": map[string]any{
-				"slots": 128, "kv_tokens": s.kvTokens, "kv_bytes": 35136, "link_mbps": 260000, "managed": true, "stride": 6,
-				"max_inflight": 12, "models": []map[string]any{{"name": modelName}},
-			},
-		}},
-		"limits":  map[string]any{"header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []map[string]any{{"name": "pulo", "api_keys": []string{"fqasnmgkcuyj8pjbvk9m"}, "priority": 1}},
+		Limits:  siteLimits,
+		Tenants: []tenant{{Name: "pulo", APIKeys: []string{keptKey}, Priority: 1}},
 	})
 }
 
@@ -74,7 +69,7 @@
 	s.mu.Lock()
 	s.named = version
 	s.mu.Unlock()
-	s.store.put("op", "version/"+modelName, map[string]any{"model": modelName, "version": version})
+	s.store.put("op", "version/"+modelName, namedVersion{Model: modelName, Version: version})
 	record("operator names version %d", version)
 }
 
@@ -104,7 +99,7 @@
 	record("runner %s gets an order from holder %s: version %d, fence %d; answer %s", a.runner, a.order.Holder, a.order.Version, a.order.Fence, a.answer)
 }
 
-// holdersTakeTurns reports whether a runner has got orders of two machines within leaseMs, or a
+// holdersTakeTurns reports whether a runner has got orders of two machines within leaseTime, or a
 // lower fencing token after a higher one, or one token from two machines.
 func (s *site) holdersTakeTurns() bool {
 	s.mu.Lock()
@@ -119,15 +114,15 @@
 		}
 		gap := a.at.Sub(before.at)
 		record("runner %s: order of %s (fence %d), %d ms after one of %s (fence %d)", a.runner, a.order.Holder, a.order.Fence, gap.Milliseconds(), before.order.Holder, before.order.Fence)
-		if gap < leaseMs || a.order.Fence <= before.order.Fence {
+		if gap < leaseTime || a.order.Fence <= before.order.Fence {
 			isBroken = true
 		}
 	}
 	return isBroken
 }
 
-// apiKey is a key of the manifests.
-const apiKey = "fqasnmgkcuyj8pjbvk9m"
+// keptKey is a key of all manifests.
+const keptKey = "fqasnmgkcuyj8pjbvk9m"
 
 // await returns what a channel receives within 30 s.
 func await(c <-chan string, what string) string {
@@ -139,3 +134,36 @@
 		return ""
 	}
 }
+
+// newGates returns three gates, each with a door of its own to the store, which newDoor makes.
+func (s *site) newGates(newDoor func(machine string) door) []*gate {
+	var all []*gate
+	for _, name := range []string{"front-1", "front-2", "front-3"} {
+		all = append(all, newGate(name, defaultMemoryMB, s.store.listen(newDoor(name))))
+	}
+	return all
+}
+
+// startGates starts gates and waits until they are ready.
+func startGates(all []*gate) {
+	for _, g := range all {
+		g.start()
+	}
+	for _, g := range all {
+		g.awaitReady()
+	}
+}
+
+// firstHolder returns a channel that receives the holder of the first order to r.
+func firstHolder(r *runner) <-chan string {
+	first := make(chan string, 1)
+	saw := r.saw
+	r.saw = func(a arrival) {
+		saw(a)
+		select {
+		case first <- a.order.Holder:
+		default:
+		}
+	}
+	return first
+}
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -76,13 +75,6 @@
 	s.write(row{Table: table, Key: key, Value: data})
 }
 
-// remove removes a row.
-func (s *store) remove(table, key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.write(row{Table: table, Key: key, Deleted: true})
-}
-
 // write adds a row. s.mu must be held.
 func (s *store) write(r row) {
 	s.ver++
@@ -94,13 +86,8 @@
 
 // listen serves the calls of one machine on a port of its own and returns the address.
 func (s *store) listen(d door) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		fail("listen: %v", err)
-	}
-	go func() {
-		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(d, w, r) }))
-	}()
+	l := mustListen()
+	go serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(d, w, r) }))
 	return l.Addr().String()
 }
 
--- a/review/rig/traffic.go
+++ b/review/rig/traffic.go
@@ -19,32 +19,15 @@
 // serveStream answers a request with a stream.
 func (r *runner) serveStream(w http.ResponseWriter, q *http.Request) {
 	_ = readAll(q)
-	r.mu.Lock()
-	isBusy, version := r.busy, r.version
-	if !isBusy {
-		r.running++
-	}
-	r.mu.Unlock()
-	if expected := q.Header.Get("Swiftloom-Expect-Version"); expected != "" && expected != fmt.Sprint(version) {
-		w.Header().Set("Swiftloom-Instance-Id", r.id)
-		w.Header().Set("Swiftloom-Weight-Versions", fmt.Sprint(version))
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	w.Header().Set("Swiftloom-Request-Id", q.Header.Get("Swiftloom-Request-Id"))
-	if isBusy {
-		w.Header().Set("Swiftloom-Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+	w.Header().Set(headerRequestID, q.Header.Get(headerRequestID))
+	version, ok := r.beginStream(w, q.Header.Get(headerExpected))
+	if !ok {
 		return
 	}
-	defer func() {
-		r.mu.Lock()
-		r.running--
-		r.mu.Unlock()
-	}()
+	defer r.endStream()
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("Swiftloom-Server-Stamp", stampPrefix+r.id)
-	w.Header().Set("Swiftloom-Weight-Versions", fmt.Sprint(version))
+	w.Header().Set(headerStamp, stampPrefix+r.id)
+	w.Header().Set(headerWeights, fmt.Sprint(version))
 	for i := range int(streamTime / streamGap) {
 		_, _ = io.WriteString(w, fmt.Sprintf("id: %d\ndata: x\n\n", i+1))
 		_ = http.NewResponseController(w).Flush()
@@ -56,6 +39,31 @@
 	}
 }
 
+// beginStream counts a stream as running and returns the version of the weights, or refuses it.
+func (r *runner) beginStream(w http.ResponseWriter, expected string) (uint64, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case expected != "" && expected != fmt.Sprint(r.version):
+		w.Header().Set(headerInstance, r.id)
+		w.Header().Set(headerWeights, fmt.Sprint(r.version))
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return 0, false
+	case r.busy:
+		w.Header().Set(headerNotExecuted, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return 0, false
+	}
+	r.running++
+	return r.version, true
+}
+
+func (r *runner) endStream() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running--
+}
+
 // press sends a number of requests for streams to the gates.
 func (s *site) press(all []*gate, n int) {
 	record("clients: send %d requests for streams to the gates", n)
--- a/review/rig/unframed.go
+++ b/review/rig/unframed.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"sync"
 	"syscall"
@@ -43,15 +44,17 @@
 			}
 		}()
 	}
-	g := newGate("front-1", "hala-nport", defaultMemoryMB, s.store.listen(openDoor{}))
+	g := newGate("front-1", defaultMemoryMB, s.store.listen(openDoor{}))
 	g.start()
-	g.awaitReady(10 * time.Second)
+	g.awaitReady()
 	time.Sleep(time.Second)
 	isBroken := false
 	check := func(id string, a answer) {
 		record("client: request %s got status %d with %d of %d events, complete %t %s", id, a.status, len(a.events), childEvents, a.complete, a.failure)
-		if a.status == 200 && a.complete && len(a.events) < childEvents {
+		if a.status == http.StatusOK && a.complete && len(a.events) < childEvents {
+			mu.Lock()
 			isBroken = true
+			mu.Unlock()
 		}
 	}
 	var sound sync.WaitGroup
