Bound what prompts leave behind in bytes

Cause: what is learnt from prompts was bounded in entries or tokens. Callers choose the number, the length and the figures of parts and the name of the model, and an ID that is a piece of a head keeps the head alive.

Change: figures are checked where they are decoded, a prompt has at most 128 tracked parts, what stays holds hashes or copies, weights are recorded only for models that the platform names, and each structure has a bound in bytes that follows from memory_mb.

--- a/loomcache/reuse.go
+++ b/loomcache/reuse.go
@@ -1,29 +1,42 @@
 package loomcache
 
-import "sync"
+import (
+	"cmp"
+	"sync"
 
-// maxSeenParts is the number of recent last parts that are kept for a route. It
-// covers about 20 s at 100 requests per second.
-const maxSeenParts = 2048
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// maxSeenParts is the number of recent last parts that are kept for a route. It
+	// covers about 20 s at 100 requests per second.
+	maxSeenParts = 2048
+	// seenPartBytes is the memory that one of them takes.
+	seenPartBytes = 56
+	// defaultSeenRoutes is the number of routes of which a detector without a size keeps last
+	// parts, and minSeenRoutes the least number.
+	defaultSeenRoutes = 64
+	minSeenRoutes     = 4
+)
 
 // ReuseDetector detects the routes on which the last part of a prompt is used
 // again. On some routes the last part belongs to a session; on others it belongs
-// to a single request and is not worth storing. The zero value is ready to use;
-// the methods are safe for concurrent use.
+// to a single request and is not worth storing. The zero value is ready to use, and
+// takes about 5 MiB at most; the methods are safe for concurrent use.
 type ReuseDetector struct {
+	// maxRoutes bounds the routes of which last parts are kept; zero means defaultSeenRoutes.
+	// Beyond it those of the route without a record for the longest time are dropped.
+	maxRoutes int
+
 	mu     sync.Mutex
 	routes map[string]*routeParts
+	// records counts the calls of Record.
+	records uint64
 }
 
-// routeParts holds the recent last parts of the prompts on one route.
-type routeParts struct {
-	// seen is the set of the parts in recent, a ring buffer in which next is the
-	// index of the oldest part.
-	seen   map[string]bool
-	recent []string
-	next   int
-	// isReused is set when a part is seen for the second time, and never reset.
-	isReused bool
+// NewReuseDetector returns a detector without routes that takes about size bytes at most.
+func NewReuseDetector(size int64) *ReuseDetector {
+	return &ReuseDetector{maxRoutes: max(int(size/(maxSeenParts*seenPartBytes)), minSeenRoutes)}
 }
 
 // Record records the last part of a prompt on a route, and reports whether any
@@ -36,10 +49,36 @@
 	}
 	s, ok := r.routes[route]
 	if !ok {
-		s = &routeParts{seen: make(map[string]bool)}
+		s = &routeParts{}
 		r.routes[route] = s
 	}
-	return s.record(part)
+	r.records++
+	s.recordedAt = r.records
+	if s.isReused {
+		return true
+	}
+	if s.seen == nil {
+		r.makeRoom()
+		s.seen = make(map[uint64]bool)
+	}
+	return s.record(xxhash.Sum64String(part))
+}
+
+// makeRoom drops the parts of a route if those of maxRoutes are kept. The caller holds mu.
+func (r *ReuseDetector) makeRoom() {
+	var oldest *routeParts
+	kept := 0
+	for _, s := range r.routes {
+		if s.seen == nil {
+			continue
+		}
+		if kept++; oldest == nil || s.recordedAt < oldest.recordedAt {
+			oldest = s
+		}
+	}
+	if kept >= cmp.Or(r.maxRoutes, defaultSeenRoutes) {
+		oldest.forget()
+	}
 }
 
 // IsReused reports whether any last part has been used again on a route so far.
@@ -50,13 +89,39 @@
 	return ok && s.isReused
 }
 
-func (s *routeParts) record(part string) bool {
-	if s.isReused {
-		return true
+// Bytes returns about how much memory the detector takes.
+func (r *ReuseDetector) Bytes() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, s := range r.routes {
+		n += len(s.recent)
 	}
+	return int64(n) * seenPartBytes
+}
+
+// routeParts holds the recent last parts of the prompts on one route.
+type routeParts struct {
+	// seen is the set of the hashes of parts in recent, a ring buffer in which next is the
+	// index of the oldest part.
+	seen   map[uint64]bool
+	recent []uint64
+	next   int
+	// recordedAt is ReuseDetector.records at the latest record.
+	recordedAt uint64
+	// isReused is set when a part is seen for the second time, and never reset.
+	isReused bool
+}
+
+// forget drops the parts that were seen.
+func (s *routeParts) forget() {
+	s.seen, s.recent, s.next = nil, nil, 0
+}
+
+func (s *routeParts) record(part uint64) bool {
 	if s.seen[part] {
 		s.isReused = true
-		s.seen, s.recent = nil, nil
+		s.forget()
 		return true
 	}
 	s.seen[part] = true
--- a/loomcache/store_index.go
+++ b/loomcache/store_index.go
@@ -41,12 +41,23 @@
 	// time to compute it. A transfer to another failure domain takes twice the
 	// time.
 	maxTransferRatio = 1
+	// storedPartBytes is the memory that an indexed part takes in addition to its ID, and
+	// pendingSaveBytes that of a pending save.
+	storedPartBytes  = 96
+	pendingSaveBytes = 192
+	// minStoreBytes is the least memory for the parts of one store.
+	minStoreBytes = 64 << 10
 )
 
 // StoreIndex is an index of the parts in all stores for KV caches, built from the
 // events of the stores. It contains only parts that a store reported as complete.
-// The methods are safe for concurrent use; each store has its own lock.
+// Its memory is bounded: a part that would take more of it than of the store's memory
+// is not saved once half of the bound is reached. The methods are safe for concurrent use;
+// each store has its own lock.
 type StoreIndex struct {
+	// size bounds the memory for all stores in bytes.
+	size int64
+
 	mu     sync.RWMutex
 	stores []*storeParts
 }
@@ -66,6 +77,44 @@
 	// pending holds the saves that were requested and that the store has not
 	// reported yet.
 	pending map[partID]pendingSave
+	// bytes is the memory that parts and pending take, and maxBytes the bound on it.
+	bytes, maxBytes int64
+	// salts holds the salts in parts, so that equal ones share their memory.
+	salts map[string]string
+}
+
+// intern returns a salt that shares its memory with equal ones. p.mu must be held.
+func (p *storeParts) intern(salt string) string {
+	if known, ok := p.salts[salt]; ok {
+		return known
+	}
+	if len(p.salts) >= maxSalts {
+		clear(p.salts)
+	}
+	salt = strings.Clone(salt)
+	p.salts[salt] = salt
+	return salt
+}
+
+// maxSalts bounds the salts that a store's parts share.
+const maxSalts = 1024
+
+// removePending removes a pending save, if there is one. p.mu must be held.
+func (p *storeParts) removePending(n partID) {
+	if _, ok := p.pending[n]; ok {
+		p.bytes -= n.pendingBytes()
+		delete(p.pending, n)
+	}
+}
+
+// isWorthIndexing reports whether a part may take memory of the index: it leaves half of that
+// free, or takes no more of the other half than of the store's memory. p.mu must be held.
+func (p *storeParts) isWorthIndexing(n partID, tokens int) bool {
+	need, half := max(n.bytes(), n.pendingBytes()), p.maxBytes/2
+	if p.bytes+need <= half {
+		return true
+	}
+	return p.bytes+need <= p.maxBytes && float64(tokens)*float64(half) >= float64(p.class.Capacity)*float64(n.bytes())
 }
 
 type partID struct {
@@ -73,14 +122,29 @@
 	id   string
 }
 
+// bytes returns the memory that an indexed part takes.
+func (n partID) bytes() int64 {
+	return int64(storedPartBytes + len(n.id))
+}
+
+// pendingBytes returns the memory that a pending save takes.
+func (n partID) pendingBytes() int64 {
+	return int64(pendingSaveBytes + len(n.salt) + len(n.id))
+}
+
 type pendingSave struct {
 	until  time.Time
 	tokens int
 }
 
-// NewStoreIndex returns an index without stores.
+// NewStoreIndex returns an index without stores that takes about 64 MiB at most.
 func NewStoreIndex() *StoreIndex {
-	return &StoreIndex{}
+	return NewStoreIndexOf(defaultIndexBytes)
+}
+
+// NewStoreIndexOf is like NewStoreIndex for about size bytes at most.
+func NewStoreIndexOf(size int64) *StoreIndex {
+	return &StoreIndex{size: size}
 }
 
 // SetStores replaces the stores. The parts of stores whose class is unchanged are
@@ -95,7 +159,12 @@
 			next = append(next, s.stores[i])
 			continue
 		}
-		next = append(next, &storeParts{class: c, parts: make(map[partID]int), pending: make(map[partID]pendingSave)})
+		next = append(next, &storeParts{class: c, parts: make(map[partID]int), pending: make(map[partID]pendingSave), salts: make(map[string]string)})
+	}
+	for _, p := range next {
+		p.mu.Lock()
+		p.maxBytes = max(s.size/int64(len(next)), minStoreBytes)
+		p.mu.Unlock()
 	}
 	s.stores = next
 }
@@ -131,7 +200,8 @@
 	p.epoch = epoch
 	clear(p.parts)
 	clear(p.pending)
-	p.used = 0
+	clear(p.salts)
+	p.used, p.bytes = 0, 0
 }
 
 // Epoch returns the epoch of a store, or zero if it is not known.
@@ -155,7 +225,8 @@
 	}
 }
 
-// AddPart records that a store has a complete part with a number of tokens.
+// AddPart records that a store has a complete part with a number of tokens. A part for which
+// there is no memory is not indexed, but takes room in the store.
 func (s *StoreIndex) AddPart(address, salt, id string, tokens int) {
 	p := s.store(address)
 	if p == nil {
@@ -163,10 +234,18 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := partID{salt: salt, id: id}
-	p.used += tokens - p.parts[n]
+	n := partID{salt: p.intern(salt), id: id}
+	p.removePending(n)
+	tokens = min(max(tokens, 0), MaxTokens)
+	old, isKnown := p.parts[n]
+	p.used += tokens - old
+	if !isKnown {
+		if p.bytes+n.bytes() > p.maxBytes {
+			return
+		}
+		p.bytes += n.bytes()
+	}
 	p.parts[n] = tokens
-	delete(p.pending, n)
 }
 
 // RemovePart records that a store no longer has a part.
@@ -178,7 +257,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := partID{salt: salt, id: id}
-	p.used -= p.parts[n]
+	tokens, isKnown := p.parts[n]
+	if !isKnown {
+		return
+	}
+	p.used -= tokens
+	p.bytes -= n.bytes()
 	delete(p.parts, n)
 }
 
@@ -234,7 +318,7 @@
 		if p.hasOrExpects(now, salt, part) {
 			return ""
 		}
-		if p.class.transferTime(part.Tokens) > compute || !p.hasRoom(now, part.Tokens) {
+		if p.class.transferTime(part.Tokens) > compute || !p.hasRoom(now, salt, part) {
 			continue
 		}
 		if w := storeWeight(p.class, salt, part); best == nil || w > bestWeight {
@@ -279,9 +363,9 @@
 	return ok && now.Before(save.until)
 }
 
-// hasRoom reports whether a part with a number of tokens fits into the store
-// along with the pending saves. It deletes expired ones.
-func (p *storeParts) hasRoom(now time.Time, tokens int) bool {
+// hasRoom reports whether a part fits into the store and the index along with the
+// pending saves. It deletes expired ones.
+func (p *storeParts) hasRoom(now time.Time, salt string, part PromptPart) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.isUp {
@@ -290,19 +374,26 @@
 	used := p.used
 	for n, save := range p.pending {
 		if !now.Before(save.until) {
-			delete(p.pending, n)
+			p.removePending(n)
 			continue
 		}
 		used += save.tokens
 	}
-	return float64(used+tokens) < float64(p.class.Capacity)*maxFillFraction
+	if !p.isWorthIndexing(partID{salt: salt, id: part.ID}, part.Tokens) {
+		return false
+	}
+	return float64(used+part.Tokens) < float64(p.class.Capacity)*maxFillFraction
 }
 
-// addPending counts the save of a part as pending.
+// addPending counts the save of a part as pending. It keeps no text alive of which the ID is a
+// part.
 func (p *storeParts) addPending(now time.Time, salt string, part PromptPart) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.pending[partID{salt: salt, id: part.ID}] = pendingSave{until: now.Add(pendingTimeout), tokens: part.Tokens}
+	n := partID{salt: p.intern(salt), id: strings.Clone(part.ID)}
+	p.removePending(n)
+	p.bytes += n.pendingBytes()
+	p.pending[n] = pendingSave{until: now.Add(pendingTimeout), tokens: part.Tokens}
 }
 
 // Outdated returns at most limit parts of a store whose salt is neither one of
@@ -343,6 +434,17 @@
 	return parts, tokens
 }
 
+// Bytes returns about how much memory the index takes.
+func (s *StoreIndex) Bytes() int64 {
+	n := int64(0)
+	for _, p := range s.all() {
+		p.mu.Lock()
+		n += p.bytes
+		p.mu.Unlock()
+	}
+	return n
+}
+
 // Usage returns the number of tokens in a store and its capacity in tokens.
 func (s *StoreIndex) Usage(address string) (used, capacity int) {
 	p := s.store(address)
--- a/loomgate/exchange.go
+++ b/loomgate/exchange.go
@@ -4,8 +4,10 @@
 	"context"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
+	"swiftloom/loomcache"
 	"swiftloom/loomkernel"
 	"swiftloom/loompb"
 	"swiftloom/loomroute"
@@ -32,6 +34,9 @@
 	// maxPlacements bounds the placements that wait for the next round. Further
 	// ones are dropped.
 	maxPlacements = 512
+	// maxPromptPlacements bounds those of one prompt, which are its leading parts, so that a
+	// prompt of many parts leaves room for others.
+	maxPromptPlacements = 8
 	// maxSamples bounds the observations that wait for the next round.
 	maxSamples = 64
 	// maxFailedRounds is the number of consecutive failed calls after which a
@@ -45,20 +50,34 @@
 func (p *peers) addPlacements(upstream, salt string, parts []PromptPart) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, part := range parts {
+	for _, part := range parts[:min(len(parts), maxPromptPlacements)] {
 		if len(p.pendingPlacements) >= maxPlacements {
 			return
 		}
-		p.pendingPlacements = append(p.pendingPlacements, &loompb.Placement{UpstreamId: upstream, Salt: salt, Part: part.ID, Tokens: uint32(part.Tokens)})
+		p.pendingPlacements = append(p.pendingPlacements, &loompb.Placement{UpstreamId: upstream, Salt: salt, Part: strings.Clone(part.ID), Tokens: uint32(part.Tokens)})
 	}
 }
 
+// placementBytes is the memory of a placement that waits, in addition to its texts.
+const placementBytes = 128
+
+// pendingBytes returns about how much memory the placements take that wait for the next round.
+func (p *peers) pendingBytes() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, pl := range p.pendingPlacements {
+		n += placementBytes + len(pl.GetSalt()) + len(pl.GetPart())
+	}
+	return int64(n)
+}
+
 // addSample queues an observation of the time to a first token for the peers.
 func (p *peers) addSample(group, upstream string, tokens int, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.pendingSamples) < maxSamples {
-		p.pendingSamples = append(p.pendingSamples, &loompb.PrefillSample{Group: group, UpstreamId: upstream, Tokens: uint32(max(tokens, 0)), Micros: uint32(min(took.Microseconds(), math.MaxUint32))})
+		p.pendingSamples = append(p.pendingSamples, &loompb.PrefillSample{Group: group, UpstreamId: upstream, Tokens: uint32(min(max(tokens, 0), loomcache.MaxTokens)), Micros: uint32(min(took.Microseconds(), math.MaxUint32))})
 	}
 }
 
@@ -366,9 +385,7 @@
 	if g.peers.isNear(r.GetFrom()) {
 		g.fleet.ApplyPeerContacts(now, r.GetFrom(), r.GetReachedIds(), r.GetFailingIds())
 	}
-	for _, pl := range r.GetPlacements() {
-		g.residency.RecordPrompt(pl.GetUpstreamId(), pl.GetSalt(), []PromptPart{{ID: pl.GetPart(), Tokens: int(pl.GetTokens())}}, g.cacheCapacityOf(pl.GetUpstreamId()))
-	}
+	g.applyPlacements(r.GetPlacements())
 	for _, sample := range r.GetSamples() {
 		g.prefill.forGroup(sample.GetGroup()).Observe(sample.GetUpstreamId(), int(sample.GetTokens()), time.Duration(sample.GetMicros())*time.Microsecond)
 	}
@@ -431,6 +448,18 @@
 	return reply, nil
 }
 
+// applyPlacements records the placements of a peer at the upstreams that are known: others have
+// left or can't be used.
+func (g *Gate) applyPlacements(placements []*loompb.Placement) {
+	for _, pl := range placements[:min(len(placements), maxPlacements)] {
+		if _, ok := g.view.upstream(pl.GetUpstreamId()); !ok {
+			continue
+		}
+		parts := []PromptPart{{ID: pl.GetPart(), Tokens: min(int(pl.GetTokens()), loomcache.MaxTokens)}}
+		g.residency.RecordPrompt(pl.GetUpstreamId(), pl.GetSalt(), parts, g.cacheCapacityOf(pl.GetUpstreamId()))
+	}
+}
+
 // cacheCapacityOf returns the estimated cache capacity of an upstream in
 // tokens.
 func (g *Gate) cacheCapacityOf(upstream string) int {
--- a/loomgate/gate.go
+++ b/loomgate/gate.go
@@ -55,6 +55,9 @@
 	ColdSlack float64
 	// StartOrder is the order in which waiting requests start.
 	StartOrder StartOrder
+	// MemoryBytes is the memory limit of the process, of which what requests leave behind may
+	// take a part; zero means defaultMemoryBytes.
+	MemoryBytes int64
 }
 
 // Options holds the dependencies of a gate.
@@ -86,7 +89,7 @@
 	fleet      *loomroute.Fleet
 	policy     loomroute.Policy
 	residency  *loomcache.Residency
-	partReuse  loomcache.ReuseDetector
+	partReuse  *loomcache.ReuseDetector
 	retries    *retryBudgets
 	peers      *peers
 	rollout    *rollout
@@ -127,7 +130,8 @@
 		metrics:     newMetrics(),
 		fleet:       loomroute.NewFleet(),
 		policy:      policy,
-		residency:   loomcache.NewResidency(),
+		residency:   loomcache.NewResidencyOf(s.memoryShare(residencyShare)),
+		partReuse:   loomcache.NewReuseDetector(s.memoryShare(partReuseShare)),
 		retries:     newRetryBudgets(s),
 		random:      rand.New(rand.NewPCG(o.Seed, uint64(len(s.ID)))),
 	}
--- a/loomgate/kvcache.go
+++ b/loomgate/kvcache.go
@@ -104,7 +104,7 @@
 		return kvPlan{}
 	}
 	salt := q.cacheSalt(p.version)
-	plan := kvPlan{fetch: make([]string, len(parts)), save: make([]string, len(parts))}
+	plan := kvPlan{fetch: make([]string, len(parts)+q.prompt.UntrackedParts), save: make([]string, len(parts)+q.prompt.UntrackedParts)}
 	index := q.gate.stores.index
 	filter := q.storeFilter()
 	for i, part := range parts[:q.reusableParts()] {
@@ -133,7 +133,7 @@
 // requests may use again.
 func (q *placementQuery) reusableParts() int {
 	parts := q.prompt.Parts
-	if len(parts) == 0 || q.isLastPartReusable {
+	if len(parts) == 0 || q.isLastPartReusable || q.prompt.UntrackedParts > 0 {
 		return len(parts)
 	}
 	return len(parts) - 1
@@ -159,11 +159,15 @@
 }
 
 // recordPlacement records that the selected engine is about to process the
-// prompt and will cache its parts, and queues the reusable parts for the peers.
+// prompt and will cache its parts, and queues the reusable parts for the peers. An engine
+// refuses a prompt that exceeds its memory, and caches none of it.
 func (q *placementQuery) recordPlacement(p placement) {
 	if !q.hasPrompt || len(q.prompt.Parts) == 0 {
 		return
 	}
+	if e := q.group.Engine; e != nil && e.MemoryTokens > 0 && max(q.prompt.Tokens, q.prompt.SharedTokens()) > e.MemoryTokens {
+		return
+	}
 	salt := q.cacheSalt(p.version)
 	q.gate.residency.RecordPrompt(p.upstream.ID, salt, q.prompt.Parts, cacheCapacity(q.group.Engine))
 	q.gate.peers.addPlacements(p.upstream.ID, salt, q.prompt.Parts[:q.reusableParts()])
--- a/loomgate/metrics.go
+++ b/loomgate/metrics.go
@@ -239,6 +239,9 @@
 	stored, used := g.stores.index.Len()
 	scope.Gauge("stored_parts").Update(float64(stored))
 	scope.Gauge("stored_tokens").Update(float64(used))
+	for structure, n := range g.retainedBytes() {
+		scope.Tagged(map[string]string{"structure": structure}).Gauge("retained_bytes").Update(float64(n))
+	}
 	for _, group := range g.view.routing().Groups() {
 		g.updateGroupGauges(now, group.Name)
 	}
--- a/loomgate/place.go
+++ b/loomgate/place.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"swiftloom/loomcache"
 	"swiftloom/loomcatalogue"
 	"swiftloom/loompb"
 	"swiftloom/loomroute"
@@ -150,8 +152,8 @@
 			hasKVPlan: reply.GetIsReserved(),
 		}
 		p.kv = kvPlan{
-			fetch:         reply.GetFetch(),
-			save:          reply.GetSave(),
+			fetch:         padAddresses(reply.GetFetch(), len(d.prompt.Parts)+d.prompt.UntrackedParts),
+			save:          padAddresses(reply.GetSave(), len(d.prompt.Parts)+d.prompt.UntrackedParts),
 			fetchedTokens: int(reply.GetFetchedTokens()),
 			fetchUntil:    time.Duration(reply.GetFetchUntilMicros()) * time.Microsecond,
 		}
@@ -161,6 +163,15 @@
 	return placement{}, false
 }
 
+// padAddresses returns addresses with empty ones added, so that there is one for each of n parts.
+// It returns none if there are none.
+func padAddresses(addresses []string, n int) []string {
+	if len(addresses) == 0 || len(addresses) >= n {
+		return addresses
+	}
+	return append(slices.Clone(addresses), make([]string, n-len(addresses))...)
+}
+
 // place asks another instance for an upstream.
 func (p *peers) place(ctx context.Context, id string, r *loompb.PlaceRequest) (*loompb.PlaceReply, bool) {
 	return p.placeWithin(ctx, id, r, placeTimeout)
@@ -276,11 +287,8 @@
 		return q
 	}
 	q.hasPrompt = true
-	q.prompt = Prompt{Model: prompt.GetModel(), Tokens: int(prompt.GetTokens()), ExpectedOutputTokens: int(prompt.GetExpectedOutputTokens())}
-	for _, part := range prompt.GetParts() {
-		q.prompt.Parts = append(q.prompt.Parts, PromptPart{ID: part.GetId(), Tokens: int(part.GetTokens())})
-	}
-	if n := len(q.prompt.Parts); n > 0 && !r.GetIsRepeated() {
+	q.prompt = promptOf(prompt)
+	if n := len(q.prompt.Parts); n > 0 && q.prompt.UntrackedParts == 0 && !r.GetIsRepeated() {
 		q.isLastPartReusable = g.partReuse.Record(r.GetRoute(), q.prompt.Parts[n-1].ID)
 	} else if n > 0 {
 		q.isLastPartReusable = g.partReuse.IsReused(r.GetRoute())
@@ -288,6 +296,24 @@
 	return q
 }
 
+// promptOf returns the prompt in a message, with numbers and parts within the bounds of a prompt
+// that a caller has sent.
+func promptOf(m *loompb.Prompt) Prompt {
+	p := Prompt{
+		Model:                m.GetModel(),
+		Tokens:               min(int(m.GetTokens()), loomcache.MaxTokens),
+		ExpectedOutputTokens: min(int(m.GetExpectedOutputTokens()), loomcache.MaxTokens),
+	}
+	for _, part := range m.GetParts() {
+		if len(p.Parts) >= loomcache.MaxParts || len(part.GetId()) > loomcache.MaxPartIDBytes {
+			break
+		}
+		p.Parts = append(p.Parts, PromptPart{ID: part.GetId(), Tokens: min(int(part.GetTokens()), loomcache.MaxTokens)})
+	}
+	p.UntrackedParts = len(m.GetParts()) - len(p.Parts)
+	return p
+}
+
 // reserve counts a request that is about to be sent, for reservationTTL.
 func (g *Gate) reserve(now time.Time, q *placementQuery, p placement) loomroute.Ticket {
 	ticket := g.fleet.RecordSentWithMemory(now, p.upstream.ID, q.expectedWork(p.choice), q.memoryTokens())
--- a/loomgate/quarantine.go
+++ b/loomgate/quarantine.go
@@ -32,6 +32,9 @@
 	maxEvidenceChanges = 256
 	// maxHeldParts bounds the parts of a request that are told with each of them.
 	maxHeldParts = 8
+	// maxSuspectParts bounds the parts of a request that are suspects, which are the leading
+	// ones.
+	maxSuspectParts = 64
 )
 
 // quarantine keeps requests away from upstreams that end these, or whose prompts hold a part
@@ -65,7 +68,7 @@
 }
 
 func newQuarantine(g *Gate) (*quarantine, error) {
-	ledger, err := loomquarantine.NewLedger()
+	ledger, err := loomquarantine.NewLedgerOf(g.settings.memoryShare(soundShare))
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -143,9 +146,10 @@
 // sharedPartIDs returns the parts of the request's prompt that other requests may hold.
 func (d *dispatch) sharedPartIDs() []string {
 	parts := d.req.Prompt.Parts
-	if n := len(parts); n > 0 && !d.gate.partReuse.IsReused(d.req.route.Name) {
+	if n := len(parts); n > 0 && d.req.Prompt.UntrackedParts == 0 && !d.gate.partReuse.IsReused(d.req.route.Name) {
 		parts = parts[:n-1]
 	}
+	parts = parts[:min(len(parts), maxSuspectParts)]
 	ids := make([]string, 0, len(parts))
 	for _, part := range parts {
 		ids = append(ids, part.ID)
--- a/loomgate/request.go
+++ b/loomgate/request.go
@@ -22,9 +22,12 @@
 	Tokens               int
 	MaxOutputTokens      int
 	ExpectedOutputTokens int
-	// Parts are the leading parts of the prompt in order. The last one belongs
-	// to the session, or to this request alone.
+	// Parts are the leading parts of the prompt in order, at most loomcache.MaxParts with IDs
+	// of at most loomcache.MaxPartIDBytes. The last one belongs to the session, or to
+	// this request alone, if UntrackedParts is zero.
 	Parts []PromptPart
+	// UntrackedParts is the number of parts after those in Parts.
+	UntrackedParts int
 }
 
 // SharedTokens returns the number of tokens in all parts.
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -106,7 +106,7 @@
 		d.sequence = loomstream.NewSequence(r.ResumeAfter)
 	}
 	d.lifecycle = loomstream.NewLifecycle(r.isRepeatable(), g.retries.forGroup(r.group.Name), loomstream.NewBackoff(g.newRand())).WithMaxRuns(r.route.MaxAttempts)
-	if parts := in.Prompt.Parts; len(parts) > 0 {
+	if parts := in.Prompt.Parts; len(parts) > 0 && in.Prompt.UntrackedParts == 0 {
 		d.isLastPartReusable = g.partReuse.Record(r.route.Name, parts[len(parts)-1].ID)
 	}
 	failure := d.run(ctx)
--- a/loomgate/stores.go
+++ b/loomgate/stores.go
@@ -66,7 +66,7 @@
 }
 
 func newStoreWatcher(g *Gate) *storeWatcher {
-	return &storeWatcher{gate: g, index: loomcache.NewStoreIndex(), watched: make(map[string]context.CancelFunc), engineIDs: make(map[string]string), saltSeenAt: make(map[string]time.Time)}
+	return &storeWatcher{gate: g, index: loomcache.NewStoreIndexOf(g.settings.memoryShare(storeIndexShare)), watched: make(map[string]context.CancelFunc), engineIDs: make(map[string]string), saltSeenAt: make(map[string]time.Time)}
 }
 
 // processStart is the origin of this process's monotonic time.
--- a/loomgate/view.go
+++ b/loomgate/view.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -578,17 +579,34 @@
 }
 
 // recordVersion records the version of a model's weights that an upstream was
-// observed to run.
+// observed to run. Only models that the platform names count: any other is a word of a caller.
 func (v *clusterView) recordVersion(now time.Time, id string, incarnation uint64, model string, version uint64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if !v.directory.SetVersion(id, incarnation, model, version) {
+	if !v.isKnownModel(now, id, model) || !v.directory.SetVersion(id, incarnation, model, version) {
 		return
 	}
 	v.publish(now)
 	v.gate.log.Info("upstream_weights", "upstream", id, "model", model, "version", version)
 }
 
+// isKnownModel reports whether an upstream lists a model, its group states it or operators have
+// set a target version for it. The caller holds mu.
+func (v *clusterView) isKnownModel(now time.Time, upstream, model string) bool {
+	if _, ok := v.targets[model]; ok {
+		return true
+	}
+	u, ok := v.directory.Get(now, upstream)
+	if !ok {
+		return false
+	}
+	if slices.ContainsFunc(u.Weights, func(w loommember.Weights) bool { return w.Model == model }) {
+		return true
+	}
+	group, _ := v.routing().Group(u.Group)
+	return group.Engine != nil && slices.Contains(group.Engine.Models, model)
+}
+
 // evictExpired removes upstreams whose entries have expired.
 func (v *clusterView) evictExpired(now time.Time) {
 	v.mu.Lock()
--- a/loomquarantine/ledger.go
+++ b/loomquarantine/ledger.go
@@ -68,7 +68,12 @@
 
 // NewLedger returns a ledger without evidence.
 func NewLedger() (*Ledger, error) {
-	sound, err := newSoundSet()
+	return NewLedgerOf(defaultSoundBytes)
+}
+
+// NewLedgerOf is like NewLedger, with about size bytes for what is known to be sound.
+func NewLedgerOf(size int64) (*Ledger, error) {
+	sound, err := newSoundSet(size)
 	if err != nil {
 		return nil, errors.Annotate(err, "create the set of sound suspects")
 	}
@@ -82,6 +87,11 @@
 	}, nil
 }
 
+// Bytes returns about how much memory takes what is known to be sound.
+func (l *Ledger) Bytes() int64 {
+	return l.sound.bytes()
+}
+
 // Unsound returns those of a request's suspects to which no answer with weights of a version
 // or later has been complete of late.
 func (l *Ledger) Unsound(now time.Time, suspects []Suspect, version uint64) []Suspect {
--- a/loomquarantine/message.go
+++ b/loomquarantine/message.go
@@ -1,6 +1,8 @@
 package loomquarantine
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"math"
 	"time"
 
@@ -42,7 +44,7 @@
 		for _, x := range c.End.GetExposures() {
 			end.Exposures = append(end.Exposures, Exposure{
 				Suspect: newSuspect(x.GetModel(), x.GetPart(), x.GetIsRequest()), Version: x.GetVersion(), HasBegun: x.GetHasBegun(),
-				Sent: milliseconds(x.GetSentMs()), Parts: x.GetParts(),
+				Sent: milliseconds(x.GetSentMs()), Parts: boundedTexts(x.GetParts()),
 			})
 		}
 		return end, true
@@ -60,9 +62,30 @@
 	}
 }
 
+// maxTextBytes bounds the texts of a suspect, which callers choose.
+const maxTextBytes = 64
+
+// boundedText returns a text, or a digest of it if it is longer than maxTextBytes. Callers can't
+// make one with the digest of another.
+func boundedText(text string) string {
+	if len(text) <= maxTextBytes {
+		return text
+	}
+	digest := sha256.Sum256([]byte(text))
+	return "sha256/" + hex.EncodeToString(digest[:16])
+}
+
+func boundedTexts(texts []string) []string {
+	bounded := make([]string, 0, len(texts))
+	for _, text := range texts {
+		bounded = append(bounded, boundedText(text))
+	}
+	return bounded
+}
+
 // newSuspect returns a part of prompts or a request.
 func newSuspect(model, id string, isRequest bool) Suspect {
-	s := Suspect{Kind: Part, Model: model, ID: id}
+	s := Suspect{Kind: Part, Model: boundedText(model), ID: boundedText(id)}
 	if isRequest {
 		s.Kind = Request
 	}
--- a/loomquarantine/sound.go
+++ b/loomquarantine/sound.go
@@ -8,9 +8,15 @@
 
 const (
 	// maxSoundParts bounds the parts that are known to be sound, and maxSoundRequests the
-	// requests. An entry takes about 200 bytes.
+	// requests. An entry takes about soundBytes.
 	maxSoundParts    = 16_384
 	maxSoundRequests = 4096
+	soundBytes       = 400
+	// defaultSoundBytes is the memory for both, of which partsShare is for parts.
+	defaultSoundBytes = soundBytes * (maxSoundParts + maxSoundRequests)
+	partsShare        = 0.8
+	// minSound is the least number of each.
+	minSound = 256
 	// soundTTL is how long a complete answer clears the suspects of its request.
 	soundTTL = 10 * time.Minute
 )
@@ -27,18 +33,25 @@
 	at      time.Time
 }
 
-func newSoundSet() (*soundSet, error) {
-	parts, err := lru.New[Suspect, soundRecord](maxSoundParts)
+// newSoundSet returns an empty set that takes about size bytes at most.
+func newSoundSet(size int64) (*soundSet, error) {
+	entries := float64(size) / soundBytes
+	parts, err := lru.New[Suspect, soundRecord](max(min(int(entries*partsShare), maxSoundParts), minSound))
 	if err != nil {
 		return nil, err
 	}
-	requests, err := lru.New[Suspect, soundRecord](maxSoundRequests)
+	requests, err := lru.New[Suspect, soundRecord](max(min(int(entries*(1-partsShare)), maxSoundRequests), minSound))
 	if err != nil {
 		return nil, err
 	}
 	return &soundSet{parts: parts, requests: requests}, nil
 }
 
+// bytes returns about how much memory the set takes.
+func (s *soundSet) bytes() int64 {
+	return int64(s.parts.Len()+s.requests.Len()) * soundBytes
+}
+
 // of returns the records of a kind of suspects.
 func (s *soundSet) of(kind Kind) *lru.Cache[Suspect, soundRecord] {
 	if kind == Request {
