Bound the index of the completions API in bytes

Cause: blocks that no store holds were remembered for 10 minutes, however many there were; some 400 bytes for 64 words of a prompt.

Change: beyond 0.1 of the memory, blocks in no store are forgotten, first those of the account with most of them.

Measured: TestIndexBoundsItsMemory; there was no bound before.

--- a/loomcache/index.go
+++ b/loomcache/index.go
@@ -13,6 +13,8 @@
 	// exportRetryInterval is the time after which an export is requested again if
 	// the block is still not stored.
 	exportRetryInterval = 5 * time.Second
+	// blockBytes is the memory that a tracked block takes with its holders.
+	blockBytes = 400
 )
 
 // Stored is a reference to a sealed block, that is, one whose write to a store is
@@ -72,9 +74,12 @@
 
 // Index tracks the cached and stored blocks of the prompts that this instance
 // owns. The state is sharded, with a lock per shard; the methods are safe for
-// concurrent use.
+// concurrent use. Its memory is bounded: beyond the bound, blocks that are in no store are
+// forgotten, those of the account with the most of them first.
 type Index struct {
-	shards [indexShards]indexShard
+	// maxBlocks bounds the blocks of a shard.
+	maxBlocks int
+	shards    [indexShards]indexShard
 	// reuse holds the reuse statistics. It is shared by all shards and has its
 	// own lock.
 	reuse *reuseStats
@@ -85,6 +90,8 @@
 	// trees maps the first key of a segment to the blocks of all segments that
 	// begin with it.
 	trees map[Key]*tree
+	// blocks is at least the number of blocks in trees.
+	blocks int
 }
 
 // tree holds the blocks of all segments with the same first block.
@@ -114,9 +121,14 @@
 	event       uint64
 }
 
-// NewIndex returns an empty index.
+// NewIndex returns an empty index that takes about 64 MiB at most.
 func NewIndex() *Index {
-	x := &Index{reuse: newReuseStats()}
+	return NewIndexOf(defaultIndexBytes)
+}
+
+// NewIndexOf is like NewIndex for about size bytes at most.
+func NewIndexOf(size int64) *Index {
+	x := &Index{maxBlocks: max(int(size/blockBytes/indexShards), 1), reuse: newReuseStats()}
 	for i := range x.shards {
 		x.shards[i].trees = make(map[Key]*tree)
 	}
@@ -225,6 +237,7 @@
 	if t.salt != o.Salt {
 		return nil
 	}
+	s.makeRoom(x.maxBlocks, t, o.Keys)
 	e := Export{Engine: o.Engine, Salt: o.Salt, Root: root}
 	for _, k := range o.Keys {
 		b := t.block(k)
@@ -244,6 +257,113 @@
 	return []Export{e}
 }
 
+// makeRoom forgets blocks of other trees so that those of a segment of a tree may be added.
+func (s *indexShard) makeRoom(most int, added *tree, keys []Key) {
+	s.blocks += added.unknown(keys)
+	if s.blocks <= most {
+		return
+	}
+	s.blocks = added.unknown(keys)
+	byAccount := make(map[string]*accountTrees)
+	for root, t := range s.trees {
+		s.blocks += len(t.blocks)
+		a, ok := byAccount[t.salt.ClientAccount]
+		if !ok {
+			a = &accountTrees{}
+			byAccount[t.salt.ClientAccount] = a
+		}
+		a.add(root, t)
+	}
+	// Some room is left, so that not each observation has to make some.
+	const fill = 0.9
+	for s.blocks > int(float64(most)*fill) {
+		largest := largestAccount(byAccount)
+		if largest == nil {
+			return
+		}
+		root, t := largest.removeOldest()
+		if t == added {
+			continue
+		}
+		s.blocks -= t.forgetUnstored()
+		if len(t.blocks) == 0 {
+			delete(s.trees, root)
+		}
+	}
+}
+
+// accountTrees holds trees of one account.
+type accountTrees struct {
+	trees []accountTree
+	// unstored is the number of blocks in trees that are in no store.
+	unstored int
+	isSorted bool
+}
+
+// accountTree is a tree with its root.
+type accountTree struct {
+	root     Key
+	tree     *tree
+	unstored int
+}
+
+func (a *accountTrees) add(root Key, t *tree) {
+	n := 0
+	for _, b := range t.blocks {
+		if !b.isStored {
+			n++
+		}
+	}
+	a.trees = append(a.trees, accountTree{root: root, tree: t, unstored: n})
+	a.unstored += n
+}
+
+// removeOldest removes the least recently used tree and returns it.
+func (a *accountTrees) removeOldest() (Key, *tree) {
+	if !a.isSorted {
+		slices.SortFunc(a.trees, func(x, y accountTree) int { return y.tree.lastUse.Compare(x.tree.lastUse) })
+		a.isSorted = true
+	}
+	last := a.trees[len(a.trees)-1]
+	a.trees = a.trees[:len(a.trees)-1]
+	a.unstored -= last.unstored
+	return last.root, last.tree
+}
+
+// largestAccount returns the trees of the account with the most blocks that are in no store, or nil
+// if there are none.
+func largestAccount(byAccount map[string]*accountTrees) *accountTrees {
+	var largest *accountTrees
+	for _, a := range byAccount {
+		if a.unstored > 0 && (largest == nil || a.unstored > largest.unstored) {
+			largest = a
+		}
+	}
+	return largest
+}
+
+// unknown returns how many of the keys have no block.
+func (t *tree) unknown(keys []Key) int {
+	n := 0
+	for _, k := range keys {
+		if _, ok := t.blocks[k]; !ok {
+			n++
+		}
+	}
+	return n
+}
+
+// forgetUnstored removes the blocks that are in no store and returns their number.
+func (t *tree) forgetUnstored() int {
+	n := len(t.blocks)
+	for k, b := range t.blocks {
+		if !b.isStored {
+			delete(t.blocks, k)
+		}
+	}
+	return n - len(t.blocks)
+}
+
 // block returns the block with the key k, which it adds if necessary.
 func (t *tree) block(k Key) *block {
 	b, ok := t.blocks[k]
--- a/loomcache/index_test.go
+++ b/loomcache/index_test.go
@@ -304,3 +304,36 @@
 		})
 	}
 }
+
+// TestIndexBoundsItsMemory guards against prompts of one account that make the index exceed its
+// bound or forget the prompts of another.
+func TestIndexBoundsItsMemory(t *testing.T) {
+	const size = 2 << 20
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	x := loomcache.NewIndexOf(size)
+	observe := func(account string, seed uint32, blocks int) [][]loomcache.Key {
+		salt := loomcache.Salt{ClientAccount: account, Model: "m", Version: 1}
+		segments := loomcache.Segments(loomcache.Chain(salt, tokens(seed, blocks)))
+		for _, keys := range segments {
+			x.Observe(now, loomcache.Observation{Salt: salt, Keys: keys, Engine: "e"})
+		}
+		return segments
+	}
+	ordinary := make([][][]loomcache.Key, 0, 20)
+	for n := range uint32(20) {
+		ordinary = append(ordinary, observe("ordinary", 1_000_000+n*10_000, 16))
+	}
+	for n := range uint32(300) {
+		now = now.Add(time.Second)
+		observe("crowd", n*10_000+2_000_000, 100)
+		if blocks := x.Size().Blocks; blocks > size/400+100 {
+			t.Fatalf("%d blocks after %d prompts, want at most %d", blocks, n+1, size/400)
+		}
+	}
+	for i, segments := range ordinary {
+		for _, keys := range segments {
+			found := x.Lookup(now, "ordinary", keys)
+			assert.Assert(t, len(found.Holders) == 1 && found.Holders[0].Blocks == len(keys), "ordinary prompt %d: %+v", i, found.Holders)
+		}
+	}
+}
--- a/loominstance/http.go
+++ b/loominstance/http.go
@@ -39,6 +39,8 @@
 	// memory that is assumed without a setting.
 	callerMemoryRatio = 0.38
 	defaultMemoryMB   = 1024
+	// indexMemoryRatio is the part of the memory that the index of the prompts' blocks may take.
+	indexMemoryRatio = 0.1
 	// bodyCopies is how often a body is in memory while it is decoded: as it was read, in
 	// the decoder's buffer, which doubles as it grows, and as text.
 	bodyCopies = 4
--- a/loominstance/instance.go
+++ b/loominstance/instance.go
@@ -1,6 +1,7 @@
 package loominstance
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -135,7 +136,7 @@
 		tracker:       loommember.NewTracker(loommember.DefaultOptions()),
 		fleet:         loomroute.NewFleet(),
 		policy:        policy,
-		index:         loomcache.NewIndex(),
+		index:         loomcache.NewIndexOf(int64(indexMemoryRatio * float64(cmp.Or(s.Instance.MemoryMB, defaultMemoryMB)<<20))),
 		importFlights: &loomcache.Flights{},
 		claimBatcher:  loomclaim.NewBatcher(),
 		tickets:       loomclaim.NewTicketStore(),
