Bound the answers kept under tickets in bytes

Cause: 100,000 tickets with answers of up to 16 KiB each.

Change: 64 MiB of answers; one that finds no room is not kept, so that a repeated request is in doubt and does not run again.

Measured: TestTicketAnswersAreBounded.

--- a/loomclaim/ticket_store.go
+++ b/loomclaim/ticket_store.go
@@ -10,6 +10,8 @@
 	TicketLifetime = 10 * time.Minute
 	// maxTickets is the largest number of used tickets that are kept.
 	maxTickets = 100_000
+	// maxTicketAnswers bounds the answers that are kept, in bytes.
+	maxTicketAnswers = 64 << 20
 )
 
 // TicketStore issues the tickets of one holder and decides their claims. It
@@ -23,6 +25,8 @@
 	// when these tickets expire.
 	rows      map[uint64]Row
 	expiresAt map[uint64]time.Time
+	// answers is the total length of the answers in rows.
+	answers int
 }
 
 // NewTicketStore returns an empty TicketStore.
@@ -74,7 +78,8 @@
 }
 
 // Settle stores the answer of a granted attempt for repeated requests. An answer
-// of more than MaxAnswer bytes is not stored; repeated requests are then InDoubt.
+// of more than MaxAnswer bytes, or for which there is no room, is not stored; repeated
+// requests are then InDoubt.
 func (s *TicketStore) Settle(t Ticket, attempt string, answer []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -82,9 +87,11 @@
 	if !ok || row.Attempt != attempt {
 		return
 	}
-	row.Done = true
-	if len(answer) <= MaxAnswer {
+	s.answers -= len(row.Answer)
+	row.Done, row.Answer = true, nil
+	if len(answer) <= MaxAnswer && s.answers+len(answer) <= maxTicketAnswers {
 		row.Answer = answer
+		s.answers += len(answer)
 	}
 	s.rows[t.Serial] = row
 }
@@ -96,21 +103,26 @@
 	defer s.mu.Unlock()
 	row, ok := s.rows[t.Serial]
 	if ok && row.Attempt == attempt && !row.Done {
-		delete(s.rows, t.Serial)
-		delete(s.expiresAt, t.Serial)
+		s.remove(t.Serial)
 	}
 }
 
 // removeExpired removes the rows of expired tickets once half of maxTickets are
-// in use.
+// in use, or half of the room for answers.
 func (s *TicketStore) removeExpired(now time.Time) {
-	if len(s.rows) < maxTickets/2 {
+	if len(s.rows) < maxTickets/2 && s.answers < maxTicketAnswers/2 {
 		return
 	}
 	for serial, at := range s.expiresAt {
 		if !now.Before(at) {
-			delete(s.rows, serial)
-			delete(s.expiresAt, serial)
+			s.remove(serial)
 		}
 	}
 }
+
+// remove removes the row of a ticket. s.mu must be held.
+func (s *TicketStore) remove(serial uint64) {
+	s.answers -= len(s.rows[serial].Answer)
+	delete(s.rows, serial)
+	delete(s.expiresAt, serial)
+}
--- a/loomclaim/ticket_test.go
+++ b/loomclaim/ticket_test.go
@@ -71,3 +71,34 @@
 		assert.Equal(t, store.Claim(now, ticket, loomclaim.Request{Attempt: "late"}).Outcome, loomclaim.InDoubt)
 	})
 }
+
+// TestTicketAnswersAreBounded guards against answers of many tickets that exceed the memory for
+// them: an answer that isn't kept makes a repeated request InDoubt, never run again.
+func TestTicketAnswersAreBounded(t *testing.T) {
+	const most = 64 << 20
+	s := loomclaim.NewTicketStore()
+	claim := func(now time.Time) (loomclaim.Ticket, loomclaim.Request) {
+		ticket := s.Issue(now, "hotel", "entry-1", 7)
+		r := loomclaim.Request{Attempt: fmt.Sprint("a", ticket.Serial), Digest: 1}
+		assert.Equal(t, s.Claim(now, ticket, r).Outcome, loomclaim.Granted)
+		return ticket, r
+	}
+	kept := 0
+	for range most/loomclaim.MaxAnswer + 100 {
+		ticket, r := claim(start)
+		s.Settle(ticket, r.Attempt, make([]byte, loomclaim.MaxAnswer))
+		switch d := s.Claim(start, ticket, loomclaim.Request{Attempt: "again", Digest: 1}); d.Outcome {
+		case loomclaim.Answered:
+			kept++
+		case loomclaim.InDoubt:
+		default:
+			t.Fatalf("outcome %v of a repeated request", d.Outcome)
+		}
+	}
+	assert.Equal(t, kept, most/loomclaim.MaxAnswer)
+	later := start.Add(loomclaim.TicketLifetime)
+	ticket, r := claim(later)
+	s.Settle(ticket, r.Attempt, []byte("answer"))
+	d := s.Claim(later, ticket, loomclaim.Request{Attempt: "again", Digest: 1})
+	assert.Equal(t, d.Outcome, loomclaim.Answered, "expired tickets must make room")
+}
