Bound the queue of log lines in bytes

Cause: 2,048 lines, in which callers choose several texts of up to 1 KiB.

Change: 2 MiB of lines; further ones are dropped and counted.

Measured: TestQueueIsBoundedInBytes.

--- a/loomlog/log.go
+++ b/loomlog/log.go
@@ -17,10 +17,15 @@
 // lines a second.
 const queueLines = 2048
 
+// queueBytes bounds the lines in the queue. Callers choose texts in most lines.
+const queueBytes = 2 << 20
+
 // Writer writes lines from a queue in a goroutine of its own. Its methods may be
 // called concurrently, except that Write must not be called after Close.
 type Writer struct {
-	queue   chan []byte
+	queue chan []byte
+	// queued is the total length of the lines in queue.
+	queued  atomic.Int64
 	dropped atomic.Int64
 	done    chan struct{}
 	once    sync.Once
@@ -36,9 +41,16 @@
 // Write implements io.Writer. It drops the line if the queue is full; it never
 // blocks and never fails.
 func (l *Writer) Write(line []byte) (int, error) {
+	n := int64(len(line))
+	if l.queued.Add(n) > queueBytes {
+		l.queued.Add(-n)
+		l.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case l.queue <- append([]byte(nil), line...):
 	default:
+		l.queued.Add(-n)
 		l.dropped.Add(1)
 	}
 	return len(line), nil
@@ -56,6 +68,7 @@
 	defer close(l.done)
 	reported := int64(0)
 	for line := range l.queue {
+		l.queued.Add(-int64(len(line)))
 		if _, err := w.Write(line); err != nil {
 			l.dropped.Add(1)
 		}
--- a/loomlog/log_test.go
+++ b/loomlog/log_test.go
@@ -104,3 +104,13 @@
 		})
 	}
 }
+
+// TestQueueIsBoundedInBytes guards against long lines that fill the memory while nobody reads them.
+func TestQueueIsBoundedInBytes(t *testing.T) {
+	w := loomlog.NewWriter(blockedWriter{})
+	const lines, lineBytes = 1000, 8 << 10
+	for range lines {
+		_, _ = w.Write(make([]byte, lineBytes))
+	}
+	assert.Assert(t, (lines-w.Dropped())*lineBytes <= 3<<20, "%d lines of %d bytes are queued", lines-w.Dropped(), lineBytes)
+}
