Let instances take turns in polling the catalogue

Cause: the answer to a poll that waits up to 25 s was lost. Its connection delivers nothing more, so the poll can't be told from one that still waits, and no peer had the change.

Change: loomturn.Schedule lets the poll of an instance end at its turn on the store's clock; turns of the fleet lie 1.6 s apart at most. An instance without peers takes all turns. Peers are told the version of the newest row, not how far it was read, so that a poll without news causes no read at peers.

--- a/loomgate/exchange.go
+++ b/loomgate/exchange.go
@@ -133,7 +133,7 @@
 	r := &loompb.ExchangeRequest{
 		From:             g.settings.ID,
 		Incarnation:      g.incarnation,
-		CatalogueVersion: g.view.catalogueVersion.Load(),
+		CatalogueVersion: g.view.catalogueChange.Load(),
 		UpstreamsVersion: g.view.upstreamsVersion.Load(),
 		Placements:       placements,
 		Samples:          samples,
@@ -235,6 +235,7 @@
 	p.mu.Lock()
 	failedBefore := peer.failedRounds
 	peer.failedRounds = 0
+	p.answeredAt = time.Now()
 	p.mu.Unlock()
 	if failedBefore >= maxFailedRounds {
 		p.gate.log.Info("dependency_regained", "dependency", "peer", "peer", peer.id)
@@ -398,7 +399,7 @@
 	// Read before the version, so that the age is never that of a later list.
 	asOf := *g.view.upstreamsAsOf.Load()
 	reply := &loompb.ExchangeReply{
-		CatalogueVersion: g.view.catalogueVersion.Load(),
+		CatalogueVersion: g.view.catalogueChange.Load(),
 		UpstreamsVersion: g.view.upstreamsVersion.Load(),
 		UpstreamsAgeMs:   ageMillis(now, asOf),
 
--- a/loomgate/metrics.go
+++ b/loomgate/metrics.go
@@ -35,8 +35,10 @@
 
 	requests tally.Counter
 	retries  tally.Counter
-	revision tally.Gauge
-	holdOffs tally.Counter
+	// overduePolls counts the polls of the catalogue whose answers may be lost.
+	overduePolls tally.Counter
+	revision     tally.Gauge
+	holdOffs     tally.Counter
 	// brokenAttempts counts the attempts that had been sent and whose connections ended
 	// before their answers were complete.
 	brokenAttempts tally.Counter
@@ -79,6 +81,8 @@
 		revision: scope.Gauge("catalogue_revision"),
 		holdOffs: scope.Counter("upstream_hold_offs_total"),
 
+		overduePolls: scope.Counter("catalogue_polls_overdue_total"),
+
 		brokenAttempts: scope.Counter("attempts_broken_total"),
 		upstreamEnds:   scope.Counter("upstream_ends_total"),
 		quarantines:    scope.Counter("quarantines_total"),
--- a/loomgate/peers.go
+++ b/loomgate/peers.go
@@ -78,6 +78,8 @@
 	// contactsAt is when the contact with upstreams was last reported. Only exchangeLoop
 	// uses it.
 	contactsAt time.Time
+	// answeredAt is when a peer last answered a call to exchange state.
+	answeredAt time.Time
 	// own is the platform's row of this instance. Only watchInstances uses it.
 	own ownRow
 }
@@ -180,7 +182,7 @@
 			if p.gate.source.Epoch() != loomplatform.PositionEpoch(p.version) && loomkernel.Sleep(ctx, p.gate.randomDuration(epochSpread)) != nil {
 				return
 			}
-		case errors.Is(err, ErrPollEnded):
+		case errors.Is(err, ErrPollEnded), errors.Is(err, ErrPollOverdue):
 		default:
 			p.gate.view.recordFailure(sentAt)
 			failures++
@@ -346,3 +348,20 @@
 	slices.Sort(ids)
 	return ids
 }
+
+// isSolo reports whether no peer has told this instance anything for soloAfter.
+func (p *peers) isSolo(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.answeredAt) > soloAfter
+}
+
+// rank returns the place of this instance, from zero, among the live instances, and their number.
+// An instance to which no peer answers counts as the only one.
+func (p *peers) rank(now time.Time) (rank, n int) {
+	if p.isSolo(now) {
+		return 0, 1
+	}
+	live := p.liveInstances()
+	return slices.Index(live, p.gate.settings.ID), len(live)
+}
--- a/loomgate/source.go
+++ b/loomgate/source.go
@@ -20,6 +20,10 @@
 // waits may have fallen silent. The caller polls again.
 var ErrPollEnded = errors.New("poll ended")
 
+// ErrPollOverdue is returned when the answer to a poll that waits is overdue. It may be lost, with
+// the changes that it told of. The caller polls again.
+var ErrPollOverdue = errors.New("poll overdue")
+
 // Topic identifies a kind of rows that the platform provides.
 type Topic int
 
@@ -84,7 +88,8 @@
 	loomplatform.Table
 	// Changes returns the changes of a topic after a version, as soon as there is
 	// one or wait has passed. It returns ErrHistoryLost if the platform no
-	// longer has them, and ErrPollEnded if it can't tell.
+	// longer has them, ErrPollEnded if it can't tell, and ErrPollOverdue if there is no answer
+	// soon after wait has passed.
 	Changes(ctx context.Context, t Topic, after uint64, wait time.Duration) (Page, error)
 	// Snapshot returns all rows of a topic.
 	Snapshot(ctx context.Context, t Topic) (Page, error)
--- a/loomgate/view.go
+++ b/loomgate/view.go
@@ -12,15 +12,26 @@
 	"github.com/juju/errors"
 
 	"swiftloom/loomcatalogue"
+	"swiftloom/loomkernel"
 	"swiftloom/loommember"
 	"swiftloom/loomplatform"
 	"swiftloom/loomroute"
+	"swiftloom/loomturn"
 )
 
 const (
-	// cataloguePollTimeout is how long the platform holds a poll of the
+	// cataloguePollTimeout is the longest time for which the platform holds a poll of the
 	// catalogue open; it answers as soon as there is a change.
 	cataloguePollTimeout = 25 * time.Second
+	// catalogueCheckInterval is the time between two polls of the catalogue that instances
+	// of the fleet begin. An answer that tells of a change may be lost, and the connection
+	// delivers nothing more: the first instance that polls again learns of the change and
+	// tells the others.
+	catalogueCheckInterval = 1600 * time.Millisecond
+	// soloAfter is the time without an answer of any peer after which an instance relies on
+	// its own polls, and soloCheckInterval the time between two looks for that.
+	soloAfter         = 800 * time.Millisecond
+	soloCheckInterval = 200 * time.Millisecond
 	// upstreamsPollInterval is the time between two polls of the upstream list.
 	// Upstreams write more often than that, so a long poll would return
 	// immediately.
@@ -61,10 +72,13 @@
 	// evacuationSnapshot is nil until an evacuation is seen.
 	evacuationSnapshot atomic.Pointer[evacuationState]
 	upstreamsLoaded    atomic.Bool
-	// catalogueVersion and upstreamsVersion are the newest versions of the
-	// platform's rows that were applied.
+	// catalogueVersion and upstreamsVersion are the versions up to which the platform's rows
+	// were applied.
 	catalogueVersion atomic.Uint64
 	upstreamsVersion atomic.Uint64
+	// catalogueChange is the version of the newest known row of the catalogue. It is at most
+	// catalogueVersion.
+	catalogueChange atomic.Uint64
 	// upstreamsAsOf is a time at which the upstream list was current. It never
 	// decreases.
 	upstreamsAsOf atomic.Pointer[time.Time]
@@ -179,7 +193,7 @@
 // watch reads a full snapshot of a topic and then its changes, until ctx ends.
 func (v *clusterView) watch(ctx context.Context, t Topic, maxWait, interval time.Duration) {
 	full := true
-	failures := 0
+	failures, overdue := 0, 0
 	for ctx.Err() == nil {
 		started := time.Now()
 		if rest := v.followedFor(started); t == TopicUpstreams && rest > 0 {
@@ -194,6 +208,13 @@
 		}
 		pause := interval
 		switch {
+		case errors.Is(err, ErrPollOverdue):
+			v.gate.metrics.overduePolls.Inc(1)
+			if overdue++; overdue > 1 {
+				// A single answer may be lost. Several mean that the platform is away.
+				v.recordFailure(started)
+			}
+			pause = 0
 		case errors.Is(err, ErrHistoryLost):
 			v.gate.log.Warn("history_lost", "topic", t.String(), "version", v.version(t).Load())
 			full = true
@@ -213,7 +234,7 @@
 				v.gate.log.Info("dependency_regained", "dependency", "platform", "topic", t.String(), "version", v.version(t).Load(),
 					"failed_ms", v.contact().SinceFailure(time.Now()).Milliseconds())
 			}
-			failures = 0
+			failures, overdue = 0, 0
 			full = false
 			if t == TopicUpstreams && v.hasExpiring(time.Now()) {
 				pause = expiringPollInterval
@@ -304,14 +325,53 @@
 	return &v.upstreamsVersion
 }
 
+// catalogueSchedule tells when instances begin polls of the catalogue.
+var catalogueSchedule = loomturn.Schedule{Interval: catalogueCheckInterval, MaxCycle: cataloguePollTimeout}
+
+// catalogueWait returns how long a poll of the catalogue that begins now may wait.
+func (v *clusterView) catalogueWait(now time.Time) time.Duration {
+	rank, n := v.gate.peers.rank(now)
+	clock := time.Duration(now.UnixNano())
+	if reading, ok := v.gate.source.Clock(now); ok {
+		clock = reading.platformTime(now)
+	}
+	return catalogueSchedule.Wait(clock, rank, n)
+}
+
+// pollCatalogue polls the changes of the catalogue, which waits for its turn to poll again, at
+// most for maxWait. It ends with ErrPollOverdue when the instance hears of no peer any more that
+// would tell it of a change.
+func (v *clusterView) pollCatalogue(ctx context.Context, maxWait time.Duration) (Page, error) {
+	wait := min(v.catalogueWait(time.Now()), maxWait)
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	if wait > catalogueSchedule.Cycle(1) && !v.gate.peers.isSolo(time.Now()) {
+		go func() {
+			for loomkernel.Sleep(ctx, soloCheckInterval) == nil {
+				if v.gate.peers.isSolo(time.Now()) {
+					end(ErrPollOverdue)
+				}
+			}
+		}()
+	}
+	page, err := v.gate.source.Changes(ctx, TopicCatalogue, v.catalogueVersion.Load(), wait)
+	if err != nil && errors.Is(context.Cause(ctx), ErrPollOverdue) {
+		err = ErrPollOverdue
+	}
+	return page, err
+}
+
 // poll makes one call to the platform and applies the result.
 func (v *clusterView) poll(ctx context.Context, t Topic, full bool, maxWait time.Duration) error {
 	sentAt := time.Now()
 	var page Page
 	var err error
-	if full {
+	switch {
+	case full:
 		page, err = v.gate.source.Snapshot(ctx, t)
-	} else {
+	case t == TopicCatalogue:
+		page, err = v.pollCatalogue(ctx, maxWait)
+	default:
 		page, err = v.gate.source.Changes(ctx, t, v.version(t).Load(), maxWait)
 	}
 	if err != nil {
@@ -343,7 +403,10 @@
 	}
 	changed := v.applyRows(now, t, page, full)
 	known.Store(max(known.Load(), page.Version))
-	if t != TopicUpstreams {
+	if t == TopicCatalogue {
+		for _, row := range page.Rows {
+			v.catalogueChange.Store(max(v.catalogueChange.Load(), row.Version))
+		}
 		return
 	}
 	v.confirmUpstreams(page.AsOf)
