Count long events of streams as memory of answers

Cause: each answer had a bound, but all events together had none.

Change: an event above 4 KiB is reserved as it grows, without waiting; a head has at most 2,000 lines.

--- a/loomcache/part.go
+++ b/loomcache/part.go
@@ -5,10 +5,10 @@
 	// count as MaxTokens: sums of them, and their products with the time of a token, don't
 	// overflow.
 	MaxTokens = 1 << 24
-	// MaxPartIDBytes bounds the ID of a part that is tracked, and MaxParts the tracked parts
-	// of one prompt, which are the leading ones.
+	// MaxPartIDBytes bounds the ID of a part that is tracked.
 	MaxPartIDBytes = 128
-	MaxParts       = 128
+	// MaxParts bounds the tracked parts of one prompt, which are the leading ones.
+	MaxParts = 128
 )
 
 // PromptPart is a part of a prompt that other prompts may have in common.
@@ -16,12 +16,3 @@
 	ID     string
 	Tokens int
 }
-
-// sumTokens returns the number of tokens of parts.
-func sumTokens(parts []PromptPart) int {
-	n := 0
-	for _, p := range parts {
-		n += p.Tokens
-	}
-	return n
-}
--- a/loomgate/relay.go
+++ b/loomgate/relay.go
@@ -200,7 +200,9 @@
 	if isContinuation {
 		d.sequence.Resume()
 	}
-	events := loomstream.NewEventReader(reply.Body)
+	memory := loomhttp.MemoryOf(ctx)
+	events := loomstream.NewAccountedEventReader(reply.Body, memory.ReserveEvent, memory.ReleaseAnswer)
+	defer events.Release()
 	for {
 		event, err := events.Next()
 		now := time.Now()
--- a/loomhttp/client_conn.go
+++ b/loomhttp/client_conn.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+
+	"github.com/juju/errors"
 )
 
 // Conn is a connection of a Transport. http.Transport passes a connection on to the next
@@ -20,6 +22,11 @@
 	written atomic.Int64
 	// isSpent is set once no further request may be written.
 	isSpent atomic.Bool
+	// requests counts the requests that have begun. Read alone uses meter, which counts the lines
+	// of the head of the response to the request with the number metered.
+	requests atomic.Int64
+	meter    responseMeter
+	metered  int64
 }
 
 func newConn(c net.Conn) *Conn {
@@ -28,6 +35,19 @@
 	return conn
 }
 
+// Read implements net.Conn. It fails if the head of a response has more than maxHeaderLines lines.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if number := c.requests.Load(); number != c.metered {
+		c.meter, c.metered = responseMeter{}, number
+	}
+	c.meter.add(b[:n])
+	if c.meter.lines > maxHeaderLines {
+		return 0, errors.NotValidf("response whose headers exceeded %d lines", maxHeaderLines)
+	}
+	return n, err
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.written.Add(int64(len(b)))
@@ -50,6 +70,7 @@
 // request is about to return.
 func (c *Conn) begin() bool {
 	<-c.checked
+	c.requests.Add(1)
 	if c.IsSpent() {
 		// http.Transport is going to write the request all the same.
 		_ = c.Close()
--- a/loomhttp/conn_memory.go
+++ b/loomhttp/conn_memory.go
@@ -193,26 +193,25 @@
 	return 0
 }
 
-// reserve reserves n bytes for the current request. It waits while connections are being shed for
-// them, and for an answer until done is closed.
-func (c *callerConn) reserve(n int64, isAnswer bool, done <-chan struct{}) error {
+// reserve reserves n bytes for u; for a request, that is useSmall or useLarge by what it holds. It
+// waits while connections are being shed for them, and for an answer until done is closed.
+func (c *callerConn) reserve(n int64, u use, done <-chan struct{}) error {
 	if c.holder == nil {
 		return nil
 	}
 	c.mu.Lock()
 	c.used += n
 	need := c.used - c.granted
-	u := useSmall
-	if c.used > smallRequestBytes {
-		u = useLarge
+	if u.part() == partRequests {
+		u = useSmall
+		if c.used > smallRequestBytes {
+			u = useLarge
+		}
 	}
 	c.mu.Unlock()
 	if need <= 0 {
 		return nil
 	}
-	if isAnswer {
-		u = useAnswer
-	}
 	need = (need + grantBytes - 1) / grantBytes * grantBytes
 	err := c.awaitRoom(need, u, done)
 	c.mu.Lock()
@@ -353,7 +352,7 @@
 	if cost <= 0 {
 		return nil
 	}
-	return m.conn.reserve(cost, false, nil)
+	return m.conn.reserve(cost, useSmall, nil)
 }
 
 // Reserve reserves n bytes for the body of the request. It waits for some hundred milliseconds
@@ -362,7 +361,7 @@
 	if m.conn == nil {
 		return nil
 	}
-	return m.conn.reserve(n, false, nil)
+	return m.conn.reserve(n, useSmall, nil)
 }
 
 // ReserveAnswer reserves n bytes for the answer. It waits until ctx ends.
@@ -370,7 +369,16 @@
 	if m.conn == nil {
 		return nil
 	}
-	return m.conn.reserve(n, true, ctx.Done())
+	return m.conn.reserve(n, useAnswer, ctx.Done())
+}
+
+// ReserveEvent reserves n bytes for an event of a stream, which ReleaseAnswer gives back. It fails at
+// once if there is no room, so that streams that hold much don't keep other answers waiting.
+func (m RequestMemory) ReserveEvent(n int64) error {
+	if m.conn == nil {
+		return nil
+	}
+	return m.conn.reserve(n, useEvent, nil)
 }
 
 // Release gives back n bytes of Reserve. What is left is given back after the response.
--- a/loomhttp/head_meter.go
+++ b/loomhttp/head_meter.go
@@ -32,3 +32,54 @@
 	}
 	return cost
 }
+
+// interimHead begins the status line of an interim response, after the minor version.
+const interimHead = "HTTP/1.x 1"
+
+// responseMeter counts the lines of the heads of a response, from the bytes as they arrive. The
+// zero value is ready for a response.
+type responseMeter struct {
+	lines int
+	// status is the beginning of the status line of the current head.
+	status []byte
+	// lineLength is the length of the last line so far, without its end, and hasStatus is set
+	// once the status line has ended.
+	lineLength int
+	hasStatus  bool
+	isComplete bool
+}
+
+// add counts the lines in a further part of the response, up to the end of the head that is not
+// interim.
+func (m *responseMeter) add(b []byte) {
+	for len(b) > 0 && !m.isComplete {
+		i := bytes.IndexByte(b, '\n')
+		text := b
+		if i >= 0 {
+			text = bytes.TrimSuffix(b[:i], []byte("\r"))
+		}
+		if !m.hasStatus {
+			m.status = append(m.status, text[:min(len(text), len(interimHead)-len(m.status))]...)
+		}
+		// A carriage return may arrive before the line feed.
+		m.lineLength += len(text) - bytes.Count(text, []byte("\r"))
+		if i < 0 {
+			return
+		}
+		m.lines++
+		if m.hasStatus && m.lineLength == 0 {
+			m.isComplete = !m.isInterim()
+			m.status, m.hasStatus = m.status[:0], false
+		} else {
+			m.hasStatus = true
+		}
+		m.lineLength = 0
+		b = b[i+1:]
+	}
+}
+
+// isInterim reports whether the current head is that of an interim response.
+func (m *responseMeter) isInterim() bool {
+	const minor = len("HTTP/1.")
+	return len(m.status) == len(interimHead) && string(m.status[:minor]) == interimHead[:minor] && string(m.status[minor+1:]) == interimHead[minor+1:]
+}
--- a/loomhttp/head_meter_test.go
+++ b/loomhttp/head_meter_test.go
@@ -37,3 +37,31 @@
 		assert.Assert(t, cost >= want, "%d counted, %d held", cost, want)
 	})
 }
+
+// TestResponseMeterCountsHeads guards against lines of bodies that count as those of heads, and
+// against heads that don't count since they arrive in pieces or after interim ones.
+func TestResponseMeterCountsHeads(t *testing.T) {
+	tests := []struct {
+		name, text string
+		lines      int
+	}{
+		{"head", "HTTP/1.1 200 OK\r\nA: b\r\n\r\n", 3},
+		{"body", "HTTP/1.1 200 OK\r\nA: b\r\n\r\n1\r\n2\r\nHTTP/1.1 100 Continue\r\n\r\n", 3},
+		{"interim head", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\n\r\nbody\n\n", 5},
+		{"version 1.0, bare line feeds", "HTTP/1.0 404 Not Found\nA: b\n\nbody\n", 3},
+		{"no HTTP", "a\nb\nc\n", 3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for size := range len(tt.text) {
+				var m responseMeter
+				for b := []byte(tt.text); len(b) > 0; {
+					n := min(size+1, len(b))
+					m.add(b[:n])
+					b = b[n:]
+				}
+				assert.Equal(t, m.lines, tt.lines, "pieces of %d bytes", size+1)
+			}
+		})
+	}
+}
--- a/loomhttp/memory_budget.go
+++ b/loomhttp/memory_budget.go
@@ -40,6 +40,9 @@
 	largeShare  = 0.4
 	smallShare  = 0.7
 	answerShare = 0.3
+	// eventShare bounds what answers may hold once memory was given for an event of a stream.
+	// The rest of answerShare is left to other answers.
+	eventShare = 0.2
 )
 
 // part is the part of a budget that bytes belong to.
@@ -127,9 +130,11 @@
 	useLarge
 	// useAnswer is for the answer to a request that may have run. It is never refused.
 	useAnswer
+	// useEvent is for a long event of a stream that runs. It doesn't wait for room.
+	useEvent
 )
 
-var useNames = [...]string{"conn", "small", "large", "answer"}
+var useNames = [...]string{"conn", "small", "large", "answer", "event"}
 
 // NewMemoryBudget returns a budget of size bytes that admits at most maxConns connections at
 // a time, or as many as half of the size allows if maxConns is zero.
@@ -241,6 +246,8 @@
 		share = largeShare
 	case useAnswer:
 		share = answerShare
+	case useEvent:
+		share = eventShare
 	case useSmall:
 	}
 	return int64(float64(b.size) * share)
@@ -248,7 +255,7 @@
 
 // part returns the part that memory for u belongs to.
 func (u use) part() part {
-	if u == useAnswer {
+	if u == useAnswer || u == useEvent {
 		return partAnswers
 	}
 	return partRequests
@@ -270,6 +277,9 @@
 		b.add(h, p, n)
 		return true, nil, nil
 	}
+	if u == useEvent {
+		return false, nil, nil
+	}
 	shed, ok = b.chooseVictims(now, h, over-b.leaving[p], u)
 	if !ok && u == useLarge {
 		return false, shed, nil
--- a/loomhttp/server_conn.go
+++ b/loomhttp/server_conn.go
@@ -215,7 +215,7 @@
 	if cost == 0 {
 		return nil
 	}
-	if err := c.reserve(cost, false, nil); err != nil {
+	if err := c.reserve(cost, useSmall, nil); err != nil {
 		return c.refuseHead(err)
 	}
 	return nil
--- a/loomhttp/transport.go
+++ b/loomhttp/transport.go
@@ -15,6 +15,10 @@
 // before it.
 const MaxHeaderBytes = 64 << 10
 
+// maxHeaderLines bounds the lines of a response's head and of the interim ones before it. Each field
+// takes some hundred bytes once it is parsed, however short it is.
+const maxHeaderLines = 2000
+
 // Transport is an http.Transport that reads at most MaxHeaderBytes before the body of
 // a response, and that accepts no switch to another protocol: the transport would no
 // longer close the connection when the request's context ends. It checks after which
--- a/loomstream/events.go
+++ b/loomstream/events.go
@@ -37,50 +37,105 @@
 // events, so that a relay never forwards part of an event when the stream breaks.
 type EventReader struct {
 	r *bufio.Reader
+	// reserve and release account for the memory of an event; nil if nothing does. reserved
+	// is what is reserved for the current one.
+	reserve  func(n int64) error
+	release  func(n int64)
+	reserved int64
 }
 
-// readBufferBytes is the size of the read buffer, which suffices for events of a
-// few tokens.
-const readBufferBytes = 2 << 10
+const (
+	// readBufferBytes is the size of the read buffer, which suffices for events of a
+	// few tokens.
+	readBufferBytes = 2 << 10
+	// freeEventBytes is the size up to which an event is not accounted for, and
+	// eventCopies how often the text of a longer one is held at most: while its buffer
+	// grows, and its ID.
+	freeEventBytes = 4 << 10
+	eventCopies    = 3
+)
 
 // NewEventReader returns a reader of the stream r.
 func NewEventReader(r io.Reader) *EventReader {
 	return &EventReader{r: bufio.NewReaderSize(r, readBufferBytes)}
 }
 
+// NewAccountedEventReader is like NewEventReader for a reader that reserves the memory of long
+// events before it holds them. Next returns the error of reserve. What is reserved for an event is
+// released by the next call of Next or Release.
+func NewAccountedEventReader(r io.Reader, reserve func(n int64) error, release func(n int64)) *EventReader {
+	e := NewEventReader(r)
+	e.reserve, e.release = reserve, release
+	return e
+}
+
+// Release releases what is reserved for the last event, which the caller holds no longer.
+func (e *EventReader) Release() {
+	if e.reserved > 0 {
+		e.release(e.reserved)
+		e.reserved = 0
+	}
+}
+
+// account reserves the memory of an event of n bytes. It doubles what is reserved, so that an event
+// in short lines needs few calls.
+func (e *EventReader) account(n int) error {
+	need := int64(n) * eventCopies
+	if e.reserve == nil || n <= freeEventBytes || need <= e.reserved {
+		return nil
+	}
+	need = max(need, 2*e.reserved)
+	if err := e.reserve(need - e.reserved); err != nil {
+		return errors.Annotatef(err, "event of %d or more bytes", n)
+	}
+	e.reserved = need
+	return nil
+}
+
 // Next returns the next event. The error is io.EOF if the stream has ended after a
 // complete event; the record then holds the comments that followed that event. It is
 // io.ErrUnexpectedEOF if the stream has ended within an event.
 func (e *EventReader) Next() (EventRecord, error) {
+	e.Release()
 	var record EventRecord
+	// text holds the comments and then, from event on, the lines of the event; line is the start
+	// of the current one.
+	var text []byte
+	event, line := 0, 0
 	isEvent := false
-	start := 0
 	for {
 		part, err := e.r.ReadSlice('\n')
-		record.Raw = append(record.Raw, part...)
-		if size := len(record.Comments) + len(record.Raw); size > maxEventBytes {
+		if size := len(text) + len(part); size > maxEventBytes {
 			return EventRecord{}, errors.NotValidf("event of %d or more bytes (maximum %d)", size, maxEventBytes)
 		}
+		if err := e.account(len(text) + len(part)); err != nil {
+			return EventRecord{}, err
+		}
+		text = append(text, part...)
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
 		if err != nil {
-			if errors.Is(err, io.EOF) && len(record.Raw) > 0 {
+			if errors.Is(err, io.EOF) && len(text) > event {
 				return EventRecord{}, io.ErrUnexpectedEOF
 			}
+			record.Comments = text
 			return record, err
 		}
-		text := bytes.TrimRight(record.Raw[start:], "\r\n")
-		start = len(record.Raw)
+		current := bytes.TrimRight(text[line:], "\r\n")
+		line = len(text)
 		switch {
-		case len(text) == 0 && isEvent:
+		case len(current) == 0 && isEvent:
+			if event > 0 {
+				record.Comments = text[:event:event]
+			}
+			record.Raw = text[event:]
 			return record, nil
-		case len(text) == 0:
-			record.Comments = append(record.Comments, record.Raw...)
-			record.Raw = nil
-			start = 0
+		case len(current) == 0:
+			event = len(text)
+			continue
 		}
-		switch name, value, _ := bytes.Cut(text, []byte(":")); string(name) {
+		switch name, value, _ := bytes.Cut(current, []byte(":")); string(name) {
 		case "id":
 			record.ID = string(bytes.TrimPrefix(value, []byte(" ")))
 			isEvent = true
