Refuse requests that a stop leaves no time for

Cause: a request that had begun on a connection was served however little time was left, and requests that waited for an upstream were cut with the rest.

--- a/loomgate/cost_order.go
+++ b/loomgate/cost_order.go
@@ -98,6 +98,8 @@
 		select {
 		case <-ctx.Done():
 			return loomerror.From(ctx.Err()).WithNotRun(loomerror.NotRunTrue)
+		case <-d.gate.stop.waitsEnd:
+			return newShuttingDown()
 		case <-decision:
 			continue
 		case <-wake:
--- a/loomgate/gate.go
+++ b/loomgate/gate.go
@@ -105,6 +105,7 @@
 	coordinators *coordinators
 	prefill      prefillModels
 
+	stop stopState
 	// stopping is never reset.
 	stopping atomic.Bool
 	active   atomic.Int64
@@ -135,6 +136,7 @@
 		retries:     newRetryBudgets(s),
 		random:      rand.New(rand.NewPCG(o.Seed, uint64(len(s.ID)))),
 	}
+	g.stop.waitsEnd = make(chan struct{})
 	g.prefill.byGroup = make(map[string]*loomroute.PrefillModel)
 	g.regions = loomcatalogue.NewRegionMap(s.ZoneRegions, s.FailureDomain, s.Region)
 	g.unreadable = newUnreadableRows(g.log)
--- a/loomgate/queue.go
+++ b/loomgate/queue.go
@@ -359,6 +359,8 @@
 		select {
 		case <-ctx.Done():
 			return loomerror.From(ctx.Err()).WithNotRun(loomerror.NotRunTrue)
+		case <-d.gate.stop.waitsEnd:
+			return newShuttingDown()
 		case <-decision:
 			continue
 		case <-wake:
--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -145,6 +145,9 @@
 		if err := d.waitForEngine(ctx); err != nil {
 			return err.WithNotRun(d.lifecycle.NotRun())
 		}
+		if err := d.checkStop(time.Now()); err != nil && d.lifecycle.NotRun() == loomerror.NotRunTrue {
+			return err
+		}
 		if d.isGrantLate(time.Now()) {
 			continue
 		}
