Trust the end of an answer without length only if it was seen in time

Cause: such an answer ends with its connection. Whether the upstream was killed is told by its listener within 50 ms after the end was read, but the instance had been frozen and the upstream had started again. A slow caller has the same effect.

--- a/loomhttp/client_conn.go
+++ b/loomhttp/client_conn.go
@@ -6,7 +6,9 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/juju/errors"
 )
@@ -27,17 +29,26 @@
 	requests atomic.Int64
 	meter    responseMeter
 	metered  int64
+	// openedAt is when the connection was made. isReading is set while a Read waits, which ends
+	// when the peer ends the connection.
+	openedAt  time.Time
+	isReading atomic.Bool
+	// closed is called once when the connection is closed.
+	closed func()
+	once   sync.Once
 }
 
-func newConn(c net.Conn) *Conn {
-	conn := &Conn{Conn: c, checked: make(chan struct{}, 1)}
+func newConn(now time.Time, c net.Conn) *Conn {
+	conn := &Conn{Conn: c, checked: make(chan struct{}, 1), openedAt: now}
 	conn.checked <- struct{}{}
 	return conn
 }
 
 // Read implements net.Conn. It fails if the head of a response has more than maxHeaderLines lines.
 func (c *Conn) Read(b []byte) (int, error) {
+	c.isReading.Store(true)
 	n, err := c.Conn.Read(b)
+	c.isReading.Store(false)
 	if number := c.requests.Load(); number != c.metered {
 		c.meter, c.metered = responseMeter{}, number
 	}
@@ -48,6 +59,16 @@
 	return n, err
 }
 
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.once.Do(func() {
+		if c.closed != nil {
+			c.closed()
+		}
+	})
+	return c.Conn.Close()
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.written.Add(int64(len(b)))
--- a/loomhttp/transport.go
+++ b/loomhttp/transport.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
+	"time"
 
 	"github.com/juju/errors"
 )
@@ -27,6 +29,46 @@
 	*http.Transport
 
 	mayReuse func(w *http.Response) bool
+	conns    *openConns
+}
+
+// openConns holds the open connections by address. Its methods may be called concurrently.
+type openConns struct {
+	mu        sync.Mutex
+	byAddress map[string]map[*Conn]struct{}
+}
+
+// add adds a connection until it is closed.
+func (o *openConns) add(address string, c *Conn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.byAddress[address] == nil {
+		o.byAddress[address] = make(map[*Conn]struct{})
+	}
+	o.byAddress[address][c] = struct{}{}
+	c.closed = func() { o.remove(address, c) }
+}
+
+func (o *openConns) remove(address string, c *Conn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.byAddress[address], c)
+	if len(o.byAddress[address]) == 0 {
+		delete(o.byAddress, address)
+	}
+}
+
+// HasOpenSince reports whether a connection to an address is open that was made before a time, as far
+// as the transport waits for data there and would see its end.
+func (t Transport) HasOpenSince(address string, at time.Time) bool {
+	t.conns.mu.Lock()
+	defer t.conns.mu.Unlock()
+	for c := range t.conns.byAddress[address] {
+		if c.openedAt.Before(at) && c.isReading.Load() {
+			return true
+		}
+	}
+	return false
 }
 
 // NewTransport returns a Transport that uses t, which it changes. A connection is used
@@ -38,14 +80,17 @@
 	if dial == nil {
 		dial = new(net.Dialer).DialContext
 	}
+	conns := &openConns{byAddress: make(map[string]map[*Conn]struct{})}
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return newConn(c), nil
+		conn := newConn(time.Now(), c)
+		conns.add(address, conn)
+		return conn, nil
 	}
-	return Transport{Transport: t, mayReuse: mayReuse}
+	return Transport{Transport: t, mayReuse: mayReuse, conns: conns}
 }
 
 // RoundTrip implements http.RoundTripper.
--- a/loomupstream/service.go
+++ b/loomupstream/service.go
@@ -52,8 +52,9 @@
 
 // Services is an HTTP client for plain services. It is safe for concurrent use.
 type Services struct {
-	client *http.Client
-	dial   loomplatform.Dialer
+	client    *http.Client
+	transport loomhttp.Transport
+	dial      loomplatform.Dialer
 }
 
 // NewServices returns a client that opens connections with d, or over TCP when d is
@@ -69,7 +70,7 @@
 		IdleConnTimeout:     idleTimeout,
 		DialContext:         func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
 	}, mayReuse)
-	return &Services{dial: dial, client: &http.Client{
+	return &Services{dial: dial, transport: transport, client: &http.Client{
 		Transport: transport,
 		// A redirected call would be an attempt that the caller of Do does not count.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -113,7 +114,7 @@
 	if !isOwn(w) {
 		return Outcome{Delivered: true}, errors.NotValidf("response to call %q, want one to %q", w.Header.Get(headerRequestID), c.RequestID)
 	}
-	body, err := loomhttp.ReadAnswer(ctx, NewBody(ctx, w, s.dial, address), w.ContentLength, maxBodyBytes)
+	body, err := loomhttp.ReadAnswer(ctx, NewBody(ctx, w, s.dial, address, func(since time.Time) bool { return s.transport.HasOpenSince(address, since) }), w.ContentLength, maxBodyBytes)
 	if err != nil {
 		return Outcome{Delivered: true}, errors.Annotate(err, "read service response")
 	}
