Refuse at a stop by when a request has arrived

Cause: a request that had come early and waited for an upstream until more than 3 s after the stop was refused as late.

--- a/loomgate/serve.go
+++ b/loomgate/serve.go
@@ -94,6 +94,9 @@
 	defer g.active.Add(-1)
 	g.metrics.requests.Inc(1)
 	r, err := g.admit(in)
+	if err == nil {
+		err = g.checkStop(time.Now(), r)
+	}
 	if err != nil {
 		g.recordRefusal(in, err)
 		w.WriteError(in.RequestID, err)
@@ -145,9 +148,6 @@
 		if err := d.waitForEngine(ctx); err != nil {
 			return err.WithNotRun(d.lifecycle.NotRun())
 		}
-		if err := d.checkStop(time.Now()); err != nil && d.lifecycle.NotRun() == loomerror.NotRunTrue {
-			return err
-		}
 		if d.isGrantLate(time.Now()) {
 			continue
 		}
--- a/loomgate/stop.go
+++ b/loomgate/stop.go
@@ -24,10 +24,10 @@
 	begunAt, endsAt time.Time
 }
 
-// canFinish reports whether a request that would be sent now ends before the stop does, or came
-// so early that it is given what there is.
-func (p stopPlan) canFinish(now, deadline time.Time) bool {
-	return now.Sub(p.begunAt) <= lateAfter || !deadline.After(p.endsAt)
+// canFinish reports whether a request ends before the stop does, or came so early that it is given
+// what there is. It has arrived when its body has been read.
+func (p stopPlan) canFinish(arrivedAt, deadline time.Time) bool {
+	return arrivedAt.Sub(p.begunAt) <= lateAfter || !deadline.After(p.endsAt)
 }
 
 // stopState holds the plan of a stop once it has begun. Its methods may be called concurrently.
@@ -64,11 +64,11 @@
 	g.MarkStopping()
 }
 
-// checkStop returns the error with which a request is refused that would not be answered before
-// a stop ends, or nil.
-func (d *dispatch) checkStop(now time.Time) *loomerror.Error {
-	plan, ok := d.gate.stop.current()
-	if !ok || plan.canFinish(now, d.req.deadline) {
+// checkStop returns the error with which a request that has arrived now is refused since it would
+// not be answered before a stop ends, or nil.
+func (g *Gate) checkStop(now time.Time, r *request) *loomerror.Error {
+	plan, ok := g.stop.current()
+	if !ok || plan.canFinish(now, r.deadline) {
 		return nil
 	}
 	return newShuttingDown()
