Take the machine of a lease holder from before the last slash

Cause: with an instance ID that holds a slash, two instances could count as one machine.

Change: the incarnation alone follows the last slash.

Measured: the tests of loomlease and of the rollout pass.

--- a/loomlease/lease.go
+++ b/loomlease/lease.go
@@ -102,7 +102,7 @@
 }
 
 // WithGap returns a copy of l that keeps the actions of two machines apart by a gap, which is less
-// than the duration. The part of a holder's name before a slash is that of its machine, on which
+// than the duration. The part of a holder's name before its last slash is that of its machine, on which
 // a process begins only when the one before has ended.
 func (l Lease) WithGap(gap time.Duration) Lease {
 	l.gap = gap
@@ -148,8 +148,12 @@
 
 // isOwn reports whether the holder in the row is a process of this machine.
 func (l *Lease) isOwn() bool {
-	machine, _, hasIncarnation := strings.Cut(l.holder, "/")
-	return l.row.Holder == l.holder || (hasIncarnation && strings.HasPrefix(l.row.Holder, machine+"/"))
+	return l.row.Holder == l.holder || (machineOf(l.holder) != "" && machineOf(l.row.Holder) == machineOf(l.holder))
+}
+
+// machineOf returns the part of a holder's name before its last slash, or an empty text.
+func machineOf(holder string) string {
+	return holder[:max(strings.LastIndexByte(holder, '/'), 0)]
 }
 
 // expiry returns the time for which the row must not change before another machine may take it.
