Name the cause when a head has too many lines

Cause: the bound on lines ends the head within a line, which the transport then parses.

Change: the error of such a round trip names the bound.

--- a/loomhttp/client_conn.go
+++ b/loomhttp/client_conn.go
@@ -29,6 +29,8 @@
 	requests atomic.Int64
 	meter    responseMeter
 	metered  int64
+	// isHeadTooLong is set once the head of a response has had more than maxHeaderLines lines.
+	isHeadTooLong atomic.Bool
 	// openedAt is when the connection was made. isReading is set while a Read waits, which ends
 	// when the peer ends the connection.
 	openedAt  time.Time
@@ -54,6 +56,7 @@
 	}
 	c.meter.add(b[:n])
 	if c.meter.lines > maxHeaderLines {
+		c.isHeadTooLong.Store(true)
 		return 0, errors.NotValidf("response whose headers exceeded %d lines", maxHeaderLines)
 	}
 	return n, err
--- a/loomhttp/transport.go
+++ b/loomhttp/transport.go
@@ -121,6 +121,10 @@
 		return w, true, err
 	}
 	if err != nil {
+		if trip.conn != nil && trip.conn.isHeadTooLong.Load() {
+			// The transport may blame the line within which the head was cut.
+			err = errors.Annotatef(err, "headers exceeded %d lines", maxHeaderLines)
+		}
 		trip.finish(false)
 		return nil, false, err
 	}
