--- a/review/standin-2/denied.go
+++ b/review/standin-2/denied.go
@@ -6,18 +6,24 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 )
 
-// deniedRequests is the number of requests of playDenied, and deniedAllowed how many of them may be
-// ended with a status of the system's own.
+// playDenied sends deniedRequests requests on channels of their own and two on each of keptChannels.
+// deniedAllowed is how many of all may be ended with a status of the system's own.
 const (
 	deniedRequests = 40
-	deniedAllowed  = 5 + deniedRequests/500
+	keptChannels   = 10
+	allDenied      = deniedRequests + 2*keptChannels
+	deniedAllowed  = 5 + allDenied/500
+	// textBefore is the length of the text before the e-mail in the first body on a kept channel.
+	textBefore = 9000
 )
 
 // playDenied sends bodies in chunks that hold the text of an e-mail, with the line Content-Length
-// in its head or, without the disruption, without that line.
+// in its head or, without the disruption, without that line. On kept channels the e-mail stands
+// further back in the first body, and the second body holds none.
 func playDenied(s *site, trouble bool) error {
 	m, err := s.addRunner("i-02d9e6b4", "booking-app", "half-way-tree", "")
 	if err != nil {
@@ -40,54 +46,75 @@
 		line = "Lines: 1\r\n"
 	}
 	body := "From: master@quay.example\r\nSubject: booking\r\nContent-Type: text/plain\r\n" + line + "\r\nThe kitchen is under water.\r\n"
-	denied := 0
+	denied, after := 0, 0
+	isDenied := func(status int) bool {
+		return status >= 300 && status < 500 && status != 408 && status != 421 && status != 429
+	}
 	for i := range deniedRequests {
-		id := fmt.Sprintf("b00k%012d", i)
-		status, err := s.sendChunked(g, id, body)
+		statuses, err := s.sendChunked(g, []string{fmt.Sprintf("b00k%012d", i)}, []string{body})
 		if err != nil {
-			return fmt.Errorf("request %s: %w", id, err)
+			return err
 		}
-		if status >= 300 && status < 500 && status != 408 && status != 421 && status != 429 {
+		if isDenied(statuses[0]) {
 			denied++
 		}
 	}
+	for i := range keptChannels {
+		ids := []string{fmt.Sprintf("f125%012d", i), fmt.Sprintf("5ec0%012d", i)}
+		statuses, err := s.sendChunked(g, ids, []string{strings.Repeat("a", textBefore) + "\r\n" + body, "The kitchen is dry."})
+		if err != nil {
+			return err
+		}
+		for j, status := range statuses {
+			if isDenied(status) {
+				denied++
+				after += j
+			}
+		}
+	}
 	m.mu.Lock()
 	runs := len(m.runs)
 	m.mu.Unlock()
-	s.rec.printf("requests ended with a status of the system's own: %d of %d (allowed %d); runs: %d", denied, deniedRequests, deniedAllowed, runs)
+	s.rec.printf("requests ended with a status of the system's own: %d of %d (allowed %d); runs: %d", denied, allDenied, deniedAllowed, runs)
+	s.rec.printf("of these, second requests on a kept channel, whose own bodies hold no e-mail: %d of %d", after, keptChannels)
 	if denied > deniedAllowed {
 		return errBroken
 	}
-	if runs != deniedRequests {
-		return fmt.Errorf("%d of %d requests have run", runs, deniedRequests)
+	if runs != allDenied {
+		return fmt.Errorf("%d of %d requests have run", runs, allDenied)
 	}
 	return nil
 }
 
-// sendChunked sends a request with a body in one chunk on a new channel, and returns the status of
-// the answer.
-func (s *site) sendChunked(g *gateProcess, id, body string) (int, error) {
+// sendChunked sends requests one after the other on a new channel, each with a body in one chunk, and
+// returns the statuses of the answers.
+func (s *site) sendChunked(g *gateProcess, ids, bodies []string) ([]int, error) {
 	c, err := net.Dial("tcp", g.callers)
 	if err != nil {
-		return 0, err
+		return nil, err
 	}
 	defer func() { _ = c.Close() }()
-	head := "POST /book/1 HTTP/1.1\r\nHost: nylo40.example\r\nSwiftloom-Request-Id: " + id +
-		"\r\nSwiftloom-Deadline-Ms: 5000\r\nAuthorization: Bearer key-port-council\r\nTransfer-Encoding: chunked\r\n\r\n"
-	if _, err := fmt.Fprintf(c, "%s%x\r\n%s\r\n0\r\n\r\n", head, len(body), body); err != nil {
-		return 0, err
-	}
-	s.rec.printf("request %s sent to %s, with a body of %d bytes in a chunk", id, g.node, len(body))
-	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
-	w, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil {
-		return 0, err
-	}
-	defer func() { _ = w.Body.Close() }()
-	text, err := io.ReadAll(w.Body)
-	if err != nil {
-		return 0, err
+	r := bufio.NewReader(c)
+	var statuses []int
+	for i, id := range ids {
+		head := "POST /book/1 HTTP/1.1\r\nHost: nylo40.example\r\nSwiftloom-Request-Id: " + id +
+			"\r\nSwiftloom-Deadline-Ms: 5000\r\nAuthorization: Bearer key-port-council\r\nTransfer-Encoding: chunked\r\n\r\n"
+		if _, err := fmt.Fprintf(c, "%s%x\r\n%s\r\n0\r\n\r\n", head, len(bodies[i]), bodies[i]); err != nil {
+			return nil, fmt.Errorf("request %s: %w", id, err)
+		}
+		s.rec.printf("request %s sent to %s, with a body of %d bytes in a chunk", id, g.node, len(bodies[i]))
+		_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		w, err := http.ReadResponse(r, nil)
+		if err != nil {
+			return nil, fmt.Errorf("answer to request %s: %w", id, err)
+		}
+		text, err := io.ReadAll(w.Body)
+		_ = w.Body.Close()
+		if err != nil {
+			return nil, fmt.Errorf("answer to request %s: %w", id, err)
+		}
+		s.rec.printf("request %s answered: status %d, stamp %q, %q", id, w.StatusCode, w.Header.Get("Swiftloom-Server-Stamp"), text)
+		statuses = append(statuses, w.StatusCode)
 	}
-	s.rec.printf("request %s answered: status %d, stamp %q, %q", id, w.StatusCode, w.Header.Get("Swiftloom-Server-Stamp"), text)
-	return w.StatusCode, nil
+	return statuses, nil
 }
