--- a/review/standin-2/denied.go
+++ b/review/standin-2/denied.go
@@ -25,35 +25,51 @@
 // in its head or, without the disruption, without that line. On kept channels the e-mail stands
 // further back in the first body, and the second body holds none.
 func playDenied(s *site, trouble bool) error {
-	m, err := s.addRunner("i-02d9e6b4", "booking-app", "half-way-tree", "")
+	m, err := s.addRunner("i-02d9e6b4", "booking-app", "")
 	if err != nil {
 		return err
 	}
 	s.store.put("op", "config", manifest(7, nil))
-	g, err := s.newGate("front-half-way-tree-1", "half-way-tree", true)
+	g, err := s.startGate()
 	if err != nil {
 		return err
 	}
-	if err := s.start(g); err != nil {
-		return err
-	}
-	if err := s.awaitReady(g, 10*time.Second); err != nil {
-		return err
-	}
 	time.Sleep(3500 * time.Millisecond)
 	line := "Content-Length: 27\r\n"
 	if !trouble {
 		line = "Lines: 1\r\n"
 	}
 	body := "From: master@quay.example\r\nSubject: booking\r\nContent-Type: text/plain\r\n" + line + "\r\nThe kitchen is under water.\r\n"
-	denied, after := 0, 0
-	isDenied := func(status int) bool {
-		return status >= 300 && status < 500 && status != 408 && status != 421 && status != 429
+	denied, after, err := s.sendMails(g, body)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	runs := len(m.runs)
+	m.mu.Unlock()
+	s.rec.printf("requests ended with a status of the system's own: %d of %d (allowed %d); runs: %d", denied, allDenied, deniedAllowed, runs)
+	s.rec.printf("of these, second requests on a kept channel, whose own bodies hold no e-mail: %d of %d", after, keptChannels)
+	if denied > deniedAllowed {
+		return errBroken
+	}
+	if runs != allDenied {
+		return fmt.Errorf("%d of %d requests have run", runs, allDenied)
 	}
+	return nil
+}
+
+// isDenied reports whether a status is one that the rule counts.
+func isDenied(status int) bool {
+	return status >= 300 && status < 500 && status != 408 && status != 421 && status != 429
+}
+
+// sendMails sends all requests. It returns how many were denied, and how many of these were second
+// requests on a kept channel.
+func (s *site) sendMails(g *gateProcess, body string) (denied, after int, err error) {
 	for i := range deniedRequests {
 		statuses, err := s.sendChunked(g, []string{fmt.Sprintf("b00k%012d", i)}, []string{body})
 		if err != nil {
-			return err
+			return denied, after, err
 		}
 		if isDenied(statuses[0]) {
 			denied++
@@ -63,7 +79,7 @@
 		ids := []string{fmt.Sprintf("f125%012d", i), fmt.Sprintf("5ec0%012d", i)}
 		statuses, err := s.sendChunked(g, ids, []string{strings.Repeat("a", textBefore) + "\r\n" + body, "The kitchen is dry."})
 		if err != nil {
-			return err
+			return denied, after, err
 		}
 		for j, status := range statuses {
 			if isDenied(status) {
@@ -72,18 +88,7 @@
 			}
 		}
 	}
-	m.mu.Lock()
-	runs := len(m.runs)
-	m.mu.Unlock()
-	s.rec.printf("requests ended with a status of the system's own: %d of %d (allowed %d); runs: %d", denied, allDenied, deniedAllowed, runs)
-	s.rec.printf("of these, second requests on a kept channel, whose own bodies hold no e-mail: %d of %d", after, keptChannels)
-	if denied > deniedAllowed {
-		return errBroken
-	}
-	if runs != allDenied {
-		return fmt.Errorf("%d of %d requests have run", runs, allDenied)
-	}
-	return nil
+	return denied, after, nil
 }
 
 // sendChunked sends requests one after the other on a new channel, each with a body in one chunk, and
--- a/review/standin-2/lease.go
+++ b/review/standin-2/lease.go
@@ -10,7 +10,7 @@
 // time, the platform's store returns from a copy that is older than the rollout lease. The machine
 // that held the lease is stopping by then; the process on the other one has just started again.
 func playLease(s *site, trouble bool) error {
-	m, err := s.addRunner("i-7f3a91c0", "model-desk", "half-way-tree", "model-a")
+	m, err := s.addRunner("i-7f3a91c0", "model-desk", "model-a")
 	if err != nil {
 		return err
 	}
@@ -26,7 +26,7 @@
 	}
 	nameVersion(1)
 	for i, zone := range []string{"half-way-tree", "new-kingston"} {
-		g, err := s.newGate(fmt.Sprintf("front-%s-%d", zone, i+1), zone, true)
+		g, err := s.newGate(fmt.Sprintf("front-%s-%d", zone, i+1), zone)
 		if err != nil {
 			return err
 		}
@@ -35,7 +35,7 @@
 		}
 	}
 	for _, g := range s.gates {
-		if err := s.awaitReady(g, 10*time.Second); err != nil {
+		if err := s.awaitReady(g); err != nil {
 			return err
 		}
 	}
--- a/review/standin-2/leave.go
+++ b/review/standin-2/leave.go
@@ -36,7 +36,7 @@
 }
 
 func newLeavingRunner(s *site, id string) (*leavingRunner, error) {
-	l, err := net.Listen("tcp", s.newIP()+":0")
+	l, err := listen(s.newIP())
 	if err != nil {
 		return nil, err
 	}
@@ -56,7 +56,7 @@
 // entry returns the runner's entry in a state.
 func (r *leavingRunner) entry(state string, seq int) map[string]any {
 	return map[string]any{
-		"service": "model-desk", "addr": r.listener.Addr().String(), "zone": "half-way-tree", "version": "v1", "slots": 64, "state": state, "cold_left_ms": 0,
+		"service": "model-desk", "addr": r.listener.Addr().String(), "zone": homeZone, "version": "v1", "slots": 64, "state": state, "cold_left_ms": 0,
 		"stage": "unified", "models": []map[string]any{{"name": "model-a", "version": 1, "adapters": []string{}}}, "seq": seq, "born": 1790000000000,
 	}
 }
@@ -128,16 +128,10 @@
 	draft := config["routes"].([]map[string]any)[0]
 	draft["resumable"], draft["attempts"] = false, 1
 	s.store.put("op", "config", config)
-	g, err := s.newGate("front-half-way-tree-1", "half-way-tree", true)
+	g, err := s.startGate()
 	if err != nil {
 		return err
 	}
-	if err := s.start(g); err != nil {
-		return err
-	}
-	if err := s.awaitReady(g, 10*time.Second); err != nil {
-		return err
-	}
 	time.Sleep(3500 * time.Millisecond)
 	var clients sync.WaitGroup
 	answers := make([]answer, leaveStreams)
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -45,13 +45,13 @@
 
 // modelRunner stands in for a model runner, or a plain service if model is empty.
 type modelRunner struct {
-	id, address, service, zone string
-	slots                      int
-	model                      string
-	loadTime                   time.Duration
-	born                       int64
-	store                      *metadataStore
-	rec                        *record
+	id, address, service string
+	slots                int
+	model                string
+	loadTime             time.Duration
+	born                 int64
+	store                *metadataStore
+	rec                  *record
 	// work is how long a request of a plain service runs.
 	work func(r *http.Request) time.Duration
 
@@ -66,12 +66,11 @@
 	changed chan struct{}
 	orders  []order
 	runs    []*run
-	stopped bool
 }
 
-func newModelRunner(id, address, service, zone, model string, store *metadataStore, rec *record) *modelRunner {
+func newModelRunner(id, service, model string, store *metadataStore, rec *record) *modelRunner {
 	return &modelRunner{
-		id: id, address: address, service: service, zone: zone, model: model, slots: 16, loadTime: 300 * time.Millisecond,
+		id: id, service: service, model: model, slots: 16, loadTime: 300 * time.Millisecond,
 		born: time.Now().UnixMilli(), store: store, rec: rec, version: 1, named: map[uint64]bool{1: true},
 		cache: make(map[cacheKey]usedPart), changed: make(chan struct{}),
 	}
@@ -89,7 +88,7 @@
 	m.mu.Lock()
 	m.beat++
 	entry := map[string]any{
-		"service": m.service, "addr": m.address, "zone": m.zone, "version": "v1", "slots": m.slots, "state": "ready",
+		"service": m.service, "addr": m.address, "zone": homeZone, "version": "v1", "slots": m.slots, "state": "ready",
 		"cold_left_ms": 0, "seq": m.beat, "born": m.born,
 	}
 	if m.model != "" {
@@ -117,13 +116,9 @@
 }
 
 func (m *modelRunner) writeJSON(w http.ResponseWriter, status int, v any) {
-	data, err := json.Marshal(v)
-	if err != nil {
-		panic(err)
-	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_, _ = w.Write(data)
+	_ = json.NewEncoder(w).Encode(v)
 }
 
 // ServeHTTP implements http.Handler.
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -76,19 +78,22 @@
 
 // serve serves h on a free port of a new machine.
 func (s *site) serve(h http.Handler) (string, error) {
-	l, err := net.Listen("tcp", s.newIP()+":0")
+	l, err := listen(s.newIP())
 	if err != nil {
 		return "", err
 	}
-	server := &http.Server{Handler: h}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: readyLimit}
 	s.servers = append(s.servers, server)
 	go func() { _ = server.Serve(l) }()
 	return l.Addr().String(), nil
 }
 
+// homeZone is the zone of all runners, and of the instance of a site that has one.
+const homeZone = "half-way-tree"
+
 // addRunner starts a runner and its registration.
-func (s *site) addRunner(id, service, zone, model string) (*modelRunner, error) {
-	m := newModelRunner(id, "", service, zone, model, s.store, s.rec)
+func (s *site) addRunner(id, service, model string) (*modelRunner, error) {
+	m := newModelRunner(id, service, model, s.store, s.rec)
 	address, err := s.serve(m)
 	if err != nil {
 		return nil, err
@@ -101,17 +106,21 @@
 
 // gateProcess is an entry instance on a machine.
 type gateProcess struct {
-	node, ip, zone         string
-	callers, ready         string
-	settings, log          string
-	cmd                    *exec.Cmd
-	exited                 chan struct{}
-	isFirstStart, isKilled bool
+	node, ip       string
+	callers, ready string
+	settings, log  string
+	cmd            *exec.Cmd
+	exited         chan struct{}
+}
+
+// listen listens on a free port of ip.
+func listen(ip string) (net.Listener, error) {
+	return new(net.ListenConfig).Listen(context.Background(), "tcp", ip+":0")
 }
 
 // freePort returns a port that is free on ip.
 func freePort(ip string) (int, error) {
-	l, err := net.Listen("tcp", ip+":0")
+	l, err := listen(ip)
 	if err != nil {
 		return 0, err
 	}
@@ -120,8 +129,8 @@
 }
 
 // newGate prepares the settings of an instance.
-func (s *site) newGate(node, zone string, isFirstStart bool) (*gateProcess, error) {
-	g := &gateProcess{node: node, ip: s.newIP(), zone: zone, isFirstStart: isFirstStart}
+func (s *site) newGate(node, zone string) (*gateProcess, error) {
+	g := &gateProcess{node: node, ip: s.newIP()}
 	var ports [4]int
 	for i := range ports {
 		var err error
@@ -132,7 +141,7 @@
 	g.callers, g.ready = fmt.Sprintf("%s:%d", g.ip, ports[0]), fmt.Sprintf("%s:%d", g.ip, ports[1])
 	g.settings, g.log = filepath.Join(s.dir, node+".conf"), filepath.Join(s.dir, node+".log")
 	text := strings.NewReplacer("{node}", node, "{ip}", g.ip, "{zone}", zone, "{front}", g.callers, "{ready}", g.ready,
-		"{control}", fmt.Sprintf("%s:%d", g.ip, ports[2]), "{inner}", fmt.Sprint(ports[3]), "{store}", s.storeAddr, "{first}", fmt.Sprint(isFirstStart)).Replace(settingsText)
+		"{control}", fmt.Sprintf("%s:%d", g.ip, ports[2]), "{inner}", fmt.Sprint(ports[3]), "{store}", s.storeAddr).Replace(settingsText)
 	if err := os.WriteFile(g.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -154,7 +163,7 @@
 listen.control={control}
 port_range={inner},{inner}
 seeds=
-bootstrap={first}
+bootstrap=true
 loss_counts=false
 limits.cpu_share=0.4
 limits.cores=1
@@ -209,12 +218,23 @@
 
 // start starts the instance with the command of the deploy file.
 func (s *site) start(g *gateProcess) error {
+	if g.exited != nil {
+		// The whole system starts for the first time only once.
+		text, err := os.ReadFile(g.settings)
+		if err != nil {
+			return err
+		}
+		text = bytes.Replace(text, []byte("bootstrap=true"), []byte("bootstrap=false"), 1)
+		if err := os.WriteFile(g.settings, text, 0o600); err != nil {
+			return err
+		}
+	}
 	log, err := os.OpenFile(g.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = log.Close() }()
-	cmd := exec.Command("target/swiftloom", "gate")
+	cmd := exec.CommandContext(context.Background(), "target/swiftloom", "gate")
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "SWIFTLOOM_NODE_FILE=" + g.settings}
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
@@ -226,22 +246,30 @@
 	return nil
 }
 
-// kill ends the process of an instance with SIGKILL.
-func (s *site) kill(g *gateProcess) {
-	_ = g.cmd.Process.Signal(syscall.SIGKILL)
-	<-g.exited
-	s.rec.printf("instance %s killed", g.node)
-}
-
 // stop asks an instance to end.
 func (s *site) stop(g *gateProcess) {
 	_ = g.cmd.Process.Signal(syscall.SIGTERM)
 	s.rec.printf("instance %s got SIGTERM", g.node)
 }
 
+// readyLimit bounds the wait until an instance is ready.
+const readyLimit = 10 * time.Second
+
+// startGate starts the instance of a site that has one, and waits until it is ready.
+func (s *site) startGate() (*gateProcess, error) {
+	g, err := s.newGate("front-half-way-tree-1", homeZone)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.start(g); err != nil {
+		return nil, err
+	}
+	return g, s.awaitReady(g)
+}
+
 // awaitReady waits until the instance says that it is ready.
-func (s *site) awaitReady(g *gateProcess, limit time.Duration) error {
-	until := time.Now().Add(limit)
+func (s *site) awaitReady(g *gateProcess) error {
+	until := time.Now().Add(readyLimit)
 	client := &http.Client{Timeout: 500 * time.Millisecond}
 	for time.Now().Before(until) {
 		w, err := client.Get("http://" + g.ready + "/readyz")
@@ -254,7 +282,7 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	return fmt.Errorf("instance %s is not ready after %s", g.node, limit)
+	return fmt.Errorf("instance %s is not ready after %s", g.node, readyLimit)
 }
 
 // close ends everything that was started.
@@ -291,6 +319,17 @@
 	err    error
 }
 
+// errStatus is the failure of a whole answer with another status than 200.
+var errStatus = errors.New("the status is not 200")
+
+// failure returns why the answer is none to a request that was served.
+func (a answer) failure() error {
+	if a.err != nil {
+		return a.err
+	}
+	return errStatus
+}
+
 // send sends a request to an instance.
 func (s *site) send(g *gateProcess, method, path, id string, header map[string]string, body string, limit time.Duration) answer {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -47,17 +47,17 @@
 func rowID(r storeRow) string { return r.Table + "\x00" + r.Part + "\x00" + r.Key }
 
 // put writes a row as the operator or a runner does.
-func (s *metadataStore) put(table, key string, value any) uint64 {
+func (s *metadataStore) put(table, key string, value any) {
 	data, err := json.Marshal(value)
 	if err != nil {
-		panic(err)
+		// All values are maps of plain values.
+		data = []byte(err.Error())
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
 	s.apply(storeRow{Table: table, Key: key, Value: data, Version: s.version})
 	s.notify()
-	return s.version
 }
 
 // apply stores a row of the current version. s.mu must be held.
@@ -71,14 +71,6 @@
 	s.changed = make(chan struct{})
 }
 
-// get returns a row that exists.
-func (s *metadataStore) get(table, key string) (storeRow, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	r, ok := s.rows[rowID(storeRow{Table: table, Key: key})]
-	return r, ok && !r.Deleted
-}
-
 // setAway makes the store close connections without an answer, or serve again.
 func (s *metadataStore) setAway(isAway bool) {
 	s.mu.Lock()
@@ -124,14 +116,10 @@
 	if a.Rows == nil {
 		a.Rows = []storeRow{}
 	}
-	data, err := json.Marshal(a)
-	if err != nil {
-		panic(err)
-	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 	w.WriteHeader(status)
-	_, _ = w.Write(data)
+	_ = json.NewEncoder(w).Encode(a)
 }
 
 // checkAway ends the connection of a call if the store is away. s.mu must be held.
--- a/review/standin-2/tenant.go
+++ b/review/standin-2/tenant.go
@@ -13,22 +13,16 @@
 // playTenant makes a route public. The clients of two tenants send their keys on it before and after,
 // and a client sends a key that no manifest holds.
 func playTenant(s *site, trouble bool) error {
-	m, err := s.addRunner("i-02d9e6b4", "booking-app", "half-way-tree", "")
+	m, err := s.addRunner("i-02d9e6b4", "booking-app", "")
 	if err != nil {
 		return err
 	}
 	s.store.put("op", "config", manifestWith(7, nil, false))
 	s.rec.printf("manifest 7 acknowledged: route r-look is not public")
-	g, err := s.newGate("front-half-way-tree-1", "half-way-tree", true)
+	g, err := s.startGate()
 	if err != nil {
 		return err
 	}
-	if err := s.start(g); err != nil {
-		return err
-	}
-	if err := s.awaitReady(g, 10*time.Second); err != nil {
-		return err
-	}
 	time.Sleep(time.Second)
 	holders := make(map[string]string)
 	sendAll := func(phase string) error {
@@ -38,7 +32,7 @@
 			holders[id] = tenant
 			a := s.send(g, http.MethodGet, "/look/1", id, map[string]string{"Authorization": "Bearer key-" + tenant}, "", 5*time.Second)
 			if a.err != nil || a.status != http.StatusOK {
-				return fmt.Errorf("request %s: status %d, error %v", id, a.status, a.err)
+				return fmt.Errorf("request %s: status %d, error: %w", id, a.status, a.failure())
 			}
 		}
 		return nil
--- a/review/standin-2/wall.go
+++ b/review/standin-2/wall.go
@@ -52,27 +52,21 @@
 // playWall makes a tenant isolated and then lets another tenant send prompts that share parts
 // with those that the isolated one has sent.
 func playWall(s *site, trouble bool) error {
-	m, err := s.addRunner("i-7f3a91c2", "model-desk", "half-way-tree", "model-a")
+	m, err := s.addRunner("i-7f3a91c2", "model-desk", "model-a")
 	if err != nil {
 		return err
 	}
 	s.store.put("op", "config", manifest(7, nil))
 	s.rec.printf("manifest 7 acknowledged: no tenant is isolated")
-	g, err := s.newGate("front-half-way-tree-1", "half-way-tree", true)
+	g, err := s.startGate()
 	if err != nil {
 		return err
 	}
-	if err := s.start(g); err != nil {
-		return err
-	}
-	if err := s.awaitReady(g, 10*time.Second); err != nil {
-		return err
-	}
 	time.Sleep(time.Second)
 	for i := range 3 {
 		id := fmt.Sprintf("c0unc11%09d", i)
 		if a := s.send(g, http.MethodPost, "/draft/1", id, promptHeader("port-council", "c0"+fmt.Sprint(i)), "prompt", 10*time.Second); a.err != nil || a.status != http.StatusOK {
-			return fmt.Errorf("request %s of the first phase: status %d, error %v", id, a.status, a.err)
+			return fmt.Errorf("request %s of the first phase: status %d, error: %w", id, a.status, a.failure())
 		}
 	}
 	isolated := map[string]bool{}
@@ -95,6 +89,11 @@
 	if served == 0 {
 		return fmt.Errorf("no request of the second phase was served")
 	}
+	return checkWall(s.rec, m, from, isolated)
+}
+
+// checkWall checks the runs from a time on while some tenants are isolated.
+func checkWall(rec *record, m *modelRunner, from time.Time, isolated map[string]bool) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	broken := 0
@@ -105,7 +104,7 @@
 		for _, used := range u.Used {
 			if used.MakerTenant != u.Tenant && (isolated[used.MakerTenant] || isolated[u.Tenant]) {
 				broken++
-				s.rec.printf("WALL: request %s of tenant %s used part %s, which request %s of tenant %s had made", u.ID, u.Tenant, used.Part, used.MakerRequest, used.MakerTenant)
+				rec.printf("WALL: request %s of tenant %s used part %s, which request %s of tenant %s had made", u.ID, u.Tenant, used.Part, used.MakerRequest, used.MakerTenant)
 			}
 		}
 	}
