--- a/review/standin-2/denied.go
+++ b/review/standin-2/denied.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -94,7 +95,7 @@
 // sendChunked sends requests one after the other on a new channel, each with a body in one chunk, and
 // returns the statuses of the answers.
 func (s *site) sendChunked(g *gateProcess, ids, bodies []string) ([]int, error) {
-	c, err := net.Dial("tcp", g.callers)
+	c, err := new(net.Dialer).DialContext(context.Background(), "tcp", g.callers)
 	if err != nil {
 		return nil, err
 	}
--- a/review/standin-2/lease.go
+++ b/review/standin-2/lease.go
@@ -21,7 +21,7 @@
 		m.mu.Lock()
 		m.named[version] = true
 		m.mu.Unlock()
-		s.store.put("op", "version/model-a", map[string]any{"model": "model-a", "version": version})
+		s.store.put("op", "version/model-a", map[string]any{"model": "model-a", fieldVersion: version})
 		s.rec.printf("weights %d of model-a named and acknowledged", version)
 	}
 	nameVersion(1)
--- a/review/standin-2/leave.go
+++ b/review/standin-2/leave.go
@@ -56,8 +56,8 @@
 // entry returns the runner's entry in a state.
 func (r *leavingRunner) entry(state string, seq int) map[string]any {
 	return map[string]any{
-		"service": "model-desk", "addr": r.listener.Addr().String(), "zone": homeZone, "version": "v1", "slots": 64, "state": state, "cold_left_ms": 0,
-		"stage": "unified", "models": []map[string]any{{"name": "model-a", "version": 1, "adapters": []string{}}}, "seq": seq, "born": 1790000000000,
+		"service": "model-desk", "addr": r.listener.Addr().String(), "zone": homeZone, fieldVersion: "v1", "slots": 64, "state": state, "cold_left_ms": 0,
+		"stage": "unified", "models": []map[string]any{{fieldName: "model-a", fieldVersion: 1, "adapters": []string{}}}, "seq": seq, "born": 1790000000000,
 	}
 }
 
